--- a/crates/daemon/src/control/events.rs
+++ b/crates/daemon/src/control/events.rs
@@ -7,8 +7,8 @@
 use skylarkdock_admin::{envelope, explain, ranges, records, status};
 use skylarkdock_fold::State;
 use skylarkdock_grants::{Answer, Order};
-use skylarkdock_platform::hosts::ListedHost;
-use skylarkdock_platform::log::{AppendError, Reading};
+use skylarkdock_logclient::hosts::ListedHost;
+use skylarkdock_logclient::log::{AppendError, Reading};
 use skylarkdock_units::ids::{Offset, ServiceName, UpstreamId};
 use skylarkdock_units::requests::RecordId;
 
--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -4,13 +4,13 @@
 use crate::control::Control;
 use crate::links::{LinkEvent, Received};
 use crate::settings::Settings;
+use skylarkdock_logclient::hosts::ListedHost;
 use skylarkdock_membership::{
     Config, Entry, HostView, Input, Listed, Membership, Output, State as HostState,
 };
 use skylarkdock_peer::PeerError;
 use skylarkdock_peer::message::{Packet, Payload};
 use skylarkdock_placement::Site;
-use skylarkdock_platform::hosts::ListedHost;
 use skylarkdock_timeline::kind::Kind;
 use skylarkdock_timeline::reasons::PeerReason;
 use skylarkdock_units::ids::{HostId, Member};
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -18,7 +18,7 @@
 use skylarkdock_httppath::executor::Executor;
 use skylarkdock_httppath::pool::Pool;
 use skylarkdock_httppath::server::{Server, Shutdown};
-use skylarkdock_platform::{HostList, Log};
+use skylarkdock_logclient::{HostList, Log};
 use skylarkdock_units::ids::{HostId, Incarnation, Member};
 use skylarkdock_units::times::Millis;
 use std::net::{SocketAddr, TcpListener};
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decisions about a request on an entry host, without clock, input, output or randomness.
+//!
+//! [`routes`] finds the route of a request and [`split`] the service. [`service`] holds what a host knows of one
+//! service's upstreams, keeps the requests that wait and picks who goes where. [`budget`] bounds repeats over all
+//! hosts, [`returns`] says when a refused caller should come back, and [`crashes`] keeps requests that crash upstreams
+//! away from them.
+
+pub mod budget;
+pub mod crashes;
+pub mod returns;
+pub mod routes;
+pub mod service;
+pub mod split;
+pub mod upstream;
--- /dev/null
+++ b/crates/dispatch/src/service.rs
@@ -0,0 +1,402 @@
+//! One service on one host: its upstreams, who owns which key, and the requests that wait.
+//!
+//! Load pattern: more requests than slots, for seconds, while some upstreams are slow, cold, failing or leaving. What
+//! can be answered within its objective goes first, by rank; what can't be served in time is refused at once
+//! with the time at which to come back, so that its caller neither holds a place nor waits for nothing.
+
+use crate::returns;
+use crate::routes::Repeat;
+use crate::upstream::{Distance, Ended, Listing, Upstream, as_f32};
+use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::ids::UpstreamId;
+use skylarkdock_units::times::{HostTime, Millis};
+
+/// Time assumed for a request before any was measured, in milliseconds.
+const ASSUMED_SERVICE_MS: f32 = 100.0;
+/// Part of the time left until the objective that a request may spend waiting, in percent.
+const WAIT_PERCENT: u64 = 75;
+/// Part of the time left until its limit that a request past its objective may spend waiting, in percent.
+const LATE_WAIT_PERCENT: u64 = 30;
+/// Part of its objective by which a request in its region must be expected before another region is used, in percent.
+const FAR_FROM_PERCENT: u64 = 80;
+/// Longest wait for a key whose owner is being changed.
+const MOVE_WAIT: Millis = Millis(600);
+/// Pause told when no upstream can be reached; the caller's own time bounds it further.
+const OUTAGE_PAUSE: Millis = Millis(700);
+/// Most requests that wait for one service.
+const MAX_WAITING: usize = 256;
+
+/// A request that asks for an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// Number by which the host finds the request again.
+    pub ticket: u64,
+    /// Rank; 0 is the most urgent.
+    pub rank: u8,
+    /// What may be repeated.
+    pub repeat: Repeat,
+    /// When it arrived at the host.
+    pub arrived: HostTime,
+    /// Until when an answer has its full worth.
+    pub objective: HostTime,
+    /// Until when it must be answered.
+    pub limit: HostTime,
+    /// Its key, in a service that is divided by keys.
+    pub key: Option<u16>,
+    /// Upstreams that it was sent to already.
+    pub tried: Vec<UpstreamId>,
+    /// Number that spreads equal callers, 0 to 999.
+    pub point: u32,
+}
+
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// It can't be answered in time behind those that wait.
+    Overload,
+    /// No upstream of the service can be reached.
+    NoUpstream,
+    /// Nobody holds its key at the moment.
+    KeyUnowned,
+    /// Its time passed while it waited.
+    Expired,
+}
+
+impl Reason {
+    /// Returns the reason as a word for logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Overload => "overload",
+            Self::NoUpstream => "no_upstream",
+            Self::KeyUnowned => "key_unowned",
+            Self::Expired => "expired",
+        }
+    }
+}
+
+/// What becomes of a request now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// It goes to this upstream.
+    Send(UpstreamId),
+    /// It waits.
+    Wait,
+    /// It is refused; the caller may return after the pause.
+    Refuse {
+        /// Why.
+        reason: Reason,
+        /// When the caller should come back.
+        pause: Millis,
+    },
+}
+
+/// Owners of a service's keys, in order of the keys.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct KeyMap {
+    spans: Vec<(u16, Option<UpstreamId>)>,
+}
+
+impl KeyMap {
+    /// Builds the map from the last key of each span and its owner, if it has one, in order.
+    pub const fn new(spans: Vec<(u16, Option<UpstreamId>)>) -> Self {
+        Self { spans }
+    }
+
+    /// Returns the owner of a key.
+    pub fn owner(&self, key: u16) -> Option<&UpstreamId> {
+        let index = self.spans.partition_point(|(last, _)| *last < key);
+        self.spans.get(index)?.1.as_ref()
+    }
+}
+
+/// A service as one host sees it.
+#[derive(Debug, Default)]
+pub struct Service {
+    upstreams: FastMap<UpstreamId, Upstream>,
+    keys: Option<KeyMap>,
+    waiting: Vec<Ask>,
+    /// Hosts that send to the service from this region.
+    sharers: u32,
+}
+
+impl Service {
+    /// Replaces the upstreams; what was learnt of those that stay is kept.
+    pub fn set_upstreams(&mut self, listings: Vec<Listing>) {
+        self.upstreams.retain(|id, upstream| {
+            upstream.in_flight() > 0 || listings.iter().any(|listing| listing.id == *id)
+        });
+        for upstream in self.upstreams.values_mut() {
+            if !listings.iter().any(|listing| listing.id == upstream.listing().id) {
+                let listing = Listing { is_leaving: true, ..upstream.listing().clone() };
+                upstream.set_listing(listing);
+            }
+        }
+        for listing in listings {
+            match self.upstreams.get_mut(&listing.id) {
+                Some(upstream) => upstream.set_listing(listing),
+                None => {
+                    self.upstreams.insert(listing.id.clone(), Upstream::new(listing));
+                }
+            }
+        }
+    }
+
+    /// Sets the owners of the keys, `None` for a service that is not divided.
+    pub fn set_keys(&mut self, keys: Option<KeyMap>) {
+        self.keys = keys;
+    }
+
+    /// Sets how many hosts of the region send to the service.
+    pub fn set_sharers(&mut self, count: u32) {
+        self.sharers = count;
+    }
+
+    /// Returns an upstream.
+    pub fn upstream(&self, id: &UpstreamId) -> Option<&Upstream> {
+        self.upstreams.get(id)
+    }
+
+    /// Returns an upstream for changes.
+    pub fn upstream_mut(&mut self, id: &UpstreamId) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(id)
+    }
+
+    /// Returns all upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the time that a request typically takes, in milliseconds.
+    pub fn typical_ms(&self) -> f32 {
+        let learnt = self.upstreams.values().filter_map(Upstream::service_ms);
+        let (sum, count) = learnt.fold((0.0, 0_u32), |(sum, count), ms| (sum + ms, count + 1));
+        if count == 0 { ASSUMED_SERVICE_MS } else { sum / as_f32(count) }
+    }
+
+    /// Decides about a request that has just arrived, or comes again after an attempt.
+    pub fn offer(&mut self, ask: Ask, now: HostTime) -> Verdict {
+        let typical = self.typical_ms();
+        if let Some(id) = self.choose(&ask, typical, now) {
+            return Verdict::Send(id);
+        }
+        let verdict = self.admit(&ask, typical, now);
+        if verdict == Verdict::Wait {
+            let place = self.waiting.partition_point(|other| precedes(other, &ask));
+            self.waiting.insert(place, ask);
+        }
+        verdict
+    }
+
+    /// Decides about those that wait: returns each that is sent or refused now.
+    pub fn next(&mut self, now: HostTime) -> Vec<(Ask, Verdict)> {
+        let mut decided = Vec::new();
+        let typical = self.typical_ms();
+        let mut index = 0;
+        let mut sent: FastMap<UpstreamId, u32> = FastMap::default();
+        while index < self.waiting.len() {
+            let ask = &self.waiting[index];
+            let latest = ask.limit.0.saturating_sub(to_millis(typical).0 / 2);
+            let verdict = if now.0 >= latest {
+                Some(self.refusal(ask, Reason::Expired, Millis(0), now))
+            } else {
+                match self.choose(ask, typical, now) {
+                    // One request for each upstream and round: the caller notes it before the next round.
+                    Some(id) if !sent.contains_key(&id) => {
+                        sent.insert(id.clone(), 1);
+                        Some(Verdict::Send(id))
+                    }
+                    Some(_) => None,
+                    None => self.overdue(ask, now),
+                }
+            };
+            match verdict {
+                Some(verdict) => decided.push((self.waiting.remove(index), verdict)),
+                None => index += 1,
+            }
+        }
+        decided
+    }
+
+    /// Forgets a request that waits.
+    pub fn cancel(&mut self, ticket: u64) {
+        self.waiting.retain(|ask| ask.ticket != ticket);
+    }
+
+    /// Notes that a request was sent.
+    pub fn on_start(&mut self, id: &UpstreamId, now: HostTime) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.on_start(now);
+        }
+    }
+
+    /// Notes how a request ended.
+    pub fn on_end(&mut self, id: &UpstreamId, started: HostTime, ended: Ended, now: HostTime) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.on_end(started, ended, now);
+        }
+    }
+
+    /// Returns the upstream that a request goes to now, if one has room.
+    fn choose(&self, ask: &Ask, typical: f32, now: HostTime) -> Option<UpstreamId> {
+        if let Some(keys) = &self.keys {
+            let owner = self.upstreams.get(keys.owner(ask.key?)?)?;
+            let is_free = owner.is_usable(now) && owner.has_room(now);
+            return is_free.then(|| owner.listing().id.clone());
+        }
+        let near = self.best(ask, typical, now, |distance| distance != Distance::Far);
+        let until_objective = as_f32(millis_u32(ask.objective, now));
+        let near_is_late = near.as_ref().is_none_or(|(_, expected)| {
+            expected * 100.0 > until_objective * as_f32(FAR_FROM_PERCENT as u32)
+        });
+        if !near_is_late {
+            return near.map(|(id, _)| id);
+        }
+        let far = self.best(ask, typical, now, |distance| distance == Distance::Far);
+        match (near, far) {
+            (Some((near, near_ms)), Some((_, far_ms))) if near_ms <= far_ms * 1.3 => Some(near),
+            (_, Some((far, _))) => Some(far),
+            (Some((near, _)), None) => Some(near),
+            (None, None) => None,
+        }
+    }
+
+    /// Returns the upstream with the shortest expected time among those in reach.
+    fn best(
+        &self,
+        ask: &Ask,
+        typical: f32,
+        now: HostTime,
+        in_reach: impl Fn(Distance) -> bool,
+    ) -> Option<(UpstreamId, f32)> {
+        let mut best: Option<(&Upstream, f32)> = None;
+        for upstream in self.upstreams.values() {
+            let listing = upstream.listing();
+            if !in_reach(listing.distance)
+                || !upstream.is_usable(now)
+                || !upstream.has_room(now)
+                || ask.tried.contains(&listing.id)
+            {
+                continue;
+            }
+            let mut expected = upstream.expected_ms(typical, now);
+            if upstream.is_failing() {
+                expected *= 3.0;
+            }
+            if best.is_none_or(|(_, shortest)| expected < shortest) {
+                best = Some((upstream, expected));
+            }
+        }
+        best.map(|(upstream, expected)| (upstream.listing().id.clone(), expected))
+    }
+
+    /// Decides whether a request for which nobody has room may wait.
+    fn admit(&self, ask: &Ask, typical: f32, now: HostTime) -> Verdict {
+        if self.waiting.len() >= MAX_WAITING {
+            return self.refusal(ask, Reason::Overload, to_millis(typical), now);
+        }
+        let service = to_millis(typical);
+        if let Some(keys) = &self.keys {
+            let owner =
+                ask.key.and_then(|key| keys.owner(key)).and_then(|id| self.upstreams.get(id));
+            let Some(owner) = owner.filter(|owner| owner.is_usable(now)) else {
+                return self.admit_unowned(ask, now);
+            };
+            let ahead = self.ahead(ask, |other| {
+                other.key.and_then(|key| keys.owner(key)) == Some(&owner.listing().id)
+            });
+            let service = owner.service_ms().unwrap_or(typical);
+            let places = as_f32(owner.listing().slots.max(1));
+            // Other hosts have their own requests waiting for the same upstream.
+            let rivals = as_f32(owner.load(now).saturating_sub(owner.in_flight()) + 1);
+            let own_part =
+                (as_f32(owner.in_flight() + 1) / (as_f32(owner.in_flight()) + rivals)).max(0.1);
+            let wait = to_millis(service * as_f32(ahead + 1) / (places * own_part));
+            return self.admit_within(ask, wait, to_millis(service), now);
+        }
+        let usable = |upstream: &&Upstream| {
+            upstream.is_usable(now) && upstream.listing().distance != Distance::Far
+        };
+        let per_ms: f32 = self
+            .upstreams
+            .values()
+            .filter(usable)
+            .map(|up| as_f32(up.listing().slots) / up.service_ms().unwrap_or(typical).max(1.0))
+            .sum();
+        if per_ms <= 0.0 && !self.upstreams.values().any(|upstream| upstream.is_usable(now)) {
+            return self.refusal(ask, Reason::NoUpstream, OUTAGE_PAUSE, now);
+        }
+        let ahead = self.ahead(ask, |_| true);
+        let share = per_ms.max(0.001) / as_f32(self.sharers.max(1));
+        self.admit_within(ask, to_millis(as_f32(ahead + 1) / share), service, now)
+    }
+
+    fn admit_within(&self, ask: &Ask, wait: Millis, service: Millis, now: HostTime) -> Verdict {
+        let by_objective = ask.objective.0.saturating_sub(now.0 + service.0);
+        let by_limit = ask.limit.0.saturating_sub(now.0 + service.0);
+        let allowed = if by_objective > 0 {
+            by_objective * WAIT_PERCENT / 100
+        } else {
+            by_limit * LATE_WAIT_PERCENT / 100
+        };
+        if wait.0 <= allowed {
+            return Verdict::Wait;
+        }
+        self.refusal(ask, Reason::Overload, wait, now)
+    }
+
+    /// Decides about a request whose key has no owner that can be reached.
+    fn admit_unowned(&self, ask: &Ask, now: HostTime) -> Verdict {
+        let waited = now.since(ask.arrived);
+        let objective = ask.objective.since(ask.arrived);
+        if waited < MOVE_WAIT.min(Millis(objective.0 / 2)) {
+            return Verdict::Wait;
+        }
+        self.refusal(ask, Reason::KeyUnowned, OUTAGE_PAUSE, now)
+    }
+
+    /// Refuses a waiting request whose key still has no owner.
+    fn overdue(&self, ask: &Ask, now: HostTime) -> Option<Verdict> {
+        let keys = self.keys.as_ref()?;
+        let owner = ask.key.and_then(|key| keys.owner(key)).and_then(|id| self.upstreams.get(id));
+        if owner.is_some_and(|owner| owner.is_usable(now)) {
+            return None;
+        }
+        match self.admit_unowned(ask, now) {
+            Verdict::Wait => None,
+            refusal => Some(refusal),
+        }
+    }
+
+    fn ahead(&self, ask: &Ask, counts: impl Fn(&Ask) -> bool) -> u32 {
+        let ahead = self.waiting.iter().filter(|other| precedes(other, ask) && counts(other));
+        u32::try_from(ahead.count()).unwrap_or(u32::MAX)
+    }
+
+    fn refusal(&self, ask: &Ask, reason: Reason, expected: Millis, now: HostTime) -> Verdict {
+        let left = ask.limit.since(now);
+        Verdict::Refuse { reason, pause: returns::pause(expected, left, ask.point) }
+    }
+}
+
+/// Returns whether `first` is served before `second`: by rank, then by objective.
+fn precedes(first: &Ask, second: &Ask) -> bool {
+    (first.rank, first.objective) <= (second.rank, second.objective)
+}
+
+fn millis_u32(later: HostTime, now: HostTime) -> u32 {
+    u32::try_from(later.since(now).0).unwrap_or(u32::MAX)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "bounded above and below"
+)]
+fn to_millis(ms: f32) -> Millis {
+    Millis(ms.clamp(0.0, 3_600_000.0) as u64)
+}
--- /dev/null
+++ b/crates/edge/src/client.rs
@@ -0,0 +1,325 @@
+//! Requests to upstreams, the store and other hosts, over connections that serve one request at a time.
+
+use crate::net;
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
+use skylarkdock_http1::body::Decoder;
+use skylarkdock_http1::head::{AnswerHead, Headers};
+use skylarkdock_units::times::Millis;
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+const READ_SIZE: usize = 16 * 1024;
+/// Largest head of an answer, in bytes.
+const MAX_HEAD: usize = 64 * 1024;
+/// Largest body of an answer, in bytes; larger ones would not fit a host's memory beside others.
+const MAX_BODY: usize = 16 * 1024 * 1024;
+/// Most answers to other requests that are skipped before one's own.
+const MAX_STRAY: u32 = 4;
+
+/// Why a request has no answer.
+#[derive(Debug, Error)]
+pub enum Failure {
+    /// Nothing was sent.
+    #[error("not sent")]
+    NotSent(#[source] io::Error),
+    /// It was sent, and the connection broke.
+    #[error("connection broke")]
+    Broken(#[source] io::Error),
+    /// It was sent, and what came is no answer to it.
+    #[error("not an answer")]
+    Malformed,
+    /// It was sent, and nothing came in time.
+    #[error("no answer in time")]
+    TimedOut,
+}
+
+/// A request in wire form.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// Head and body.
+    pub bytes: Vec<u8>,
+    /// Whether the method is HEAD, whose answer has no body.
+    pub is_head: bool,
+    /// Name and value of the header that tells answers to this request from others.
+    pub id: Option<(&'static str, String)>,
+}
+
+impl Outgoing {
+    /// Builds a request. `headers` must not declare the length, which is added.
+    pub fn new(method: &str, target: &str, headers: &Headers, body: &[u8]) -> Self {
+        let mut bytes = Vec::with_capacity(256 + body.len());
+        bytes.extend_from_slice(method.as_bytes());
+        bytes.push(b' ');
+        bytes.extend_from_slice(target.as_bytes());
+        bytes.extend_from_slice(b" HTTP/1.1\r\n");
+        headers.write(&mut bytes);
+        if !body.is_empty() || matches!(method, "POST" | "PUT" | "PATCH") {
+            bytes.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(body);
+        Self { bytes, is_head: method == "HEAD", id: None }
+    }
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Its head.
+    pub head: AnswerHead,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Whether it names the request that it answers.
+    pub is_matched: bool,
+}
+
+/// A connection to a peer.
+pub struct Conn {
+    stream: Async<TcpStream>,
+    buf: Vec<u8>,
+    /// When the last answer came.
+    pub used_at: Instant,
+    /// How long the peer keeps the connection idle, if it said.
+    pub keep_alive: Option<Duration>,
+    /// Whether any request was answered on it.
+    pub is_used: bool,
+}
+
+impl Conn {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`net::connect`] does.
+    pub async fn open(addr: SocketAddr, timeout: Millis) -> io::Result<Self> {
+        let stream = net::connect(addr, timeout).await?;
+        Ok(Self {
+            stream,
+            buf: Vec::new(),
+            used_at: Instant::now(),
+            keep_alive: None,
+            is_used: false,
+        })
+    }
+
+    /// Returns whether the connection is open and nothing unasked has come on it.
+    pub fn is_clean(&self) -> bool {
+        let mut byte = [0];
+        let mut stream = self.stream.get_ref();
+        self.buf.is_empty()
+            && matches!(stream.read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Closes the connection with a reset.
+    pub fn reset(self) {
+        net::reset(self.stream);
+    }
+
+    /// Sends a request and reads the answer to it. Returns whether the connection can be used again.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Failure::NotSent`] only if no byte left the host.
+    pub async fn exchange(&mut self, req: &Outgoing) -> Result<(Reply, bool), Failure> {
+        let first = (&self.stream).write(&req.bytes).await.map_err(Failure::NotSent)?;
+        let rest = &req.bytes[first..];
+        if rest.is_empty() {
+            return self.receive(req).await;
+        }
+        // The peer may answer before it has read a long body. The connection is then not used again.
+        let stream = &self.stream;
+        let write = async move {
+            let mut stream = stream;
+            stream.write_all(rest).await
+        };
+        let mut buf = std::mem::take(&mut self.buf);
+        let mut is_written = false;
+        let answered = {
+            let written = async {
+                match write.await {
+                    Ok(()) => is_written = true,
+                    // The answer may still be readable.
+                    Err(_) => return futures_lite::future::pending().await,
+                }
+                futures_lite::future::pending::<Result<(Reply, bool), Failure>>().await
+            };
+            let read = receive(&self.stream, &mut buf, req);
+            read.or(written).await
+        };
+        self.buf = buf;
+        self.noted(answered).map(|(reply, reusable)| (reply, reusable && is_written))
+    }
+
+    async fn receive(&mut self, req: &Outgoing) -> Result<(Reply, bool), Failure> {
+        let mut buf = std::mem::take(&mut self.buf);
+        let answered = receive(&self.stream, &mut buf, req).await;
+        self.buf = buf;
+        self.noted(answered)
+    }
+
+    fn noted(
+        &mut self,
+        answered: Result<(Reply, bool), Failure>,
+    ) -> Result<(Reply, bool), Failure> {
+        let (reply, reusable) = answered?;
+        self.used_at = Instant::now();
+        self.is_used = true;
+        if let Some(timeout) = keep_alive(&reply.head.headers) {
+            self.keep_alive = Some(timeout);
+        }
+        Ok((reply, reusable && self.buf.is_empty()))
+    }
+}
+
+/// Reads the answer to a request, after any that belong to others.
+async fn receive(
+    stream: &Async<TcpStream>,
+    buf: &mut Vec<u8>,
+    req: &Outgoing,
+) -> Result<(Reply, bool), Failure> {
+    let mut stray = 0;
+    loop {
+        let (reply, reusable) = receive_any(stream, buf, req.is_head).await?;
+        if reply.head.is_interim() {
+            continue;
+        }
+        let Some((name, id)) = &req.id else { return Ok((reply, reusable)) };
+        match reply.head.headers.text(name) {
+            Some(found) if found == id => {
+                return Ok((Reply { is_matched: true, ..reply }, reusable && stray == 0));
+            }
+            Some(_) if reusable && stray < MAX_STRAY => stray += 1,
+            Some(_) => return Err(Failure::Malformed),
+            None => return Ok((reply, reusable && stray == 0)),
+        }
+    }
+}
+
+async fn receive_any(
+    stream: &Async<TcpStream>,
+    buf: &mut Vec<u8>,
+    is_head: bool,
+) -> Result<(Reply, bool), Failure> {
+    let (head, len) = loop {
+        match AnswerHead::parse(buf, is_head) {
+            Ok(Some(found)) => break found,
+            Ok(None) if buf.len() < MAX_HEAD => {}
+            Ok(None) | Err(_) => return Err(Failure::Malformed),
+        }
+        if fill(stream, buf).await? == 0 {
+            return Err(Failure::Broken(io::ErrorKind::UnexpectedEof.into()));
+        }
+    };
+    buf.drain(..len);
+    let mut body = Vec::new();
+    let mut decoder = Decoder::new(head.framing);
+    loop {
+        let used = decoder.decode(buf, &mut body).map_err(|_| Failure::Malformed)?;
+        buf.drain(..used);
+        if decoder.is_done() {
+            break;
+        }
+        if body.len() > MAX_BODY {
+            return Err(Failure::Malformed);
+        }
+        if fill(stream, buf).await? == 0 {
+            if decoder.ends_with_connection() {
+                break;
+            }
+            return Err(Failure::Broken(io::ErrorKind::UnexpectedEof.into()));
+        }
+    }
+    let reusable = head.keeps_alive;
+    Ok((Reply { head, body, is_matched: false }, reusable))
+}
+
+async fn fill(mut stream: &Async<TcpStream>, buf: &mut Vec<u8>) -> Result<usize, Failure> {
+    let mut chunk = [0; READ_SIZE];
+    let count = stream.read(&mut chunk).await.map_err(Failure::Broken)?;
+    buf.extend_from_slice(&chunk[..count]);
+    Ok(count)
+}
+
+fn keep_alive(headers: &Headers) -> Option<Duration> {
+    let text = headers.text("keep-alive")?;
+    let seconds = text.split(',').find_map(|item| item.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// Sends a request on a connection and waits for its answer for a limited time.
+///
+/// # Errors
+///
+/// Fails as [`Conn::exchange`] does, and with [`Failure::TimedOut`].
+pub async fn exchange_within(
+    conn: &mut Conn,
+    req: &Outgoing,
+    timeout: Millis,
+) -> Result<(Reply, bool), Failure> {
+    let passed = async {
+        Timer::after(timeout.duration()).await;
+        Err(Failure::TimedOut)
+    };
+    conn.exchange(req).or(passed).await
+}
+
+/// Makes control calls to one peer over a kept connection. After a failure the connection is reset, so that nothing of
+/// the call is still on its way.
+pub struct Caller {
+    addr: SocketAddr,
+    conn: Option<Conn>,
+    /// How often a kept connection broke or was refused since the last answer.
+    pub breaks: u32,
+}
+
+impl Caller {
+    /// Starts without a connection.
+    pub const fn new(addr: SocketAddr) -> Self {
+        Self { addr, conn: None, breaks: 0 }
+    }
+
+    /// Returns the peer's address.
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Makes a call. Fails once if the kept connection was closed in between, so that the caller learns of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`exchange_within`] does.
+    pub async fn call(&mut self, req: &Outgoing, timeout: Millis) -> Result<Reply, Failure> {
+        let started = Instant::now();
+        let mut conn = match self.conn.take() {
+            Some(conn) if conn.is_clean() => conn,
+            Some(_) => {
+                self.breaks += 1;
+                return Err(Failure::NotSent(io::ErrorKind::ConnectionReset.into()));
+            }
+            None => Conn::open(self.addr, timeout).await.map_err(|e| {
+                self.breaks += 1;
+                Failure::NotSent(e)
+            })?,
+        };
+        let left = timeout.duration().saturating_sub(started.elapsed());
+        let left = Millis(u64::try_from(left.as_millis()).unwrap_or(u64::MAX));
+        match exchange_within(&mut conn, req, left).await {
+            Ok((reply, reusable)) => {
+                self.breaks = 0;
+                if reusable {
+                    self.conn = Some(conn);
+                }
+                Ok(reply)
+            }
+            Err(failure) => {
+                self.breaks += 1;
+                conn.reset();
+                Err(failure)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/pool.rs
@@ -0,0 +1,74 @@
+//! Idle connections to upstreams.
+
+use crate::client::Conn;
+use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::times::Millis;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Most idle connections kept to one upstream.
+const MAX_IDLE: usize = 12;
+/// Longest time that a connection is kept idle, if the upstream doesn't say how long it does.
+const IDLE_TIME: Millis = Millis(5_000);
+/// Time before the upstream's own limit from which a connection isn't used any more.
+const SAFETY: Duration = Duration::from_millis(1_500);
+/// Longest idle time of a connection that carries a request which may run only once: if the upstream closes the
+/// connection at that very moment, the fate of the request is unknown.
+const ONCE_IDLE_TIME: Duration = Duration::from_millis(1_000);
+
+/// Idle connections of one host.
+#[derive(Default)]
+pub struct Pool {
+    idle: FastMap<SocketAddr, Vec<Conn>>,
+}
+
+impl Pool {
+    /// Takes an idle connection that can be used.
+    pub fn take(&mut self, addr: SocketAddr, is_once: bool) -> Option<Conn> {
+        let idle = self.idle.get_mut(&addr)?;
+        while let Some(conn) = idle.pop() {
+            let age = conn.used_at.elapsed();
+            if age > idle_limit(&conn) {
+                // Those below are older.
+                idle.clear();
+                return None;
+            }
+            if is_once && age > ONCE_IDLE_TIME {
+                idle.push(conn);
+                return None;
+            }
+            if conn.is_clean() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection.
+    pub fn put(&mut self, addr: SocketAddr, conn: Conn) {
+        let idle = self.idle.entry(addr).or_default();
+        if idle.len() < MAX_IDLE {
+            idle.push(conn);
+        }
+    }
+
+    /// Closes the connections to an address.
+    pub fn forget(&mut self, addr: SocketAddr) {
+        self.idle.remove(&addr);
+    }
+
+    /// Closes connections that are too old.
+    pub fn sweep(&mut self) {
+        for idle in self.idle.values_mut() {
+            idle.retain(|conn| conn.used_at.elapsed() <= idle_limit(conn));
+        }
+        self.idle.retain(|_, idle| !idle.is_empty());
+    }
+}
+
+fn idle_limit(conn: &Conn) -> Duration {
+    match conn.keep_alive {
+        Some(limit) => limit.saturating_sub(SAFETY),
+        None => IDLE_TIME.duration(),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/traffic/attempt.rs
@@ -0,0 +1,163 @@
+//! One attempt at one upstream.
+
+use super::Traffic;
+use crate::client::{Conn, Failure, Outgoing, Reply};
+use crate::clock;
+use crate::upstreams::Kind;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use skylarkdock_dispatch::upstream::Ended;
+use skylarkdock_units::ids::{ServiceName, UpstreamId};
+use skylarkdock_units::times::{HostTime, Millis};
+use std::net::SocketAddr;
+
+/// Longest time to open a connection. Between regions a round trip takes some tens of milliseconds; the opening packet
+/// is sent again only after a second.
+const CONNECT_TIMEOUT: Millis = Millis(300);
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub(super) enum Outcome {
+    /// An answer that is passed on.
+    Answered(Reply),
+    /// The upstream did not run the request.
+    NotRun(NotRun),
+    /// The request may have run.
+    Unknown(Ended),
+}
+
+/// Why a request was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NotRun {
+    /// No connection could be made.
+    Unreachable,
+    /// The upstream had no room.
+    Shed,
+    /// It isn't the one for the request.
+    Misdirected,
+}
+
+/// Notes the end of an attempt, also when it is dropped.
+struct Flight<'a> {
+    traffic: &'a Traffic,
+    service: &'a ServiceName,
+    id: &'a UpstreamId,
+    started: HostTime,
+    ended: Ended,
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        if let Some(state) = self.traffic.services.borrow_mut().get_mut(self.service) {
+            state.service.on_end(self.id, self.started, self.ended, clock::now());
+        }
+        self.traffic.look();
+    }
+}
+
+/// What an attempt needs.
+pub(super) struct Attempt<'a> {
+    pub(super) service: &'a ServiceName,
+    pub(super) id: &'a UpstreamId,
+    pub(super) is_once: bool,
+    pub(super) until: HostTime,
+}
+
+impl Traffic {
+    /// Sends a request to an upstream and waits for its answer. `build` makes the request for the time that is left.
+    pub(super) async fn attempt(
+        &self,
+        attempt: Attempt<'_>,
+        build: impl Fn(Millis) -> Outgoing,
+    ) -> Outcome {
+        let Attempt { service, id, is_once, until } = attempt;
+        let Some(addr) = self.lives.borrow().get(id).map(|listed| listed.entry.addr) else {
+            return Outcome::NotRun(NotRun::Unreachable);
+        };
+        let started = clock::now();
+        if let Some(state) = self.services.borrow_mut().get_mut(service) {
+            state.service.on_start(id, started);
+        }
+        let mut flight = Flight { traffic: self, service, id, started, ended: Ended::Cancelled };
+        let outcome = self.try_conns(addr, is_once, until, build).await;
+        flight.ended = match &outcome {
+            Outcome::Answered(reply) if reply.head.status >= 500 => Ended::Failed,
+            Outcome::Answered(_) => Ended::Answered,
+            Outcome::NotRun(NotRun::Unreachable) => Ended::Unreachable,
+            Outcome::NotRun(NotRun::Shed) => Ended::Shed,
+            Outcome::NotRun(NotRun::Misdirected) => Ended::Misdirected,
+            Outcome::Unknown(ended) => *ended,
+        };
+        outcome
+    }
+
+    /// Sends on a kept connection, or on a new one if nothing could be sent on that.
+    async fn try_conns(
+        &self,
+        addr: SocketAddr,
+        is_once: bool,
+        until: HostTime,
+        build: impl Fn(Millis) -> Outgoing,
+    ) -> Outcome {
+        let kept = self.pool.borrow_mut().take(addr, is_once);
+        if let Some(conn) = kept {
+            let req = build(until.since(clock::now()));
+            match self.exchange(addr, conn, &req, until).await {
+                Err(Failure::NotSent(e)) => {
+                    log::debug!("traffic: a kept connection to {addr} was closed: {e}");
+                    self.pool.borrow_mut().forget(addr);
+                }
+                done => return self.outcome(done),
+            }
+        }
+        let left = until.since(clock::now());
+        match Conn::open(addr, CONNECT_TIMEOUT.min(left)).await {
+            Ok(conn) => {
+                let req = build(until.since(clock::now()));
+                let done = self.exchange(addr, conn, &req, until).await;
+                self.outcome(done)
+            }
+            Err(e) => {
+                log::debug!("traffic: can't connect to {addr}: {e}");
+                self.pool.borrow_mut().forget(addr);
+                Outcome::NotRun(NotRun::Unreachable)
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        mut conn: Conn,
+        req: &Outgoing,
+        until: HostTime,
+    ) -> Result<Reply, Failure> {
+        let passed = async {
+            Timer::at(clock::instant(until)).await;
+            Err(Failure::TimedOut)
+        };
+        let (reply, reusable) = conn.exchange(req).or(passed).await?;
+        if reusable {
+            self.pool.borrow_mut().put(addr, conn);
+        }
+        Ok(reply)
+    }
+
+    fn outcome(&self, done: Result<Reply, Failure>) -> Outcome {
+        match done {
+            Ok(reply) => match self.protocol.names.classify(&reply) {
+                Kind::Final => Outcome::Answered(reply),
+                Kind::Shed => Outcome::NotRun(NotRun::Shed),
+                Kind::Misdirected => Outcome::NotRun(NotRun::Misdirected),
+                Kind::Unusable => Outcome::Unknown(Ended::Broken),
+            },
+            Err(Failure::NotSent(_)) => Outcome::NotRun(NotRun::Unreachable),
+            Err(Failure::TimedOut) => Outcome::Unknown(Ended::TimedOut),
+            Err(Failure::Broken(e)) => {
+                log::debug!("traffic: a connection broke before the answer: {e}");
+                Outcome::Unknown(Ended::Broken)
+            }
+            Err(Failure::Malformed) => Outcome::Unknown(Ended::Broken),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/traffic/mod.rs
@@ -0,0 +1,217 @@
+//! The traffic thread: callers' requests, from their arrival to their answer.
+
+mod attempt;
+mod reports;
+mod request;
+mod waiting;
+
+use crate::pool::Pool;
+use crate::serve::{Answer, Answering, Incoming, Shared};
+use crate::settings::Settings;
+use crate::upstreams::Protocol;
+use crate::view::{Listed, View};
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use skylarkdock_dispatch::budget::{self, Budget};
+use skylarkdock_dispatch::crashes::Crashes;
+use skylarkdock_dispatch::service::{Service, Verdict};
+use skylarkdock_dispatch::upstream::{Distance, Listing};
+use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId};
+use skylarkdock_units::times::Millis;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Time between looks at the requests that wait.
+const WAITING_INTERVAL: Millis = Millis(10);
+/// Time between the samples that the control thread gets.
+const SAMPLE_INTERVAL: Millis = Millis(500);
+
+/// What the control thread gets from traffic.
+#[derive(Debug, Clone, Default)]
+pub struct Sample {
+    /// Keys of the requests since the last sample.
+    pub keys: Vec<(ServiceName, Vec<u16>)>,
+    /// Learnt times of upstreams, in milliseconds.
+    pub service_ms: Vec<(UpstreamId, f32)>,
+}
+
+/// State of the traffic thread.
+pub struct Traffic {
+    settings: Settings,
+    protocol: Protocol,
+    ex: Rc<LocalExecutor<'static>>,
+    shared: Rc<Shared>,
+    view: RefCell<Arc<View>>,
+    services: RefCell<FastMap<ServiceName, ServiceState>>,
+    lives: RefCell<FastMap<UpstreamId, Listed>>,
+    pool: RefCell<Pool>,
+    waiters: RefCell<FastMap<u64, Sender<Verdict>>>,
+    crashes: RefCell<Crashes>,
+    route_counts: RefCell<FastMap<Arc<str>, u64>>,
+    others: RefCell<FastMap<HostId, reports::Heard>>,
+    sample: RefCell<Sample>,
+    next_ticket: Cell<u64>,
+}
+
+/// A service with its budget.
+struct ServiceState {
+    service: Service,
+    budget: Budget,
+}
+
+impl Traffic {
+    /// Starts the thread's state and its tasks.
+    pub fn start(
+        settings: Settings,
+        protocol: Protocol,
+        ex: Rc<LocalExecutor<'static>>,
+        shared: Rc<Shared>,
+        views: Receiver<Arc<View>>,
+        samples: Sender<Sample>,
+    ) -> Rc<Self> {
+        let traffic = Rc::new(Self {
+            settings,
+            protocol,
+            ex: Rc::clone(&ex),
+            shared,
+            view: RefCell::default(),
+            services: RefCell::default(),
+            lives: RefCell::default(),
+            pool: RefCell::default(),
+            waiters: RefCell::default(),
+            crashes: RefCell::default(),
+            route_counts: RefCell::default(),
+            others: RefCell::default(),
+            sample: RefCell::default(),
+            next_ticket: Cell::new(0),
+        });
+        ex.spawn(Rc::clone(&traffic).follow(views)).detach();
+        ex.spawn(Rc::clone(&traffic).look_after_waiting()).detach();
+        ex.spawn(Rc::clone(&traffic).send_samples(samples)).detach();
+        reports::start(&traffic);
+        traffic
+    }
+
+    /// Answers one request.
+    pub fn answer(self: &Rc<Self>, req: Incoming) -> Answering {
+        Box::pin(Rc::clone(self).serve(req))
+    }
+
+    /// Takes over what the control thread believes.
+    async fn follow(self: Rc<Self>, views: Receiver<Arc<View>>) {
+        while let Ok(view) = views.recv().await {
+            self.apply(view);
+            self.look();
+        }
+    }
+
+    fn apply(&self, view: Arc<View>) {
+        if let Some(config) = &view.config {
+            self.shared.limits.set(Some(config.limits));
+        }
+        let mut services = self.services.borrow_mut();
+        let hosts = u32::try_from(view.peers.len() + 1).unwrap_or(u32::MAX);
+        let near = view.peers.iter().filter(|peer| peer.region == self.settings.region).count();
+        let near = u32::try_from(near + 1).unwrap_or(u32::MAX);
+        let names = view.config.iter().flat_map(|config| &config.services);
+        for info in names {
+            let state = services.entry(info.name.clone()).or_insert_with(|| ServiceState {
+                service: Service::default(),
+                budget: Budget::new(self.budget_limits(), hosts),
+            });
+            state.budget.set_hosts(hosts);
+            state.service.set_sharers(near);
+            let keys = view.keys.iter().find(|(service, _)| *service == info.name);
+            let keys = keys.map(|(_, keys)| keys.clone());
+            state.service.set_keys(info.is_sharded.then(|| keys.unwrap_or_default()));
+        }
+        let mut lives = self.lives.borrow_mut();
+        for (name, state) in services.iter_mut() {
+            let listed = view.upstreams.iter().filter(|listed| listed.entry.service == *name);
+            let mut listings = Vec::new();
+            for listed in listed {
+                listings.push(self.listing(listed));
+                let known = lives.insert(listed.entry.id.clone(), listed.clone());
+                let is_new_life = known.is_some_and(|known| known.entry.born != listed.entry.born);
+                if is_new_life && let Some(upstream) = state.service.upstream_mut(&listed.entry.id)
+                {
+                    upstream.restart();
+                }
+            }
+            state.service.set_upstreams(listings);
+        }
+        lives.retain(|id, _| view.upstreams.iter().any(|listed| listed.entry.id == *id));
+        drop((services, lives));
+        self.pool.borrow_mut().sweep();
+        *self.view.borrow_mut() = view;
+    }
+
+    fn listing(&self, listed: &Listed) -> Listing {
+        let entry = &listed.entry;
+        let distance = if entry.zone == self.settings.zone {
+            Distance::Zone
+        } else if entry.region.as_ref() == Some(&self.settings.region) {
+            Distance::Region
+        } else {
+            Distance::Far
+        };
+        Listing {
+            id: entry.id.clone(),
+            distance,
+            slots: entry.slots,
+            cold_until: listed.cold_until,
+            is_leaving: entry.is_leaving,
+        }
+    }
+
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small ratio")]
+    fn budget_limits(&self) -> budget::Limits {
+        budget::Limits {
+            per_mille: (self.settings.repeat_ratio.max(0.0) * 1000.0) as u32,
+            constant: self.settings.repeat_constant,
+            window: self.settings.repeat_window,
+        }
+    }
+
+    async fn send_samples(self: Rc<Self>, samples: Sender<Sample>) {
+        loop {
+            Timer::after(SAMPLE_INTERVAL.duration()).await;
+            let mut sample = self.sample.take();
+            for state in self.services.borrow().values() {
+                let learnt = state.service.upstreams().filter_map(|upstream| {
+                    Some((upstream.listing().id.clone(), upstream.service_ms()?))
+                });
+                sample.service_ms.extend(learnt);
+            }
+            if samples.send(sample).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn note_key(&self, service: &ServiceName, key: u16) {
+        let mut sample = self.sample.borrow_mut();
+        match sample.keys.iter_mut().find(|(name, _)| name == service) {
+            Some((_, keys)) => keys.push(key),
+            None => sample.keys.push((service.clone(), vec![key])),
+        }
+    }
+
+    fn ticket(&self) -> u64 {
+        let ticket = self.next_ticket.get() + 1;
+        self.next_ticket.set(ticket);
+        ticket
+    }
+}
+
+/// Builds a refusal: the request has not run and will not.
+fn refusal(pause: Millis) -> Answer {
+    let mut answer = Answer::empty(503);
+    #[expect(clippy::cast_precision_loss, reason = "a pause of seconds")]
+    let seconds = pause.0 as f64 / 1000.0;
+    answer.headers.push("Retry-After", format!("{seconds:.3}"));
+    answer
+}
--- /dev/null
+++ b/crates/edge/src/traffic/request.rs
@@ -0,0 +1,273 @@
+//! A request from its arrival to its answer.
+
+use super::attempt::{Attempt, NotRun, Outcome};
+use super::{Traffic, refusal};
+use crate::client::{Outgoing, Reply};
+use crate::clock;
+use crate::serve::{Answer, Incoming};
+use async_io::Timer;
+use skylarkdock_dispatch::crashes::Fingerprint;
+use skylarkdock_dispatch::returns;
+use skylarkdock_dispatch::routes::{Repeat, Route};
+use skylarkdock_dispatch::service::{Ask, Verdict};
+use skylarkdock_http1::head::Headers;
+use skylarkdock_units::ids::{ServiceName, UpstreamId};
+use skylarkdock_units::times::{HostTime, Millis};
+use std::rc::Rc;
+use std::sync::Arc;
+use xxhash_rust::xxh3;
+
+/// Pause told while no configuration is known.
+const START_PAUSE: Millis = Millis(500);
+/// Pause before a request goes again to an upstream that did not hold its key: a grant is on its way.
+const MISDIRECTED_PAUSE: Millis = Millis(60);
+/// Expected time until a shed request finds room, told when the budget for repeats is spent.
+const SHED_PAUSE: Millis = Millis(40);
+/// Time kept back for the host's own final answer at the limit.
+const ANSWER_MARGIN: Millis = Millis(15);
+
+/// What is fixed about a request.
+struct Request {
+    id: String,
+    method: String,
+    target: String,
+    headers: Headers,
+    body: Vec<u8>,
+    route: Arc<Route>,
+    service: ServiceName,
+    key: Option<u16>,
+    arrived: HostTime,
+    limit: HostTime,
+    point: u32,
+}
+
+/// What was tried so far.
+#[derive(Default)]
+struct Tries {
+    sent: u32,
+    shed: u32,
+    tried: Vec<UpstreamId>,
+}
+
+impl Traffic {
+    /// Serves one request.
+    pub(super) async fn serve(self: Rc<Self>, incoming: Incoming) -> Answer {
+        let arrived = clock::now();
+        let req = match self.accept(incoming, arrived) {
+            Ok(req) => req,
+            Err(answer) => return answer,
+        };
+        if let Some(state) = self.services.borrow_mut().get_mut(&req.service) {
+            state.budget.on_request(arrived);
+        }
+        if let Some(key) = req.key {
+            self.note_key(&req.service, key);
+        }
+        let answer = self.run(&req).await;
+        log::debug!(request = req.id.as_str(), status = answer.status; "traffic: answered");
+        answer
+    }
+
+    /// Finds the route of a request and checks its headers.
+    fn accept(&self, incoming: Incoming, arrived: HostTime) -> Result<Request, Answer> {
+        let names = &self.protocol.names;
+        let view = Arc::clone(&self.view.borrow());
+        let Some(config) = &view.config else { return Err(refusal(START_PAUSE)) };
+        let Incoming { head, body } = incoming;
+        let Some(host) = head.headers.text("host") else { return Err(Answer::empty(400)) };
+        let Some(route) = config.routes.find(host, head.path()) else {
+            if !view.is_config_sure {
+                // The route may be one that was just added.
+                return Err(refusal(START_PAUSE));
+            }
+            return Err(Answer::empty(404));
+        };
+        let route = Arc::clone(route);
+        let Some(id) = head.headers.text(names.request_id).map(str::to_owned) else {
+            return Err(Answer::empty(400));
+        };
+        let deadline = match head.headers.text(names.deadline).map(str::parse::<u64>) {
+            Some(Ok(ms)) => Millis(ms),
+            Some(Err(_)) => return Err(Answer::empty(400)),
+            None => route.timeout,
+        };
+        let service = self.pick_service(&route);
+        let is_sharded = config.services.iter().any(|info| info.name == service && info.is_sharded);
+        let key = head.headers.text(names.key).map(str::parse::<u16>);
+        let key = match (is_sharded, key) {
+            (false, _) => None,
+            (true, Some(Ok(key))) => Some(key),
+            (true, _) => return Err(Answer::empty(400)),
+        };
+        let mut headers = head.headers;
+        headers.remove_hop_by_hop();
+        for name in ["content-length", "expect", names.deadline, names.expected] {
+            headers.remove(name);
+        }
+        let point = u32::try_from(xxh3::xxh3_64(id.as_bytes()) % 1_000).unwrap_or_default();
+        Ok(Request {
+            id,
+            method: head.method,
+            target: head.target,
+            headers,
+            body,
+            limit: arrived + deadline.min(route.timeout),
+            route,
+            service,
+            key,
+            arrived,
+            point,
+        })
+    }
+
+    fn pick_service(&self, route: &Route) -> ServiceName {
+        let mut counts = self.route_counts.borrow_mut();
+        let count =
+            counts.entry(Arc::clone(&route.name)).or_insert_with(|| fastrand::u64(..1 << 32));
+        *count += 1;
+        route.split.pick(*count).clone()
+    }
+
+    /// Sends a request until it has an answer, or none can come.
+    async fn run(&self, req: &Request) -> Answer {
+        let is_once = req.route.repeat == Repeat::Once;
+        let print = fingerprint(req);
+        if self.crashes.borrow().is_refused(print, req.arrived) {
+            return refusal(Millis(req.limit.since(req.arrived).0 / 3));
+        }
+        let mut tries = Tries::default();
+        loop {
+            let id = match self.place(&req.service, self.ask(req, &tries)).await {
+                Some(Verdict::Send(id)) => id,
+                Some(Verdict::Refuse { reason, pause }) => {
+                    log::debug!(request = req.id.as_str(), reason = reason.as_str(); "traffic: refused");
+                    return refusal(pause);
+                }
+                Some(Verdict::Wait) | None => return refusal(START_PAUSE),
+            };
+            if tries.sent > 0 && !self.spend(req) {
+                return self.give_up(req, &tries);
+            }
+            let attempt =
+                Attempt { service: &req.service, id: &id, is_once, until: self.attempt_end(req) };
+            match self.attempt(attempt, |left| self.outgoing(req, &id, left)).await {
+                Outcome::Answered(reply) => {
+                    let is_failure = reply.head.status >= 500;
+                    if is_failure && !is_once && self.may_repeat(req, &tries) {
+                        tries.count(&id);
+                        continue;
+                    }
+                    return forward(reply);
+                }
+                Outcome::NotRun(why) => {
+                    tries.note_not_run(why, &id, req.key.is_some());
+                    if clock::now() >= req.limit {
+                        return refusal(SHED_PAUSE);
+                    }
+                    if why == NotRun::Misdirected && req.key.is_some() {
+                        Timer::after(MISDIRECTED_PAUSE.duration()).await;
+                    }
+                    if tries.sent > 2 * req.route.attempts {
+                        return self.give_up(req, &tries);
+                    }
+                }
+                Outcome::Unknown(ended) => {
+                    log::debug!(request = req.id.as_str(), ended:? = ended; "traffic: no answer");
+                    tries.count(&id);
+                    if is_once || !self.may_repeat(req, &tries) {
+                        let is_late = clock::now() + ANSWER_MARGIN >= req.limit;
+                        return Answer::empty(if is_late { 504 } else { 502 });
+                    }
+                }
+            }
+        }
+    }
+
+    fn ask(&self, req: &Request, tries: &Tries) -> Ask {
+        Ask {
+            ticket: self.ticket(),
+            rank: req.route.rank,
+            repeat: req.route.repeat,
+            arrived: req.arrived,
+            objective: req.arrived + req.route.objective,
+            limit: req.limit,
+            key: req.key,
+            tried: tries.tried.clone(),
+            point: req.point,
+        }
+    }
+
+    /// Returns until when the present attempt is waited for.
+    fn attempt_end(&self, req: &Request) -> HostTime {
+        req.limit
+    }
+
+    fn spend(&self, req: &Request) -> bool {
+        let mut services = self.services.borrow_mut();
+        services.get_mut(&req.service).is_some_and(|state| state.budget.spend(clock::now()))
+    }
+
+    /// Returns whether an idempotent request may be sent once more.
+    fn may_repeat(&self, req: &Request, tries: &Tries) -> bool {
+        let now = clock::now();
+        let mut services = self.services.borrow_mut();
+        let Some(state) = services.get_mut(&req.service) else { return false };
+        let has_attempts = tries.sent < req.route.attempts || req.key.is_some() && tries.sent < 3;
+        has_attempts && now + ANSWER_MARGIN < req.limit && state.budget.available(now) > 0
+    }
+
+    /// Returns the final answer for a request that no upstream has run.
+    fn give_up(&self, req: &Request, tries: &Tries) -> Answer {
+        let now = clock::now();
+        let left = req.limit.since(now);
+        let expected = if tries.shed > 0 { SHED_PAUSE } else { MISDIRECTED_PAUSE };
+        refusal(returns::pause(expected, left, req.point))
+    }
+
+    fn outgoing(&self, req: &Request, id: &UpstreamId, left: Millis) -> Outgoing {
+        let names = &self.protocol.names;
+        let mut headers = req.headers.clone();
+        headers.push(names.deadline, left.0.max(1).to_string());
+        headers.push(names.expected, id.as_str());
+        let mut outgoing = Outgoing::new(&req.method, &req.target, &headers, &req.body);
+        outgoing.id = Some((names.request_id, req.id.clone()));
+        outgoing
+    }
+}
+
+impl Tries {
+    fn count(&mut self, id: &UpstreamId) {
+        self.sent += 1;
+        self.tried.push(id.clone());
+    }
+
+    fn note_not_run(&mut self, why: NotRun, id: &UpstreamId, is_keyed: bool) {
+        match why {
+            NotRun::Unreachable => {}
+            NotRun::Shed => {
+                self.sent += 1;
+                self.shed += 1;
+            }
+            NotRun::Misdirected => self.sent += 1,
+        }
+        if !is_keyed {
+            self.tried.push(id.clone());
+        }
+    }
+}
+
+fn fingerprint(req: &Request) -> Fingerprint {
+    let mut hash = xxh3::Xxh3::new();
+    hash.update(req.method.as_bytes());
+    hash.update(req.target.as_bytes());
+    hash.update(&req.body);
+    Fingerprint(hash.digest())
+}
+
+/// Passes an upstream's answer on.
+fn forward(reply: Reply) -> Answer {
+    let mut headers = reply.head.headers;
+    headers.remove_hop_by_hop();
+    headers.remove("content-length");
+    Answer { status: reply.head.status, headers, body: reply.body }
+}
--- /dev/null
+++ b/crates/edge/src/traffic/waiting.rs
@@ -0,0 +1,68 @@
+//! Requests that wait for an upstream.
+
+use super::{Traffic, WAITING_INTERVAL};
+use crate::clock;
+use async_io::Timer;
+use skylarkdock_dispatch::service::{Ask, Verdict};
+use skylarkdock_units::ids::ServiceName;
+use std::rc::Rc;
+
+/// Takes a request out of the line when its caller leaves.
+struct Place<'a> {
+    traffic: &'a Traffic,
+    service: &'a ServiceName,
+    ticket: u64,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.traffic.waiters.borrow_mut().remove(&self.ticket);
+        if let Some(state) = self.traffic.services.borrow_mut().get_mut(self.service) {
+            state.service.cancel(self.ticket);
+        }
+    }
+}
+
+impl Traffic {
+    /// Finds an upstream for a request, waiting for one if that may still be in time.
+    pub(super) async fn place(&self, service: &ServiceName, ask: Ask) -> Option<Verdict> {
+        let ticket = ask.ticket;
+        let verdict = {
+            let mut services = self.services.borrow_mut();
+            let state = services.get_mut(service)?;
+            state.service.offer(ask, clock::now())
+        };
+        if verdict != Verdict::Wait {
+            return Some(verdict);
+        }
+        let (tx, rx) = async_channel::bounded(1);
+        self.waiters.borrow_mut().insert(ticket, tx);
+        let _place = Place { traffic: self, service, ticket };
+        rx.recv().await.ok()
+    }
+
+    /// Decides about the requests that wait.
+    pub(super) fn look(&self) {
+        let now = clock::now();
+        let mut services = self.services.borrow_mut();
+        for state in services.values_mut().filter(|state| state.service.waiting() > 0) {
+            for (ask, verdict) in state.service.next(now) {
+                if let Some(waiter) = self.waiters.borrow_mut().remove(&ask.ticket)
+                    && waiter.try_send(verdict).is_err()
+                {
+                    log::debug!("traffic: a request left while it was given an upstream");
+                }
+            }
+        }
+    }
+
+    /// Looks at the requests that wait from time to time, as their time passes.
+    pub(super) async fn look_after_waiting(self: Rc<Self>) {
+        loop {
+            Timer::after(WAITING_INTERVAL.duration()).await;
+            if !self.waiters.borrow().is_empty() {
+                self.look();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/spans/src/keep.rs
@@ -0,0 +1,249 @@
+//! Renewal of recorded grants.
+//!
+//! A keeper renews what the newest table that it knows records as granted. Its right to do so ends some time after it
+//! last had proof that no newer table exists, so that a leader who can't reach it knows when it has stopped.
+
+use crate::table::{Fence, Holder, Table};
+use crate::timing::Timing;
+use serde::{Deserialize, Serialize};
+use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::ids::{HostId, Region};
+use skylarkdock_units::times::{HostTime, Millis};
+
+/// Failed renewals in a row after which a holder counts as unreachable.
+const UNREACHABLE_AFTER: u32 = 3;
+
+/// Silence after which a holder may have crashed unseen and another life may listen at its address.
+const MAX_SILENCE: Millis = Millis(1_500);
+
+/// A grant to send.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Grant {
+    /// First key.
+    pub first: u16,
+    /// Last key.
+    pub last: u16,
+    /// The holder.
+    pub holder: Holder,
+    /// Its fencing token.
+    pub fence: Fence,
+    /// What the last holder handed over.
+    pub handover: Option<String>,
+}
+
+/// How a call to an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// It was carried out.
+    Done,
+    /// The upstream has seen a higher fencing token.
+    Fenced,
+    /// Another upstream has the address: the one that was called has ended.
+    Gone,
+    /// No answer: it may or may not be carried out.
+    Unknown,
+}
+
+/// When grants were last sent to a life of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LastSent {
+    /// The life.
+    pub holder: Holder,
+    /// How long ago, in milliseconds.
+    pub age: Millis,
+}
+
+/// A keeper's word about a table.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ack {
+    /// The keeper.
+    pub host: HostId,
+    /// The version that it goes by.
+    pub version: u64,
+    /// How long its process has run; an earlier one may have sent grants until then.
+    pub running: Millis,
+    /// When it last sent grants.
+    pub sent: Vec<LastSent>,
+    /// Holders that don't answer it.
+    pub unreachable: Vec<Holder>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Record {
+    sent_at: HostTime,
+    answered_at: HostTime,
+    failures: u32,
+    suspended_at: Option<HostTime>,
+}
+
+/// The renewals of one service by one host.
+#[derive(Debug)]
+pub struct Keep {
+    me: HostId,
+    region: Region,
+    timing: Timing,
+    started_at: HostTime,
+    table: Option<Table>,
+    proof_at: HostTime,
+    holders: FastMap<Holder, Record>,
+    spans: FastMap<(u16, u16, Fence), HostTime>,
+}
+
+impl Keep {
+    /// Starts without a table.
+    pub fn new(me: HostId, region: Region, timing: Timing, now: HostTime) -> Self {
+        Self {
+            me,
+            region,
+            timing,
+            started_at: now,
+            table: None,
+            proof_at: HostTime(0),
+            holders: FastMap::default(),
+            spans: FastMap::default(),
+        }
+    }
+
+    /// Returns the table.
+    pub const fn table(&self) -> Option<&Table> {
+        self.table.as_ref()
+    }
+
+    /// Takes a table over if it is newer than the one known.
+    pub fn adopt(&mut self, table: Table) {
+        if self.table.as_ref().is_some_and(|known| known.version >= table.version) {
+            return;
+        }
+        let kept = |(first, last, fence): &(u16, u16, Fence)| {
+            table.spans.iter().any(|s| s.first == *first && s.last == *last && s.fence == *fence)
+        };
+        self.spans.retain(|span, _| kept(span));
+        self.table = Some(table);
+    }
+
+    /// Notes that the table was the newest one at a time.
+    pub fn prove(&mut self, at: HostTime) {
+        self.proof_at = self.proof_at.max(at);
+    }
+
+    /// Returns whether this host may still act on its table.
+    pub fn has_proof(&self, now: HostTime) -> bool {
+        self.proof_at.0 > 0 && now.since(self.proof_at) < self.timing.proof_lifetime
+    }
+
+    /// Returns the renewals that are due, and counts them as sent.
+    pub fn due(&mut self, now: HostTime) -> Vec<Grant> {
+        let Some(table) = &self.table else { return Vec::new() };
+        let is_keeper = table.keepers.iter().any(|keeper| keeper.host == self.me);
+        if !is_keeper || !self.has_proof(now) {
+            return Vec::new();
+        }
+        let mut due = Vec::new();
+        for span in table.spans.iter().filter(|span| span.is_granted) {
+            let covered = table.keepers.iter().any(|keeper| keeper.region == span.owner.region);
+            if covered && span.owner.region != self.region {
+                continue;
+            }
+            if self.holders.get(&span.owner).is_some_and(|record| record.suspended_at.is_some()) {
+                continue;
+            }
+            let sent_at = self.spans.entry((span.first, span.last, span.fence)).or_default();
+            if sent_at.0 > 0 && now.since(*sent_at) < self.timing.renewal_interval() {
+                continue;
+            }
+            *sent_at = now;
+            due.push(Grant {
+                first: span.first,
+                last: span.last,
+                holder: span.owner.clone(),
+                fence: span.fence,
+                handover: None,
+            });
+        }
+        for grant in &due {
+            self.holders.entry(grant.holder.clone()).or_default().sent_at = now;
+        }
+        due
+    }
+
+    /// Notes a grant that the leader sends on this host.
+    pub fn on_sent(&mut self, grant: &Grant, now: HostTime) {
+        self.holders.entry(grant.holder.clone()).or_default().sent_at = now;
+        self.spans.insert((grant.first, grant.last, grant.fence), now);
+    }
+
+    /// Notes how a renewal ended. One without an answer is sent again at once.
+    pub fn on_end(&mut self, grant: &Grant, end: CallEnd, now: HostTime) {
+        let record = self.holders.entry(grant.holder.clone()).or_default();
+        match end {
+            CallEnd::Done => {
+                record.failures = 0;
+                record.answered_at = now;
+            }
+            CallEnd::Fenced => record.answered_at = now,
+            CallEnd::Gone => record.suspended_at = Some(now),
+            CallEnd::Unknown => {
+                record.failures += 1;
+                if now.since(record.answered_at) > MAX_SILENCE {
+                    record.suspended_at.get_or_insert(now);
+                }
+                if record.failures <= UNREACHABLE_AFTER {
+                    self.spans.insert((grant.first, grant.last, grant.fence), HostTime(0));
+                }
+            }
+        }
+    }
+
+    /// Stops renewing to a life whose connection broke: a later life may listen there, which must not get the grants
+    /// of the earlier one.
+    pub fn suspend(&mut self, holder: &Holder, now: HostTime) {
+        self.holders.entry(holder.clone()).or_default().suspended_at.get_or_insert(now);
+    }
+
+    /// Renews again to lives that the registry has confirmed since.
+    pub fn resume(&mut self, holder: &Holder, now: HostTime) {
+        if let Some(record) = self.holders.get_mut(holder) {
+            record.suspended_at = None;
+            record.answered_at = now;
+        }
+    }
+
+    /// Returns the holders that renewals wait for a confirmation of.
+    pub fn suspended(&self) -> Vec<(Holder, HostTime)> {
+        let holders = self.holders.iter();
+        holders
+            .filter_map(|(holder, record)| Some((holder.clone(), record.suspended_at?)))
+            .collect()
+    }
+
+    /// Returns whether a holder has not answered several renewals in a row.
+    pub fn is_unreachable(&self, holder: &Holder) -> bool {
+        self.holders.get(holder).is_some_and(|record| record.failures >= UNREACHABLE_AFTER)
+    }
+
+    /// Returns whether renewals to a holder wait for a confirmation by the registry.
+    pub fn is_suspended(&self, holder: &Holder) -> bool {
+        self.holders.get(holder).is_some_and(|record| record.suspended_at.is_some())
+    }
+
+    /// Returns this host's word about its table.
+    pub fn ack(&self, now: HostTime) -> Ack {
+        let sent = self
+            .holders
+            .iter()
+            .filter(|(_, record)| record.sent_at.0 > 0)
+            .map(|(holder, record)| LastSent {
+                holder: holder.clone(),
+                age: now.since(record.sent_at),
+            })
+            .collect();
+        let unreachable = self.holders.keys().filter(|holder| self.is_unreachable(holder));
+        Ack {
+            host: self.me.clone(),
+            version: self.table.as_ref().map_or(0, |table| table.version),
+            running: now.since(self.started_at),
+            sent,
+            unreachable: unreachable.cloned().collect(),
+        }
+    }
+}
