Keep a leaving host's connections short and count the upstreams that ran a request

Cause: (1) a leaving host went on reading from connections that always had a request pending, so requests were taken until its end and cut; (2) the limit of upstreams per request was checked before the attempt was counted, so one more ran it; (3) an answer that never came was waited for until the route's timeout. A leaving host now reads no further request behind a pending one and refuses late ones. Attempts are limited by the upstreams that may have run the request. A late idempotent request goes to a second upstream if one is free, within the shared budget.

Ruled out: the balancer keeping the host in rotation (readiness was 503 from the signal on).

--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -192,6 +192,20 @@
         verdict
     }
 
+    /// Returns when a request that has just gone to an upstream is late enough to be sent a second time.
+    pub fn late_at(&self, id: &UpstreamId, now: HostTime) -> Option<HostTime> {
+        let late = self.upstreams.get(id)?.late_after_ms(self.typical_ms(), now);
+        Some(now + to_millis(late))
+    }
+
+    /// Returns an upstream with a free slot for the second attempt of a late request.
+    pub fn second(&self, ask: &Ask, now: HostTime) -> Option<UpstreamId> {
+        let id = self.choose(ask, self.typical_ms(), now)?;
+        let upstream = self.upstreams.get(&id)?;
+        let is_free = upstream.load(now) < upstream.listing().slots;
+        (is_free && upstream.listing().distance != Distance::Far).then_some(id)
+    }
+
     /// Decides about those that wait: returns each that is sent or refused now.
     pub fn next(&mut self, now: HostTime) -> Vec<(Ask, Verdict)> {
         let mut decided = Vec::new();
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -25,6 +25,8 @@
 const LEAVE_TIME: Millis = Millis(2_400);
 /// Time before the process is killed at which it ends by itself.
 const END_MARGIN: Millis = Millis(300);
+/// Part of the grace, in percent, after which requests are refused, so that those taken before can still be answered.
+const REFUSE_AFTER_PERCENT: u64 = 65;
 /// Time without a request after which a leaving host ends.
 const QUIET_TIME: Millis = Millis(300);
 /// Time between looks while leaving.
@@ -127,11 +129,15 @@
     shared.is_leaving.set(true);
     let started = Instant::now();
     let end = started + settings.grace.saturating_sub(END_MARGIN).duration();
+    let refuse_at = started + Millis(settings.grace.0 * REFUSE_AFTER_PERCENT / 100).duration();
     let mut busy_at = Instant::now();
     while Instant::now() < end {
         if shared.in_flight.get() > 0 {
             busy_at = Instant::now();
         }
+        if Instant::now() >= refuse_at {
+            shared.is_ending.set(true);
+        }
         let is_quiet = busy_at.elapsed() >= QUIET_TIME.duration();
         if is_quiet && started.elapsed() >= LEAVE_TIME.duration() {
             break;
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -91,6 +91,8 @@
 pub struct Shared {
     /// Whether the host is leaving: each answer closes its connection.
     pub is_leaving: Cell<bool>,
+    /// Whether the host is about to end: requests are refused.
+    pub is_ending: Cell<bool>,
     /// Requests that are worked on.
     pub in_flight: Cell<usize>,
     /// Open connections.
@@ -267,6 +269,11 @@
     fn parse(&mut self) -> bool {
         let mut started = false;
         while !self.is_last && self.pending.len() < MAX_PIPELINED {
+            if self.partial.is_none() && self.shared.is_leaving.get() && !self.pending.is_empty() {
+                // What follows counts as not read; the answers that are due end the connection.
+                self.is_last = true;
+                break;
+            }
             if self.partial.is_none() && !self.parse_head() {
                 break;
             }
@@ -367,7 +374,7 @@
             let leaves = self.shared.is_leaving.get()
                 && self.pending.is_empty()
                 && self.partial.is_none()
-                && self.input.is_empty();
+                && (self.is_last || self.input.is_empty());
             if leaves {
                 self.is_last = true;
             }
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -13,8 +13,11 @@
 use skylarkdock_http1::head::Headers;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::{HostTime, Millis};
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use xxhash_rust::xxh3;
 
 /// Pause told while no configuration is known.
@@ -23,6 +26,8 @@
 const MISDIRECTED_PAUSE: Millis = Millis(60);
 /// Expected time until a shed request finds room, told when the budget for repeats is spent.
 const SHED_PAUSE: Millis = Millis(40);
+/// Most times that a request is sent to the owner of its key.
+const MAX_KEYED_SENDS: u32 = 3;
 /// Time kept back for the host's own final answer at the limit.
 const ANSWER_MARGIN: Millis = Millis(15);
 
@@ -44,9 +49,15 @@
 /// What was tried so far.
 #[derive(Default)]
 struct Tries {
+    /// Requests that reached an upstream.
     sent: u32,
     shed: u32,
+    /// Upstreams that may have run the request.
+    ran: Vec<UpstreamId>,
+    /// Upstreams that are not to be tried again.
     tried: Vec<UpstreamId>,
+    /// An upstream's answer that its work failed.
+    failure: Option<Reply>,
 }
 
 impl Traffic {
@@ -132,7 +143,8 @@
     async fn run(&self, req: &Request) -> Answer {
         let is_once = req.route.repeat == Repeat::Once;
         let print = fingerprint(req);
-        if self.crashes.borrow().is_refused(print, req.arrived) {
+        let is_suspect = self.crashes.borrow().is_refused(print, req.arrived);
+        if is_suspect || self.shared.is_ending.get() {
             return refusal(Millis(req.limit.since(req.arrived).0 / 3));
         }
         let mut tries = Tries::default();
@@ -141,48 +153,90 @@
                 Some(Verdict::Send(id)) => id,
                 Some(Verdict::Refuse { reason, pause }) => {
                     log::debug!(request = req.id.as_str(), reason = reason.as_str(); "traffic: refused");
-                    return refusal(pause);
+                    return self.final_answer(req, tries, pause);
                 }
-                Some(Verdict::Wait) | None => return refusal(START_PAUSE),
+                Some(Verdict::Wait) | None => return self.final_answer(req, tries, START_PAUSE),
             };
-            if tries.sent > 0 && !self.spend(req) {
-                return self.give_up(req, &tries);
+            let is_spent = tries.sent > 0 && !self.spend(req);
+            if is_spent || !tries.may_run_on(&id, req.route.attempts) {
+                return self.give_up(req, tries);
             }
-            let attempt =
-                Attempt { service: &req.service, id: &id, is_once, until: self.attempt_end(req) };
-            match self.attempt(attempt, |left| self.outgoing(req, &id, left)).await {
+            match self.attempt_hedged(req, &id, &mut tries).await {
                 Outcome::Answered(reply) => {
-                    let is_failure = reply.head.status >= 500;
-                    if is_failure && !is_once && self.may_repeat(req, &tries) {
-                        tries.count(&id);
-                        continue;
+                    if reply.head.status < 500 || is_once {
+                        return forward(reply);
+                    }
+                    tries.ran_on(&id);
+                    tries.failure = Some(reply);
+                    if !self.may_repeat(req, &tries) {
+                        return self.give_up(req, tries);
                     }
-                    return forward(reply);
                 }
                 Outcome::NotRun(why) => {
                     tries.note_not_run(why, &id, req.key.is_some());
-                    if clock::now() >= req.limit {
-                        return refusal(SHED_PAUSE);
+                    if clock::now() >= req.limit || tries.sent > 2 * req.route.attempts {
+                        return self.give_up(req, tries);
                     }
                     if why == NotRun::Misdirected && req.key.is_some() {
                         Timer::after(MISDIRECTED_PAUSE.duration()).await;
                     }
-                    if tries.sent > 2 * req.route.attempts {
-                        return self.give_up(req, &tries);
-                    }
                 }
                 Outcome::Unknown(ended) => {
                     log::debug!(request = req.id.as_str(), ended:? = ended; "traffic: no answer");
-                    tries.count(&id);
+                    tries.ran_on(&id);
                     if is_once || !self.may_repeat(req, &tries) {
-                        let is_late = clock::now() + ANSWER_MARGIN >= req.limit;
-                        return Answer::empty(if is_late { 504 } else { 502 });
+                        return self.give_up(req, tries);
                     }
                 }
             }
         }
     }
 
+    /// Makes an attempt. An idempotent request whose answer is late goes to a second upstream besides, if one is free;
+    /// the first good answer counts and the other attempt is cancelled.
+    async fn attempt_hedged(&self, req: &Request, id: &UpstreamId, tries: &mut Tries) -> Outcome {
+        let is_once = req.route.repeat == Repeat::Once;
+        let late_at = {
+            let services = self.services.borrow();
+            services.get(&req.service).and_then(|state| state.service.late_at(id, clock::now()))
+        };
+        let first = self.attempt(req.attempt(id), |left| self.outgoing(req, id, left));
+        let Some(late_at) = late_at.filter(|_| !is_once) else { return first.await };
+        let mut first = pin!(first);
+        let timer = async {
+            Timer::at(clock::instant(late_at)).await;
+        };
+        match either(first.as_mut(), pin!(timer)).await {
+            Either::First(outcome) => return outcome,
+            Either::Second(()) => {}
+        }
+        let Some(other) = self.second(req, id, tries) else { return first.await };
+        log::debug!(request = req.id.as_str(), upstream:% = id, second:% = other; "traffic: sent again, answer is late");
+        tries.ran_on(&other);
+        let second = self.attempt(req.attempt(&other), |left| self.outgoing(req, &other, left));
+        let mut second = pin!(second);
+        match either(first.as_mut(), second.as_mut()).await {
+            Either::First(outcome) if outcome.is_good() => outcome,
+            Either::Second(outcome) if outcome.is_good() => outcome,
+            Either::First(_) => second.await,
+            Either::Second(_) => first.await,
+        }
+    }
+
+    /// Returns the upstream for a second attempt beside one that is late, and takes it from the budget.
+    fn second(&self, req: &Request, first: &UpstreamId, tries: &Tries) -> Option<UpstreamId> {
+        let mut ask = self.ask(req, tries);
+        ask.tried.push(first.clone());
+        let now = clock::now();
+        let mut services = self.services.borrow_mut();
+        let state = services.get_mut(&req.service)?;
+        let other = state.service.second(&ask, now)?;
+        let mut ran = tries.ran.clone();
+        ran.push(first.clone());
+        let is_allowed = ran.contains(&other) || (ran.len() as u64) < u64::from(req.route.attempts);
+        (is_allowed && state.budget.spend(now)).then_some(other)
+    }
+
     fn ask(&self, req: &Request, tries: &Tries) -> Ask {
         Ask {
             ticket: self.ticket(),
@@ -197,11 +251,6 @@
         }
     }
 
-    /// Returns until when the present attempt is waited for.
-    fn attempt_end(&self, req: &Request) -> HostTime {
-        req.limit
-    }
-
     fn spend(&self, req: &Request) -> bool {
         let mut services = self.services.borrow_mut();
         services.get_mut(&req.service).is_some_and(|state| state.budget.spend(clock::now()))
@@ -212,16 +261,30 @@
         let now = clock::now();
         let mut services = self.services.borrow_mut();
         let Some(state) = services.get_mut(&req.service) else { return false };
-        let has_attempts = tries.sent < req.route.attempts || req.key.is_some() && tries.sent < 3;
+        let has_attempts = match req.key {
+            Some(_) => tries.sent < MAX_KEYED_SENDS,
+            None => (tries.ran.len() as u64) < u64::from(req.route.attempts),
+        };
         has_attempts && now + ANSWER_MARGIN < req.limit && state.budget.available(now) > 0
     }
 
-    /// Returns the final answer for a request that no upstream has run.
-    fn give_up(&self, req: &Request, tries: &Tries) -> Answer {
-        let now = clock::now();
-        let left = req.limit.since(now);
+    /// Returns the final answer for a request that is not tried again.
+    fn give_up(&self, req: &Request, tries: Tries) -> Answer {
+        let left = req.limit.since(clock::now());
         let expected = if tries.shed > 0 { SHED_PAUSE } else { MISDIRECTED_PAUSE };
-        refusal(returns::pause(expected, left, req.point))
+        self.final_answer(req, tries, returns::pause(expected, left, req.point))
+    }
+
+    /// Returns a refusal if no upstream can have run the request, and a failure otherwise.
+    fn final_answer(&self, req: &Request, tries: Tries, pause: Millis) -> Answer {
+        if tries.ran.is_empty() {
+            return refusal(pause);
+        }
+        if let Some(failure) = tries.failure {
+            return forward(failure);
+        }
+        let is_late = clock::now() + ANSWER_MARGIN >= req.limit;
+        Answer::empty(if is_late { 504 } else { 502 })
     }
 
     fn outgoing(&self, req: &Request, id: &UpstreamId, left: Millis) -> Outgoing {
@@ -235,10 +298,31 @@
     }
 }
 
+impl Request {
+    fn attempt<'a>(&'a self, id: &'a UpstreamId) -> Attempt<'a> {
+        let is_once = self.route.repeat == Repeat::Once;
+        Attempt { service: &self.service, id, is_once, until: self.limit }
+    }
+}
+
+impl Outcome {
+    fn is_good(&self) -> bool {
+        matches!(self, Self::Answered(reply) if reply.head.status < 500)
+    }
+}
+
 impl Tries {
-    fn count(&mut self, id: &UpstreamId) {
+    fn ran_on(&mut self, id: &UpstreamId) {
         self.sent += 1;
         self.tried.push(id.clone());
+        if !self.ran.contains(id) {
+            self.ran.push(id.clone());
+        }
+    }
+
+    /// Returns whether the request may run on an upstream, by the number that its route allows.
+    fn may_run_on(&self, id: &UpstreamId, attempts: u32) -> bool {
+        self.ran.contains(id) || (self.ran.len() as u64) < u64::from(attempts)
     }
 
     fn note_not_run(&mut self, why: NotRun, id: &UpstreamId, is_keyed: bool) {
@@ -271,3 +355,23 @@
     headers.remove("content-length");
     Answer { status: reply.head.status, headers, body: reply.body }
 }
+
+/// The one of two futures that was first.
+enum Either<A, B> {
+    First(A),
+    Second(B),
+}
+
+/// Waits for the first of two futures.
+async fn either<A, B>(
+    mut first: Pin<&mut impl Future<Output = A>>,
+    mut second: Pin<&mut impl Future<Output = B>>,
+) -> Either<A, B> {
+    poll_fn(|cx| {
+        if let Poll::Ready(output) = first.as_mut().poll(cx) {
+            return Poll::Ready(Either::First(output));
+        }
+        second.as_mut().poll(cx).map(Either::Second)
+    })
+    .await
+}
