--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -13,6 +13,13 @@
 
 /// Time assumed for a request before any was measured, in milliseconds.
 const ASSUMED_SERVICE_MS: f32 = 100.0;
+/// Deviation assumed before any request was measured, and the largest that one request counts with.
+const ASSUMED_DEVIATION: f32 = 0.6;
+const MAX_DEVIATION: f32 = 3.0;
+/// Weight of a new sample of the deviation.
+const DEVIATION_WEIGHT: f32 = 0.03;
+/// Deviations above the expected time from which an answer counts as late: about 1 in 50 comes later.
+const LATE_DEVIATIONS: f32 = 4.5;
 /// Part of the time left until the objective that a request may spend waiting, in percent.
 const WAIT_PERCENT: u64 = 75;
 /// Part of the time left until its limit that a request past its objective may spend waiting, in percent.
@@ -110,13 +117,27 @@
 }
 
 /// A service as one host sees it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Service {
     upstreams: FastMap<UpstreamId, Upstream>,
     keys: Option<KeyMap>,
     waiting: Vec<Ask>,
     /// Hosts that send to the service from this region.
     sharers: u32,
+    /// Mean distance of a request's time from the learnt time of its upstream, as a part of that.
+    deviation: f32,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Self {
+            upstreams: FastMap::default(),
+            keys: None,
+            waiting: Vec::new(),
+            sharers: 1,
+            deviation: ASSUMED_DEVIATION,
+        }
+    }
 }
 
 impl Service {
@@ -194,8 +215,8 @@
 
     /// Returns when a request that has just gone to an upstream is late enough to be sent a second time.
     pub fn late_at(&self, id: &UpstreamId, now: HostTime) -> Option<HostTime> {
-        let late = self.upstreams.get(id)?.late_after_ms(self.typical_ms(), now);
-        Some(now + to_millis(late))
+        let expected = self.upstreams.get(id)?.expected_ms(self.typical_ms(), now);
+        Some(now + to_millis(expected * (1.0 + self.deviation * LATE_DEVIATIONS)))
     }
 
     /// Returns an upstream with a free slot for the second attempt of a late request.
@@ -250,8 +271,10 @@
 
     /// Notes how a request ended.
     pub fn on_end(&mut self, id: &UpstreamId, started: HostTime, ended: Ended, now: HostTime) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.on_end(started, ended, now);
+        let upstream = self.upstreams.get_mut(id);
+        if let Some(ratio) = upstream.and_then(|upstream| upstream.on_end(started, ended, now)) {
+            self.deviation +=
+                ((ratio - 1.0).abs().min(MAX_DEVIATION) - self.deviation) * DEVIATION_WEIGHT;
         }
     }
 
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -15,10 +15,6 @@
 const COLD_FACTOR: f32 = 2.0;
 /// An answer that takes this many times the learnt time shows an upstream that is stuck.
 const STALL_FACTOR: f32 = 3.0;
-/// Mean distances above the expected time from which an answer counts as late: about 1 in 50 comes later.
-const LATE_DEVIATIONS: f32 = 3.5;
-/// Least mean distance, as a part of the service's typical time.
-const MIN_DEVIATION: f32 = 0.15;
 /// Requests sent to an upstream beyond its slots, in percent of them. Enough to keep a slot busy between an answer and
 /// the next request; the rest waits on the host, where urgent requests pass others.
 const BACKLOG_PERCENT: u32 = 34;
@@ -95,8 +91,6 @@
     others: u32,
     others_at: HostTime,
     service_ms: Option<f32>,
-    /// Mean distance of a request's time from the learnt one.
-    deviation_ms: f32,
     failure_rate: f32,
     shed_rate: f32,
     shed_until: HostTime,
@@ -113,7 +107,6 @@
             others: 0,
             others_at: HostTime(0),
             service_ms: None,
-            deviation_ms: 0.0,
             failure_rate: 0.0,
             shed_rate: 0.0,
             shed_until: HostTime(0),
@@ -219,19 +212,14 @@
         expected / success + self.listing.distance.round_trip_ms()
     }
 
-    /// Returns the time after which an answer is later than nearly all are, in milliseconds.
-    pub fn late_after_ms(&self, typical_ms: f32, now: HostTime) -> f32 {
-        let deviation = self.deviation_ms.max(typical_ms * MIN_DEVIATION);
-        self.expected_ms(typical_ms, now) + deviation * LATE_DEVIATIONS
-    }
-
     /// Notes that a request was sent.
     pub fn on_start(&mut self, now: HostTime) {
         self.starts.push(now);
     }
 
-    /// Notes how a request that was sent at `started` ended.
-    pub fn on_end(&mut self, started: HostTime, ended: Ended, now: HostTime) {
+    /// Notes how a request that was sent at `started` ended. Returns its time as a multiple of the learnt time, if it
+    /// was answered.
+    pub fn on_end(&mut self, started: HostTime, ended: Ended, now: HostTime) -> Option<f32> {
         let load = self.load(now);
         if let Some(index) = self.starts.iter().position(|start| *start == started) {
             self.starts.swap_remove(index);
@@ -239,8 +227,8 @@
         let took = as_f32(u32::try_from(now.since(started).0).unwrap_or(u32::MAX));
         match ended {
             Ended::Answered => {
-                self.learn(took, load);
                 self.reached(false);
+                return Some(self.learn(took, load));
             }
             Ended::Failed => self.reached(true),
             Ended::Shed => {
@@ -267,6 +255,7 @@
                 }
             }
         }
+        None
     }
 
     fn reached(&mut self, failed: bool) {
@@ -277,15 +266,16 @@
         self.shed_rate -= self.shed_rate * OUTCOME_WEIGHT;
     }
 
-    /// Learns the time of one request. Time spent in the upstream's queue is taken off.
-    fn learn(&mut self, took: f32, load: u32) {
+    /// Learns the time of one request, and returns it as a multiple of the learnt time. Time spent in the upstream's
+    /// queue is taken off.
+    fn learn(&mut self, took: f32, load: u32) -> f32 {
         let slots = as_f32(self.listing.slots.max(1));
         let queued = ((as_f32(load) - slots) / slots).max(0.0);
         let work = (took - self.listing.distance.round_trip_ms()).max(1.0) / (1.0 + queued);
         let learnt = self.service_ms.get_or_insert(work);
-        let distance = (work - *learnt).abs();
+        let ratio = work / learnt.max(1.0);
         *learnt += (work - *learnt) * SAMPLE_WEIGHT;
-        self.deviation_ms += (distance - self.deviation_ms) * SAMPLE_WEIGHT;
+        ratio
     }
 }
 
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -12,6 +12,8 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
+/// Idle time after which a control call opens a new connection; the peer may close an idle one.
+const CALLER_IDLE_TIME: Duration = Duration::from_millis(2_500);
 const READ_SIZE: usize = 16 * 1024;
 /// Largest head of an answer, in bytes.
 const MAX_HEAD: usize = 64 * 1024;
@@ -294,7 +296,8 @@
     /// Fails as [`exchange_within`] does.
     pub async fn call(&mut self, req: &Outgoing, timeout: Millis) -> Result<Reply, Failure> {
         let started = Instant::now();
-        let mut conn = match self.conn.take() {
+        let kept = self.conn.take().filter(|conn| conn.used_at.elapsed() < CALLER_IDLE_TIME);
+        let mut conn = match kept {
             Some(conn) if conn.is_clean() => conn,
             Some(_) => {
                 self.breaks += 1;
--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -1,5 +1,6 @@
 //! Following the store: configuration, upstreams and the hosts' own records.
 
+use super::registry::Change;
 use super::{Control, HostRecord};
 use crate::clock;
 use crate::store::{Page, Record, StoreError, Topic};
@@ -7,46 +8,46 @@
 use skylarkdock_spans::keep::Keep;
 use skylarkdock_spans::lead::Lead;
 use skylarkdock_spans::table::Table;
-use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Longest wait of a read for a record.
-const READ_WAIT: Millis = Millis(4_000);
+/// Longest wait of a read for a configuration. Well within the time in which one has to be in force, should the store
+/// not tell of a record at once.
+pub(super) const CONFIG_WAIT: Millis = Millis(500);
+/// Longest wait of a read for a record of the hosts.
+const FLEET_WAIT: Millis = Millis(1_500);
 /// Time between reads of the upstreams' entries. Their signs of life come all the time, so a waiting read would never
 /// wait.
-const REGISTRY_INTERVAL: Millis = Millis(500);
+const REGISTRY_INTERVAL: Millis = Millis(300);
+/// Age of what another host tells, beside twice the wait of its reads, from which this host reads the store itself.
+const STALE_AFTER: Millis = Millis(1_250);
+/// Time between looks at that age.
+const STALE_INTERVAL: Millis = Millis(150);
 /// First and longest pause after a failed call. Each call is charged for, also while the store is away.
 const FIRST_RETRY: Millis = Millis(150);
 const MAX_RETRY: Millis = Millis(900);
 /// Time between signs of life to the group that chooses the leader.
-const JOIN_INTERVAL: Millis = Millis(1_000);
+const JOIN_INTERVAL: Millis = Millis(600);
 /// Time after the last sign of life that was taken from which another host may lead.
-const LEADER_LIFETIME: Millis = Millis(2_800);
+const LEADER_LIFETIME: Millis = Millis(1_900);
+
+/// Shortest call to a store in another region.
+const NEAR_TRIP: Millis = Millis(15);
+/// Time for which hosts in other regions leave the lead to those near the store.
+const FAR_JOIN_DELAY: Millis = Millis(1_500);
 
 /// Prefix of a host's record.
 const HOST_PREFIX: &str = "host/";
 /// Prefix of a table's record.
 const TABLE_PREFIX: &str = "owners/";
 
-/// The newest records as read, for hosts that can't reach the store.
-#[derive(Default)]
-pub(super) struct RawRecords {
-    topics: FastMap<Topic, RawTopic>,
-}
-
-/// The newest records of one topic.
-#[derive(Default, Clone)]
-pub(super) struct RawTopic {
-    pub(super) records: FastMap<String, Vec<u8>>,
-    pub(super) next: u64,
-    pub(super) proof_at: HostTime,
-}
-
-impl RawRecords {
-    pub(super) fn topic(&mut self, topic: Topic) -> &mut RawTopic {
-        self.topics.entry(topic).or_default()
+/// Returns how long a read waits for a record.
+const fn wait(topic: Topic) -> Millis {
+    match topic {
+        Topic::Config => CONFIG_WAIT,
+        Topic::Upstreams => Millis(0),
+        Topic::Fleet => FLEET_WAIT,
     }
 }
 
@@ -94,17 +95,23 @@
         let mut cursor: Option<u64> = None;
         let mut backoff = Backoff::new(topic);
         loop {
+            if self.is_told(topic) {
+                cursor = self.beliefs.borrow().news.next(topic);
+                Timer::after(STALE_INTERVAL.duration()).await;
+                continue;
+            }
             let asked_at = clock::now();
             let read = match cursor {
                 None => (self.store.newest)(topic).await,
-                Some(next) if topic == Topic::Upstreams => {
-                    (self.store.read)(topic, next, Millis(0)).await
-                }
-                Some(next) => (self.store.read)(topic, next, READ_WAIT).await,
+                Some(next) => (self.store.read)(topic, next, wait(topic)).await,
             };
             match read {
                 Ok(page) => {
                     backoff.succeeded();
+                    if topic == Topic::Upstreams {
+                        let trip = clock::now().since(asked_at);
+                        self.store_trip.set(self.store_trip.get().min(trip));
+                    }
                     let is_whole = cursor.is_none();
                     cursor = Some(page.next);
                     self.take(topic, page, is_whole, asked_at);
@@ -129,31 +136,32 @@
         }
     }
 
+    /// Returns whether another host tells this one of a topic's records, so that it need not read them itself.
+    fn is_told(&self, topic: Topic) -> bool {
+        // Signs of life are not passed on; renewals that wait for one need the entries themselves.
+        let needs_signs = topic == Topic::Upstreams
+            && self.owners.borrow().keeps.values().any(|keep| !keep.suspended().is_empty());
+        let beliefs = self.beliefs.borrow();
+        let age = |topic| clock::now().since(beliefs.news.proof_at(topic));
+        !needs_signs
+            && !self.is_leader.get()
+            && beliefs.news.is_told()
+            && age(Topic::Upstreams) < STALE_AFTER
+            && age(topic) < STALE_AFTER + wait(topic) + wait(topic)
+    }
+
     /// Takes over what a read returned. `asked_at` is when it was sent: what it shows was the newest then.
     pub(super) fn take(&self, topic: Topic, page: Page, is_whole: bool, asked_at: HostTime) {
-        self.keep_raw(topic, &page, is_whole, asked_at);
+        self.beliefs.borrow_mut().news.keep(topic, &page, is_whole, asked_at);
         match topic {
             Topic::Config => self.take_config(&page),
-            Topic::Upstreams => self.take_upstreams(&page, is_whole),
-            Topic::Fleet => self.take_fleet(&page, asked_at),
-        }
-    }
-
-    fn keep_raw(&self, topic: Topic, page: &Page, is_whole: bool, asked_at: HostTime) {
-        let mut beliefs = self.beliefs.borrow_mut();
-        let raw = beliefs.raw.topic(topic);
-        if is_whole {
-            raw.records.clear();
-        }
-        for record in &page.records {
-            if record.value.is_empty() {
-                raw.records.remove(&record.key);
-            } else {
-                raw.records.insert(record.key.clone(), record.value.clone());
+            Topic::Upstreams => {
+                let changes = self.decode_entries(&page);
+                self.take_upstreams(changes, is_whole, asked_at);
+                self.confirm_holders();
             }
+            Topic::Fleet => self.take_fleet(&page, asked_at),
         }
-        raw.next = page.next;
-        raw.proof_at = raw.proof_at.max(asked_at);
     }
 
     fn set_config_sure(&self, is_sure: bool) {
@@ -185,43 +193,39 @@
         self.set_config_sure(true);
     }
 
-    fn take_upstreams(&self, page: &Page, is_whole: bool) {
-        let now = clock::now();
-        let mut changed = false;
-        let mut entries = Vec::new();
-        {
-            let mut beliefs = self.beliefs.borrow_mut();
-            beliefs.registry.on_read(now);
-            for record in &page.records {
-                if record.value.is_empty() {
-                    if let Ok(id) = record.key.parse() {
-                        changed |= beliefs.registry.drop_entry(&id, now);
-                    }
-                    continue;
-                }
-                match (self.store.decode_entry)(record) {
-                    Ok(mut entry) => {
-                        entry.region = self.settings.zones.get(&entry.zone).cloned();
-                        entries.push(entry);
-                    }
-                    Err(e) => {
-                        log::warn!(key = record.key.as_str(), error:% = e; "registry: entry ignored");
-                    }
-                }
+    fn decode_entries(&self, page: &Page) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for record in &page.records {
+            if record.value.is_empty() {
+                changes.extend(record.key.parse().ok().map(Change::Drop));
+                continue;
             }
-            if is_whole {
-                changed |= beliefs.registry.replace(entries, now);
-            } else {
-                for entry in entries {
-                    changed |= beliefs.registry.put(entry, now);
+            match (self.store.decode_entry)(record) {
+                Ok(mut entry) => {
+                    entry.region = self.settings.zones.get(&entry.zone).cloned();
+                    changes.push(Change::Put(entry));
+                }
+                Err(e) => {
+                    log::warn!(key = record.key.as_str(), error:% = e; "registry: entry ignored");
                 }
             }
-            changed |= beliefs.registry.sweep(now);
         }
-        if changed {
+        changes
+    }
+
+    /// Takes over changes of the registry that were the newest at `proof_at`.
+    pub(super) fn take_upstreams(&self, changes: Vec<Change>, is_whole: bool, proof_at: HostTime) {
+        let now = clock::now();
+        let is_changed = {
+            let mut beliefs = self.beliefs.borrow_mut();
+            beliefs.registry.on_read(proof_at, now);
+            let taken = beliefs.registry.take(changes, is_whole, now);
+            beliefs.news.add(&taken);
+            !taken.is_empty()
+        };
+        if is_changed {
             self.publish();
         }
-        self.confirm_holders();
     }
 
     fn take_fleet(&self, page: &Page, asked_at: HostTime) {
@@ -229,7 +233,10 @@
         for record in &page.records {
             changed |= self.take_fleet_record(record);
         }
-        self.beliefs.borrow_mut().fleet_end = page.next;
+        {
+            let mut beliefs = self.beliefs.borrow_mut();
+            beliefs.fleet_end = beliefs.fleet_end.max(page.next);
+        }
         for keep in self.owners.borrow_mut().keeps.values_mut() {
             keep.prove(asked_at);
         }
@@ -275,8 +282,14 @@
 
     /// Goes by a table from now on, if it is newer than the one known.
     pub(super) fn adopt(&self, table: Table) {
+        let is_led_by_other = table.leader != self.settings.host;
         let mut owners = self.owners.borrow_mut();
         let name = table.service.clone();
+        let known = owners.keeps.get(&name).and_then(Keep::table).map_or(0, |known| known.version);
+        if is_led_by_other && table.version > known && self.is_leader.replace(false) {
+            log::info!(leader:% = table.leader; "fleet: another host leads");
+            owners.leads.clear();
+        }
         if let Some(lead) = owners.leads.get_mut(&name) {
             lead.on_table(&table);
         }
@@ -329,7 +342,16 @@
         };
         let record = Record { key: format!("{TABLE_PREFIX}{}", table.service), value };
         match (self.store.append)(vec![record], end).await {
-            Ok(_) => true,
+            Ok(end) => {
+                let mut beliefs = self.beliefs.borrow_mut();
+                beliefs.fleet_end = beliefs.fleet_end.max(end);
+                true
+            }
+            Err(StoreError::Conflict) => {
+                log::info!(service:% = table.service, version = table.version; "owners: other records came before the table");
+                self.refresh_fleet().await;
+                false
+            }
             Err(e) => {
                 log::info!(service:% = table.service, version = table.version, error:% = e; "owners: table not recorded");
                 false
@@ -337,16 +359,43 @@
         }
     }
 
-    /// Takes part in the choice of a leader.
+    /// Reads the hosts' records anew, after a write showed that some are missing here.
+    async fn refresh_fleet(&self) {
+        let asked_at = clock::now();
+        match (self.store.newest)(Topic::Fleet).await {
+            Ok(page) if page.next >= self.beliefs.borrow().fleet_end => {
+                self.take(Topic::Fleet, page, true, asked_at);
+            }
+            Ok(_) => {}
+            Err(e) => log::info!("fleet: can't read the records anew: {e}"),
+        }
+    }
+
+    /// Takes part in the choice of a leader, unless a leader tells this host what is new. Then the group has the leader
+    /// as its only member, and hosts that come and go don't move the leadership.
     async fn join(self: Rc<Self>) {
+        let mut is_member = false;
+        let mut alone_since = clock::now();
         loop {
-            let asked_at = clock::now();
-            match (self.store.join)().await {
-                Ok(is_leader) => {
-                    self.joined_at.set(asked_at);
-                    self.set_leader(is_leader);
+            let now = clock::now();
+            if self.is_told(Topic::Fleet) {
+                alone_since = now;
+                if is_member {
+                    is_member = false;
+                    if let Err(e) = (self.store.leave)().await {
+                        log::debug!("fleet: left the group without an answer: {e}");
+                    }
+                }
+            } else if self.is_leader.get() || now.since(alone_since) >= self.join_delay() {
+                is_member = true;
+                match (self.store.join)().await {
+                    Ok(true) => {
+                        self.joined_at.set(now);
+                        self.set_leader(true);
+                    }
+                    Ok(false) => {}
+                    Err(e) => log::debug!("fleet: no sign of life was taken: {e}"),
                 }
-                Err(e) => log::debug!("fleet: no sign of life was taken: {e}"),
             }
             if clock::now().since(self.joined_at.get()) > LEADER_LIFETIME {
                 self.set_leader(false);
@@ -355,6 +404,11 @@
         }
     }
 
+    /// Returns how long to wait for a leader before taking part. One near the store reads it at less cost.
+    fn join_delay(&self) -> Millis {
+        if self.store_trip.get() < NEAR_TRIP { Millis(0) } else { FAR_JOIN_DELAY }
+    }
+
     fn set_leader(&self, is_leader: bool) {
         if self.is_leader.replace(is_leader) != is_leader {
             log::info!(leads = is_leader; "fleet: leadership changed");
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: what the host believes, and its part in the ownership of keys.
 
 mod follow;
+mod news;
 mod owners;
 mod peers;
 pub mod registry;
@@ -14,11 +15,12 @@
 use crate::view::{Config, PeerInfo, View};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
+use event_listener::Event;
 use registry::Registry;
 use serde::{Deserialize, Serialize};
 use skylarkdock_dispatch::service::KeyMap;
 use skylarkdock_spans::keep::Keep;
-use skylarkdock_spans::lead::Lead;
+use skylarkdock_spans::lead::{Lead, SpanKey};
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::table::{Keeper, Table};
 use skylarkdock_spans::timing::Timing;
@@ -67,7 +69,11 @@
     owners: RefCell<Owners>,
     calls: owners::Calls,
     is_leader: Cell<bool>,
+    /// Told when something is believed that other hosts may want to know.
+    changed: Event,
     joined_at: Cell<HostTime>,
+    /// Shortest call to the store so far.
+    store_trip: Cell<Millis>,
     is_ready: std::sync::Arc<std::sync::atomic::AtomicBool>,
 }
 
@@ -79,7 +85,7 @@
     registry: Registry,
     hosts: FastMap<HostId, HostRecord>,
     fleet_end: u64,
-    raw: follow::RawRecords,
+    news: news::News,
     heard: FastMap<HostId, HostTime>,
     service_ms: FastMap<UpstreamId, f32>,
 }
@@ -89,9 +95,27 @@
 struct Owners {
     keeps: FastMap<ServiceName, Keep>,
     leads: FastMap<ServiceName, Lead>,
+    /// Spans that the leader has granted and not recorded yet, as told.
+    told: Vec<(ServiceName, SpanKey)>,
     loads: FastMap<ServiceName, KeyLoad>,
 }
 
+impl Owners {
+    /// Returns the spans that have been granted and are not recorded yet, as far as this host knows.
+    fn granted(&self) -> Vec<(ServiceName, SpanKey)> {
+        if self.leads.is_empty() {
+            return self.told.clone();
+        }
+        let own = self
+            .leads
+            .iter()
+            .flat_map(|(name, lead)| lead.granted().into_iter().map(|key| (name.clone(), key)));
+        let mut own: Vec<(ServiceName, SpanKey)> = own.collect();
+        own.sort();
+        own
+    }
+}
+
 impl Control {
     /// Starts the thread's state and its tasks.
     #[expect(clippy::too_many_arguments, reason = "the parts of a host, each of its own type")]
@@ -118,12 +142,15 @@
             owners: RefCell::default(),
             calls: owners::Calls::default(),
             is_leader: Cell::new(false),
+            changed: Event::new(),
             joined_at: Cell::new(HostTime(0)),
+            store_trip: Cell::new(Millis(u64::MAX)),
             is_ready,
         });
         follow::start(&control);
         owners::start(&control, samples);
         peers::start(&control, Rc::new(Shared::default()));
+        news::start(&control);
         control
     }
 
@@ -132,21 +159,23 @@
         let beliefs = self.beliefs.borrow();
         let owners = self.owners.borrow();
         let tables = owners.keeps.iter().filter_map(|(name, keep)| Some((name, keep.table()?)));
-        let keys = tables.map(|(name, table)| (name.clone(), key_map(table, &beliefs.registry)));
+        let granted = owners.granted();
+        let keys =
+            tables.map(|(name, table)| (name.clone(), key_map(table, &granted, &beliefs.registry)));
         let others = beliefs.hosts.values().filter(|record| record.host != self.settings.host);
+        let peers = others.map(|record| PeerInfo {
+            host: record.host.clone(),
+            region: record.region.clone(),
+            reports: record.reports,
+        });
         let view = View {
             config: beliefs.config.clone(),
             is_config_sure: beliefs.is_config_sure,
             upstreams: beliefs.registry.listed().cloned().collect(),
             keys: keys.collect(),
-            peers: others
-                .map(|record| PeerInfo {
-                    host: record.host.clone(),
-                    region: record.region.clone(),
-                    reports: record.reports,
-                })
-                .collect(),
+            peers: (beliefs.fleet_end > 0).then(|| peers.collect()),
         };
+        self.changed.notify(usize::MAX);
         let is_ready = view.config.is_some() && !view.upstreams.is_empty();
         self.is_ready.store(is_ready, std::sync::atomic::Ordering::Relaxed);
         if self.views.try_send(Arc::new(view)).is_err() {
@@ -157,7 +186,11 @@
     /// Returns the hosts that are there, this one first.
     fn present(&self, now: HostTime) -> Vec<Keeper> {
         let beliefs = self.beliefs.borrow();
-        let own = Keeper { host: self.settings.host.clone(), region: self.settings.region.clone() };
+        let own = Keeper {
+            host: self.settings.host.clone(),
+            zone: self.settings.zone.clone(),
+            region: self.settings.region.clone(),
+        };
         let mut hosts = vec![own];
         let mut others: Vec<&HostRecord> = beliefs
             .hosts
@@ -169,32 +202,26 @@
             })
             .collect();
         others.sort_by(|a, b| a.host.cmp(&b.host));
-        // One host of each availability zone before a second one of any.
-        let mut zones: Vec<&Zone> = Vec::new();
-        let (first, rest): (Vec<&HostRecord>, Vec<&HostRecord>) =
-            others.into_iter().partition(|record| {
-                let is_new = !zones.contains(&&record.zone);
-                if is_new {
-                    zones.push(&record.zone);
-                }
-                is_new
-            });
-        hosts.extend(
-            first
-                .into_iter()
-                .chain(rest)
-                .map(|r| Keeper { host: r.host.clone(), region: r.region.clone() }),
-        );
+        hosts.extend(others.into_iter().map(|record| Keeper {
+            host: record.host.clone(),
+            zone: record.zone.clone(),
+            region: record.region.clone(),
+        }));
         hosts
     }
 }
 
 /// Returns the owners that requests may be sent to. A later life of an owner does not hold its keys.
-fn key_map(table: &Table, registry: &Registry) -> KeyMap {
+fn key_map(table: &Table, granted: &[(ServiceName, SpanKey)], registry: &Registry) -> KeyMap {
     let owner = |span: &skylarkdock_spans::table::Span| {
         let entry = registry.entry(&span.owner.id)?;
         let is_same_life = entry.born == span.owner.born;
-        (span.is_granted && is_same_life).then(|| span.owner.id.clone())
+        let is_told = || {
+            granted.iter().any(|(service, key)| {
+                *service == table.service && *key == (span.first, span.last, span.fence)
+            })
+        };
+        ((span.is_granted || is_told()) && is_same_life).then(|| span.owner.id.clone())
     };
     KeyMap::new(table.spans.iter().map(|span| (span.last, owner(span))).collect())
 }
--- /dev/null
+++ b/crates/edge/src/control/news.rs
@@ -0,0 +1,395 @@
+//! What hosts tell each other of the store's records.
+//!
+//! The upstreams' signs of life change the registry all the time, and each call to the store is charged for. The leader
+//! reads the store; one host of each availability zone follows the leader, and the others of the zone follow that
+//! host. They are told of changes only, within milliseconds. A host whose news are older than they should be reads the
+//! store itself. One that can't reach the store asks any other host.
+
+use super::registry::Change;
+use super::{Control, peers};
+use crate::client::Caller;
+use crate::clock;
+use crate::store::{Page, Record, Topic};
+use async_io::Timer;
+use futures_lite::FutureExt;
+use serde::{Deserialize, Serialize};
+use skylarkdock_spans::keep::Keep;
+use skylarkdock_spans::lead::SpanKey;
+use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::ids::ServiceName;
+use skylarkdock_units::times::{HostTime, Millis};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Longest wait for news.
+const NEWS_WAIT: Millis = Millis(400);
+/// Time for the answer beside the wait.
+const NEWS_TIMEOUT: Millis = Millis(300);
+/// Pause after an unanswered question.
+const RETRY_PAUSE: Millis = Millis(200);
+/// Time for which a host that gave no news isn't asked.
+const AVOIDED: Millis = Millis(2_000);
+/// Time between looks for a host to learn from.
+const SOURCE_INTERVAL: Millis = Millis(300);
+/// Changes of the registry that are kept for hosts that follow.
+const MAX_CHANGES: usize = 512;
+/// Age of the proof of a record's topic from which any other host is asked.
+const LOST_AFTER: Millis = Millis(1_600);
+
+/// Time for the store's first answer after the start, before other hosts are asked.
+const START_PATIENCE: Millis = Millis(300);
+/// Difference up to which two proofs count as equally old.
+const ROUNDING: Millis = Millis(40);
+
+/// What a host knows of a topic.
+#[derive(Default, Clone)]
+struct TopicNews {
+    /// The newest record of each key. Not kept for the registry.
+    records: FastMap<String, Vec<u8>>,
+    /// Offset that follows what is known.
+    next: u64,
+    /// When nothing newer was recorded.
+    proof_at: HostTime,
+}
+
+/// What a host can tell others.
+pub(super) struct News {
+    run: u64,
+    config: TopicNews,
+    fleet: TopicNews,
+    registry_proof_at: HostTime,
+    registry_next: Option<u64>,
+    changes: VecDeque<Change>,
+    /// Counts the changes.
+    version: u64,
+    is_told: bool,
+}
+
+impl Default for News {
+    fn default() -> Self {
+        Self {
+            run: fastrand::u64(1..),
+            config: TopicNews::default(),
+            fleet: TopicNews::default(),
+            registry_proof_at: HostTime(0),
+            registry_next: None,
+            changes: VecDeque::new(),
+            version: 0,
+            is_told: false,
+        }
+    }
+}
+
+/// A question for news.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Question {
+    /// Run of the asked host that `version` is of.
+    run: u64,
+    /// Changes of the registry that are known.
+    version: u64,
+    /// Offset that follows the known configuration.
+    config: u64,
+    /// Offset that follows the known records of hosts.
+    fleet: u64,
+    /// Spans known to be granted though not recorded so.
+    granted: Vec<(ServiceName, SpanKey)>,
+    /// How long to wait for news.
+    wait: Millis,
+}
+
+/// A topic as another host knows it.
+#[derive(Debug, Serialize, Deserialize)]
+struct Told {
+    next: u64,
+    age: Millis,
+    /// The newest records, if the asking host knows less.
+    records: Option<Vec<(String, String)>>,
+}
+
+/// News.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Answer {
+    run: u64,
+    version: u64,
+    /// How long the question waited here.
+    waited: Millis,
+    /// Age of the proof that the registry has not changed since.
+    age: Millis,
+    /// Whether `changes` are all entries.
+    is_whole: bool,
+    changes: Vec<Change>,
+    config: Told,
+    fleet: Told,
+    granted: Vec<(ServiceName, SpanKey)>,
+}
+
+impl News {
+    fn topic(&mut self, topic: Topic) -> &mut TopicNews {
+        if topic == Topic::Config { &mut self.config } else { &mut self.fleet }
+    }
+
+    /// Keeps what was read of a topic.
+    pub(super) fn keep(&mut self, topic: Topic, page: &Page, is_whole: bool, proof_at: HostTime) {
+        if topic == Topic::Upstreams {
+            self.registry_proof_at = self.registry_proof_at.max(proof_at);
+            self.registry_next = Some(page.next);
+            return;
+        }
+        let known = self.topic(topic);
+        if is_whole {
+            known.records.clear();
+        }
+        for record in &page.records {
+            if record.value.is_empty() {
+                known.records.remove(&record.key);
+            } else {
+                known.records.insert(record.key.clone(), record.value.clone());
+            }
+        }
+        known.next = known.next.max(page.next);
+        known.proof_at = known.proof_at.max(proof_at);
+    }
+
+    /// Keeps changes of the registry.
+    pub(super) fn add(&mut self, changes: &[Change]) {
+        for change in changes {
+            self.version += 1;
+            self.changes.push_back(change.clone());
+        }
+        while self.changes.len() > MAX_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Returns whether another host tells this one.
+    pub(super) const fn is_told(&self) -> bool {
+        self.is_told
+    }
+
+    /// Returns when a topic was last known to have nothing newer.
+    pub(super) const fn proof_at(&self, topic: Topic) -> HostTime {
+        match topic {
+            Topic::Config => self.config.proof_at,
+            Topic::Upstreams => self.registry_proof_at,
+            Topic::Fleet => self.fleet.proof_at,
+        }
+    }
+
+    /// Returns where the store is to be read on, `None` for from the newest records.
+    pub(super) const fn next(&self, topic: Topic) -> Option<u64> {
+        match topic {
+            Topic::Config => Some(self.config.next),
+            // Passed on changes have no offsets.
+            Topic::Upstreams => None,
+            Topic::Fleet => Some(self.fleet.next),
+        }
+    }
+
+    fn has_more_than(&self, question: &Question) -> bool {
+        self.run != question.run
+            || self.version != question.version
+            || self.config.next > question.config
+            || self.fleet.next > question.fleet
+    }
+}
+
+fn told(known: &TopicNews, next: u64, now: HostTime) -> Told {
+    let texts = known.records.iter().filter_map(|(key, value)| {
+        Some((key.clone(), std::str::from_utf8(value).ok()?.to_owned()))
+    });
+    let records = (known.next > next).then(|| texts.collect());
+    Told { next: known.next, age: now.since(known.proof_at), records }
+}
+
+/// Starts following.
+pub(super) fn start(control: &Rc<Control>) {
+    control.ex.spawn(Rc::clone(control).follow_news()).detach();
+}
+
+impl Control {
+    /// Answers a question once there is something to tell, or its wait has passed.
+    pub(super) async fn on_news(&self, question: Question) -> Answer {
+        let asked_at = clock::now();
+        let until = asked_at + question.wait.min(NEWS_WAIT);
+        loop {
+            let listener = self.changed.listen();
+            let has_news = self.beliefs.borrow().news.has_more_than(&question)
+                || self.owners.borrow().granted() != question.granted;
+            if has_news || clock::now() >= until {
+                break;
+            }
+            let passed = async {
+                Timer::at(clock::instant(until)).await;
+            };
+            listener.or(passed).await;
+        }
+        let now = clock::now();
+        let beliefs = self.beliefs.borrow();
+        let news = &beliefs.news;
+        let missing = news.version.checked_sub(question.version);
+        let missing = missing.and_then(|count| usize::try_from(count).ok());
+        let missing =
+            missing.filter(|count| news.run == question.run && *count <= news.changes.len());
+        let changes = match missing {
+            Some(count) => news.changes.iter().skip(news.changes.len() - count).cloned().collect(),
+            None => {
+                let listed = beliefs.registry.listed();
+                listed.map(|listed| Change::Put(listed.entry.clone())).collect()
+            }
+        };
+        Answer {
+            run: news.run,
+            version: news.version,
+            waited: now.since(asked_at),
+            age: now.since(news.registry_proof_at),
+            is_whole: missing.is_none(),
+            changes,
+            config: told(&news.config, question.config, now),
+            fleet: told(&news.fleet, question.fleet, now),
+            granted: self.owners.borrow().granted(),
+        }
+    }
+
+    /// Learns from another host.
+    async fn follow_news(self: Rc<Self>) {
+        let mut caller: Option<Caller> = None;
+        let mut known = (0, 0);
+        let mut avoided: Option<(SocketAddr, HostTime)> = None;
+        loop {
+            let now = clock::now();
+            let avoid = avoided.filter(|(_, until)| now < *until).map(|(addr, _)| addr);
+            let Some(addr) = self.source(avoid, now) else {
+                self.beliefs.borrow_mut().news.is_told = false;
+                caller = None;
+                Timer::after(SOURCE_INTERVAL.duration()).await;
+                continue;
+            };
+            if caller.as_ref().is_none_or(|caller| caller.addr() != addr) {
+                caller = Some(Caller::new(addr));
+                known = (0, 0);
+            }
+            let Some(source) = caller.as_mut() else { continue };
+            let question = self.question(known);
+            let body =
+                peers::call(source, peers::NEWS_PATH, &question, NEWS_WAIT + NEWS_TIMEOUT).await;
+            match body.map(|body| serde_json::from_slice::<Answer>(&body)) {
+                Ok(Ok(answer)) => {
+                    let told = (answer.run, answer.version);
+                    // What is older than what this host has read is asked for as a whole the next time.
+                    known = if self.take_news(answer, now) { told } else { (0, 0) };
+                }
+                Ok(Err(e)) => {
+                    log::warn!(peer:% = addr, error:% = e; "news: answer can't be read");
+                    avoided = Some((addr, clock::now() + AVOIDED));
+                }
+                Err(e) => {
+                    log::info!(peer:% = addr, error:% = e; "news: no answer");
+                    avoided = Some((addr, clock::now() + AVOIDED));
+                    caller = None;
+                    Timer::after(RETRY_PAUSE.duration()).await;
+                }
+            }
+        }
+    }
+
+    fn question(&self, (run, version): (u64, u64)) -> Question {
+        let beliefs = self.beliefs.borrow();
+        Question {
+            run,
+            version,
+            config: beliefs.news.config.next,
+            fleet: beliefs.news.fleet.next,
+            granted: self.owners.borrow().told.clone(),
+            wait: NEWS_WAIT,
+        }
+    }
+
+    /// Returns the host to learn from, `None` if the store is to be read.
+    fn source(&self, avoid: Option<SocketAddr>, now: HostTime) -> Option<SocketAddr> {
+        let (own, zone) = (&self.settings.host, &self.settings.zone);
+        if self.is_leader.get() {
+            return None;
+        }
+        if self.is_cut_off(now) {
+            return self.random_peer(avoid);
+        }
+        let host = {
+            let owners = self.owners.borrow();
+            let table = owners.keeps.values().filter_map(Keep::table).next()?;
+            let is_keeper = table.keepers.iter().any(|keeper| keeper.host == *own);
+            let near = table.keepers.iter().find(|keeper| keeper.zone == *zone);
+            match near {
+                Some(keeper) if !is_keeper => keeper.host.clone(),
+                _ => table.leader.clone(),
+            }
+        };
+        let addr = self.peer_addr(&host).filter(|_| host != *own)?;
+        (Some(addr) != avoid).then_some(addr)
+    }
+
+    /// Returns whether neither the store nor another host has told anything for a while.
+    fn is_cut_off(&self, now: HostTime) -> bool {
+        let beliefs = self.beliefs.borrow();
+        let age = |topic| now.since(beliefs.news.proof_at(topic));
+        let patience = if beliefs.config.is_none() { START_PATIENCE } else { LOST_AFTER };
+        now.since(self.started_at) > patience
+            && (age(Topic::Upstreams) > LOST_AFTER
+                || age(Topic::Config) > LOST_AFTER + super::follow::CONFIG_WAIT)
+    }
+
+    /// Takes over news; returns whether those of the registry were not older than what is known.
+    fn take_news(&self, answer: Answer, asked_at: HostTime) -> bool {
+        // The ages were told when the wait had passed.
+        let told_at = asked_at + answer.waited;
+        let proof = |age: Millis| HostTime(told_at.0.saturating_sub(age.0));
+        let proof_at = proof(answer.age);
+        let is_newer = {
+            let mut beliefs = self.beliefs.borrow_mut();
+            beliefs.news.is_told = true;
+            let is_newer = proof_at + ROUNDING >= beliefs.news.registry_proof_at;
+            beliefs.news.registry_proof_at = beliefs.news.registry_proof_at.max(proof_at);
+            is_newer
+        };
+        if is_newer {
+            self.take_upstreams(answer.changes, answer.is_whole, proof_at);
+        }
+        for (topic, told) in [(Topic::Config, answer.config), (Topic::Fleet, answer.fleet)] {
+            self.take_told(topic, told, proof);
+        }
+        let told = std::mem::replace(&mut self.owners.borrow_mut().told, answer.granted);
+        if told != self.owners.borrow().told {
+            self.publish();
+        }
+        is_newer
+    }
+
+    /// Takes over a topic from another host, if that has read the store later than this one.
+    fn take_told(&self, topic: Topic, told: Told, proof: impl Fn(Millis) -> HostTime) {
+        let proof_at = proof(told.age);
+        let (next, known_at) = {
+            let mut beliefs = self.beliefs.borrow_mut();
+            let known = beliefs.news.topic(topic);
+            (known.next, known.proof_at)
+        };
+        if proof_at <= known_at || told.next < next || told.next == 0 {
+            return;
+        }
+        let is_whole = told.records.is_some();
+        let records = told.records.unwrap_or_default().into_iter();
+        let records = records.map(|(key, text)| Record { key, value: text.into_bytes() }).collect();
+        self.take(topic, Page { records, next: told.next }, is_whole, proof_at);
+    }
+
+    fn random_peer(&self, avoid: Option<SocketAddr>) -> Option<SocketAddr> {
+        let beliefs = self.beliefs.borrow();
+        let own = &self.settings.host;
+        let others = beliefs.hosts.values().filter(|record| record.host != *own);
+        let mut addrs: Vec<SocketAddr> = others.map(|record| record.peers).collect();
+        if addrs.is_empty() {
+            addrs.extend(&self.settings.seeds);
+        }
+        addrs.retain(|addr| *addr != self.settings.peers && Some(*addr) != avoid);
+        (!addrs.is_empty()).then(|| addrs[fastrand::usize(..addrs.len())])
+    }
+}
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -4,15 +4,14 @@
 use crate::client::{Caller, Failure, Reply};
 use crate::clock;
 use crate::traffic::Sample;
-use crate::upstreams::ReleaseCall;
 use async_channel::Receiver;
 use async_io::Timer;
 use async_lock::Mutex;
-use skylarkdock_spans::keep::{CallEnd, Grant};
+use skylarkdock_spans::keep::{CallEnd, Grant, Release};
 use skylarkdock_spans::lead::{Action, Inputs};
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::plan::Candidate;
-use skylarkdock_spans::table::{Holder, Table};
+use skylarkdock_spans::table::{Holder, Keeper, Table};
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{HostId, ServiceName};
 use skylarkdock_units::times::{HostTime, Millis};
@@ -22,7 +21,7 @@
 /// Time between looks at what is due.
 const TICK: Millis = Millis(50);
 /// Time that a release may take: the upstream answers when the work on the keys has ended.
-const RELEASE_TIMEOUT: Millis = Millis(4_000);
+pub(super) const RELEASE_TIMEOUT: Millis = Millis(4_000);
 /// Time assumed for a request before any was measured, in milliseconds.
 const ASSUMED_SERVICE_MS: f32 = 150.0;
 /// Part of its capacity that an upstream which is slow after its start is counted with.
@@ -58,9 +57,15 @@
 
     fn renew(self: &Rc<Self>, now: HostTime) {
         let mut due = Vec::new();
+        let beliefs = self.beliefs.borrow();
+        let is_dead = |holder: &Holder| {
+            beliefs.registry.entry(&holder.id).is_some_and(|entry| entry.born > holder.born)
+        };
         for (name, keep) in &mut self.owners.borrow_mut().keeps {
-            due.extend(keep.due(now).into_iter().map(|grant| (name.clone(), grant)));
+            let grants = keep.due(now).into_iter().filter(|grant| !is_dead(&grant.holder));
+            due.extend(grants.map(|grant| (name.clone(), grant)));
         }
+        drop(beliefs);
         for (name, grant) in due {
             self.ex.spawn(Rc::clone(self).renew_one(name, grant)).detach();
         }
@@ -134,7 +139,8 @@
             let infos = beliefs.config.iter().flat_map(|config| &config.services);
             infos.filter(|info| info.is_sharded).map(|info| info.name.clone()).collect()
         };
-        if self.beliefs.borrow().raw_fleet_is_unread() {
+        if self.beliefs.borrow().fleet_end == 0 {
+            // The recorded tables have not been read yet.
             return;
         }
         for service in services {
@@ -216,13 +222,21 @@
                 if let Some(lead) = self.owners.borrow_mut().leads.get_mut(&service) {
                     lead.on_granted(&grant, end, clock::now());
                 }
+                if end == CallEnd::Done {
+                    // Requests may go there already; the record follows.
+                    self.publish();
+                }
             }
-            Action::Release { first, last, holder, fence } => {
-                let call = ReleaseCall { first, last, holder, fence };
-                let end = self.send_release(&call).await;
-                log::info!(service:% = service, first = first, last = last, upstream:% = call.holder.id, fence:% = fence, end:? = end; "owners: released");
+            Action::Release(release) => {
+                let mut end = self.send_release(&release).await;
+                if end == Err(CallEnd::Unknown)
+                    && let Some(told) = self.release_by_peer(&service, &release).await
+                {
+                    end = told;
+                }
+                log::info!(service:% = service, first = release.first, last = release.last, upstream:% = release.holder.id, fence:% = release.fence, end:? = end; "owners: released");
                 if let Some(lead) = self.owners.borrow_mut().leads.get_mut(&service) {
-                    lead.on_released(first, last, fence, &call.holder, end, clock::now());
+                    lead.on_released(&release, end, clock::now());
                 }
             }
         }
@@ -236,7 +250,7 @@
             self.publish();
         }
         if let Some(lead) = self.owners.borrow_mut().leads.get_mut(service) {
-            lead.on_written(table, is_recorded);
+            lead.on_written(table, is_recorded, clock::now());
         }
     }
 
@@ -260,15 +274,38 @@
         }
     }
 
+    /// Has another host release keys that this one can't reach the holder of.
+    async fn release_by_peer(
+        &self,
+        service: &ServiceName,
+        release: &Release,
+    ) -> Option<Result<Option<String>, CallEnd>> {
+        let host = {
+            let owners = self.owners.borrow();
+            let table = owners.keeps.get(service)?.table()?;
+            let own = &self.settings.host;
+            let others: Vec<&Keeper> =
+                table.keepers.iter().filter(|keeper| keeper.host != *own).collect();
+            others.get(fastrand::usize(..others.len().max(1)))?.host.clone()
+        };
+        self.ask_release(&host, release).await
+    }
+
     /// Sends a release on a connection of its own: its answer comes only when the work has ended.
-    async fn send_release(&self, call: &ReleaseCall) -> Result<Option<String>, CallEnd> {
-        let mut caller = Caller::new(call.holder.addr);
-        let req = (self.protocol.release)(call);
+    pub(super) async fn send_release(&self, release: &Release) -> Result<Option<String>, CallEnd> {
+        let mut caller = Caller::new(release.holder.addr);
+        let req = (self.protocol.release)(release);
         let done: Result<Reply, Failure> = caller.call(&req, RELEASE_TIMEOUT).await;
         match done {
-            Ok(reply) => (self.protocol.released)(&reply),
+            Ok(reply) => {
+                let end = (self.protocol.released)(&reply);
+                if end.is_err() {
+                    log::info!(upstream:% = release.holder.id, status = reply.head.status, body = String::from_utf8_lossy(&reply.body).as_ref(); "owners: release refused");
+                }
+                end
+            }
             Err(failure) => {
-                log::info!(upstream:% = call.holder.id, error:% = failure; "owners: release failed");
+                log::info!(upstream:% = release.holder.id, error:% = failure; "owners: release failed");
                 Err(CallEnd::Unknown)
             }
         }
@@ -313,10 +350,3 @@
 const fn slots(count: u32) -> f32 {
     count as f32
 }
-
-impl super::Beliefs {
-    /// Returns whether the hosts' records have not been read yet.
-    pub(super) const fn raw_fleet_is_unread(&self) -> bool {
-        self.fleet_end == 0
-    }
-}
--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -1,6 +1,7 @@
 //! Upstreams as registered, and what to make of entries that vanish.
 
 use crate::view::{Entry, Listed};
+use serde::{Deserialize, Serialize};
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::{HostTime, Millis};
@@ -17,6 +18,15 @@
     dropped_at: Option<HostTime>,
 }
 
+/// A record of the registry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// An upstream's entry.
+    Put(Entry),
+    /// An upstream's entry is gone.
+    Drop(UpstreamId),
+}
+
 /// The registered upstreams.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -27,16 +37,47 @@
 }
 
 impl Registry {
-    /// Notes that the store was read. After a pause, what vanished may only have lapsed.
-    pub fn on_read(&mut self, now: HostTime) {
-        if self.read_at.0 > 0 && now.since(self.read_at) > ABSENT_AFTER {
+    /// Notes that the store was read at `proof_at`, by this host or by the one that it learns from. After a pause, what
+    /// vanished may only have lapsed.
+    pub fn on_read(&mut self, proof_at: HostTime, now: HostTime) {
+        let pause = proof_at.since(self.read_at);
+        if self.read_at.0 > 0 && pause > ABSENT_AFTER {
+            log::info!(pause:% = pause; "registry: vanished entries may come back, the store was not read for a while");
             self.unsure_until = now + RETURN_TIME;
         }
-        self.read_at = now;
+        self.read_at = self.read_at.max(proof_at);
+    }
+
+    /// Takes over records in their order. With `is_whole` they are all there are. Returns the changes that are more
+    /// than signs of life.
+    pub fn take(&mut self, changes: Vec<Change>, is_whole: bool, now: HostTime) -> Vec<Change> {
+        let mut taken = Vec::new();
+        if is_whole {
+            let is_there = |id: &UpstreamId| {
+                changes.iter().any(|change| matches!(change, Change::Put(entry) if entry.id == *id))
+            };
+            let gone: Vec<UpstreamId> =
+                self.known.keys().filter(|id| !is_there(id)).cloned().collect();
+            for id in gone {
+                if self.drop_entry(&id, now) {
+                    taken.push(Change::Drop(id));
+                }
+            }
+        }
+        for change in changes {
+            let is_taken = match &change {
+                Change::Put(entry) => self.put(entry.clone(), now),
+                Change::Drop(id) => self.drop_entry(id, now),
+            };
+            if is_taken {
+                taken.push(change);
+            }
+        }
+        taken.extend(self.sweep(now).into_iter().map(Change::Drop));
+        taken
     }
 
-    /// Takes over an entry. Returns whether more changed than the sign of life.
-    pub fn put(&mut self, entry: Entry, now: HostTime) -> bool {
+    fn put(&mut self, entry: Entry, now: HostTime) -> bool {
         let known = self.known.get(&entry.id);
         if known.is_some_and(|known| known.listed.entry.born > entry.born) {
             return false;
@@ -57,7 +98,7 @@
     }
 
     /// Notes that an entry vanished. Returns whether that changes what may be used.
-    pub fn drop_entry(&mut self, id: &UpstreamId, now: HostTime) -> bool {
+    fn drop_entry(&mut self, id: &UpstreamId, now: HostTime) -> bool {
         if now < self.unsure_until {
             if let Some(known) = self.known.get_mut(id) {
                 known.dropped_at.get_or_insert(now);
@@ -67,32 +108,17 @@
         self.known.remove(id).is_some()
     }
 
-    /// Replaces all entries by those of a whole read. Returns whether anything changed.
-    pub fn replace(&mut self, entries: Vec<Entry>, now: HostTime) -> bool {
-        let gone: Vec<UpstreamId> = self
-            .known
-            .keys()
-            .filter(|id| !entries.iter().any(|entry| entry.id == **id))
-            .cloned()
-            .collect();
-        let mut changed = false;
-        for id in gone {
-            changed |= self.drop_entry(&id, now);
-        }
-        for entry in entries {
-            changed |= self.put(entry, now);
-        }
-        changed
-    }
-
-    /// Drops entries that have not come back in time. Returns whether there were any.
-    pub fn sweep(&mut self, now: HostTime) -> bool {
+    /// Drops entries that have not come back in time, and returns them.
+    fn sweep(&mut self, now: HostTime) -> Vec<UpstreamId> {
         if now < self.unsure_until {
-            return false;
+            return Vec::new();
+        }
+        let late = self.known.iter().filter(|(_, known)| known.dropped_at.is_some());
+        let late: Vec<UpstreamId> = late.map(|(id, _)| id.clone()).collect();
+        for id in &late {
+            self.known.remove(id);
         }
-        let before = self.known.len();
-        self.known.retain(|_, known| known.dropped_at.is_none());
-        before != self.known.len()
+        late
     }
 
     /// Returns the upstreams that may be used.
@@ -104,9 +130,4 @@
     pub fn entry(&self, id: &UpstreamId) -> Option<&Entry> {
         self.known.get(id).map(|known| &known.listed.entry)
     }
-
-    /// Returns whether an upstream's entry vanished and may come back.
-    pub fn is_missing(&self, id: &UpstreamId) -> bool {
-        self.known.get(id).is_some_and(|known| known.dropped_at.is_some())
-    }
 }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -26,7 +26,7 @@
 /// Time before the process is killed at which it ends by itself.
 const END_MARGIN: Millis = Millis(300);
 /// Part of the grace, in percent, after which requests are refused, so that those taken before can still be answered.
-const REFUSE_AFTER_PERCENT: u64 = 65;
+const REFUSE_AFTER_PERCENT: u64 = 48;
 /// Time without a request after which a leaving host ends.
 const QUIET_TIME: Millis = Millis(300);
 /// Time between looks while leaving.
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -68,16 +68,21 @@
     pub fault: String,
 }
 
+/// Result of a call to the store.
+pub type Called<T> = Local<Result<T, StoreError>>;
+
 /// The functions of a platform's store.
 pub struct Store {
     /// Returns the newest record of each key of a topic.
-    pub newest: Box<dyn Fn(Topic) -> Local<Result<Page, StoreError>>>,
+    pub newest: Box<dyn Fn(Topic) -> Called<Page>>,
     /// Returns records from an offset on; waits for one up to the given time.
-    pub read: Box<dyn Fn(Topic, u64, Millis) -> Local<Result<Page, StoreError>>>,
+    pub read: Box<dyn Fn(Topic, u64, Millis) -> Called<Page>>,
     /// Appends records to the hosts' topic, if it still ends at the offset given. Returns where it ends now.
-    pub append: Box<dyn Fn(Vec<Record>, u64) -> Local<Result<u64, StoreError>>>,
+    pub append: Box<dyn Fn(Vec<Record>, u64) -> Called<u64>>,
     /// Takes part in the choice of a leader; returns whether this host is it.
-    pub join: Box<dyn Fn() -> Local<Result<bool, StoreError>>>,
+    pub join: Box<dyn Fn() -> Called<bool>>,
+    /// Takes no further part in the choice of a leader.
+    pub leave: Box<dyn Fn() -> Called<()>>,
     /// Decodes the operators' configuration.
     pub decode_config: fn(&Record) -> Result<Option<Config>, DecodeError>,
     /// Decodes an upstream's entry.
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -18,7 +18,7 @@
 use skylarkdock_dispatch::service::{Service, Verdict};
 use skylarkdock_dispatch::upstream::{Distance, Listing};
 use skylarkdock_units::collections::FastMap;
-use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId};
+use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::Millis;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -27,7 +27,7 @@
 /// Time between looks at the requests that wait.
 const WAITING_INTERVAL: Millis = Millis(10);
 /// Time between the samples that the control thread gets.
-const SAMPLE_INTERVAL: Millis = Millis(500);
+const SAMPLE_INTERVAL: Millis = Millis(350);
 
 /// What the control thread gets from traffic.
 #[derive(Debug, Clone, Default)]
@@ -51,7 +51,7 @@
     waiters: RefCell<FastMap<u64, Sender<Verdict>>>,
     crashes: RefCell<Crashes>,
     route_counts: RefCell<FastMap<Arc<str>, u64>>,
-    others: RefCell<FastMap<HostId, reports::Heard>>,
+    others: RefCell<FastMap<reports::NameHash, reports::Heard>>,
     sample: RefCell<Sample>,
     next_ticket: Cell<u64>,
 }
@@ -113,9 +113,7 @@
             self.shared.limits.set(Some(config.limits));
         }
         let mut services = self.services.borrow_mut();
-        let hosts = u32::try_from(view.peers.len() + 1).unwrap_or(u32::MAX);
-        let near = view.peers.iter().filter(|peer| peer.region == self.settings.region).count();
-        let near = u32::try_from(near + 1).unwrap_or(u32::MAX);
+        let (hosts, near) = self.count_hosts(&view);
         let names = view.config.iter().flat_map(|config| &config.services);
         for info in names {
             let state = services.entry(info.name.clone()).or_insert_with(|| ServiceState {
@@ -149,6 +147,15 @@
         *self.view.borrow_mut() = view;
     }
 
+    /// Returns how many hosts there are and how many of them in this region. While that is unknown there may be any
+    /// number, so that the budget has no constant part.
+    fn count_hosts(&self, view: &View) -> (u32, u32) {
+        let Some(peers) = &view.peers else { return (u32::MAX, 1) };
+        let near = peers.iter().filter(|peer| peer.region == self.settings.region).count();
+        let count = |others: usize| u32::try_from(others + 1).unwrap_or(u32::MAX);
+        (count(peers.len()), count(near))
+    }
+
     fn listing(&self, listed: &Listed) -> Listing {
         let entry = &listed.entry;
         let distance = if entry.zone == self.settings.zone {
--- a/crates/edge/src/traffic/reports.rs
+++ b/crates/edge/src/traffic/reports.rs
@@ -8,32 +8,44 @@
 use async_io::{Async, Timer};
 use serde::{Deserialize, Serialize};
 use skylarkdock_units::collections::FastMap;
-use skylarkdock_units::ids::{HostId, UpstreamId};
+use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::net::UdpSocket;
 use std::rc::Rc;
+use xxhash_rust::xxh3;
 
 /// Time between reports to the hosts of the region.
 const NEAR_INTERVAL: Millis = Millis(100);
 /// Reports to other regions, as one of so many: their bytes are dear.
-const FAR_EVERY: u64 = 5;
+const FAR_EVERY: u64 = 8;
 /// Age from which a host's report says nothing.
 const LIFETIME: Millis = Millis(1_200);
 /// Largest datagram, below the usual limit of a packet.
 const MAX_REPORT: usize = 1_400;
 
+/// Hash of a name, which takes less room in a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(super) struct NameHash(u32);
+
+impl NameHash {
+    fn of(name: &str) -> Self {
+        let [a, b, c, d, ..] = xxh3::xxh3_64(name.as_bytes()).to_le_bytes();
+        Self(u32::from_le_bytes([a, b, c, d]))
+    }
+}
+
 /// A report as sent.
 #[derive(Debug, Serialize, Deserialize)]
 struct Report {
-    host: HostId,
-    load: Vec<(UpstreamId, u32)>,
+    host: NameHash,
+    load: Vec<(NameHash, u32)>,
 }
 
 /// A report as heard.
 #[derive(Debug)]
 pub(super) struct Heard {
     at: HostTime,
-    load: Vec<(UpstreamId, u32)>,
+    load: Vec<(NameHash, u32)>,
 }
 
 /// Starts sending and receiving.
@@ -62,8 +74,8 @@
             continue;
         }
         was_idle = is_idle;
-        let report = Report { host: traffic.settings.host.clone(), load };
-        let bytes = match serde_json::to_vec(&report) {
+        let report = Report { host: NameHash::of(traffic.settings.host.as_str()), load };
+        let bytes = match postcard::to_stdvec(&report) {
             Ok(bytes) if bytes.len() <= MAX_REPORT => bytes,
             Ok(_) => continue,
             Err(e) => {
@@ -73,7 +85,7 @@
         };
         let view = traffic.view.borrow().clone();
         let is_far_turn = count.is_multiple_of(FAR_EVERY);
-        for peer in &view.peers {
+        for peer in view.peers.iter().flatten() {
             if peer.region != traffic.settings.region && !is_far_turn {
                 continue;
             }
@@ -88,7 +100,7 @@
     let mut buf = [0; 2_048];
     loop {
         match socket.recv_from(&mut buf).await {
-            Ok((len, _)) => match serde_json::from_slice::<Report>(&buf[..len]) {
+            Ok((len, _)) => match postcard::from_bytes::<Report>(&buf[..len]) {
                 Ok(report) => traffic.hear(report),
                 Err(e) => log::debug!("reports: can't read a report: {e}"),
             },
@@ -101,11 +113,12 @@
 }
 
 impl Traffic {
-    fn own_load(&self) -> Vec<(UpstreamId, u32)> {
+    fn own_load(&self) -> Vec<(NameHash, u32)> {
         let services = self.services.borrow();
         let upstreams = services.values().flat_map(|state| state.service.upstreams());
         let busy = upstreams.filter(|upstream| upstream.in_flight() > 0);
-        busy.map(|upstream| (upstream.listing().id.clone(), upstream.in_flight())).collect()
+        busy.map(|upstream| (NameHash::of(upstream.listing().id.as_str()), upstream.in_flight()))
+            .collect()
     }
 
     fn hear(&self, report: Report) {
@@ -113,16 +126,16 @@
         let mut others = self.others.borrow_mut();
         others.insert(report.host, Heard { at: now, load: report.load });
         others.retain(|_, heard| now.since(heard.at) < LIFETIME);
-        let mut sums: FastMap<&UpstreamId, u32> = FastMap::default();
+        let mut sums: FastMap<NameHash, u32> = FastMap::default();
         for (id, count) in others.values().flat_map(|heard| &heard.load) {
-            *sums.entry(id).or_default() += count;
+            *sums.entry(*id).or_default() += count;
         }
         let mut services = self.services.borrow_mut();
         for state in services.values_mut() {
             let ids: Vec<UpstreamId> =
                 state.service.upstreams().map(|upstream| upstream.listing().id.clone()).collect();
             for id in ids {
-                let count = sums.get(&id).copied().unwrap_or_default();
+                let count = sums.get(&NameHash::of(id.as_str())).copied().unwrap_or_default();
                 if let Some(upstream) = state.service.upstream_mut(&id) {
                     upstream.set_others(count, now);
                 }
--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -2,8 +2,7 @@
 
 use crate::client::{Outgoing, Reply};
 use skylarkdock_http1::head::Headers;
-use skylarkdock_spans::keep::{CallEnd, Grant};
-use skylarkdock_spans::table::{Fence, Holder};
+use skylarkdock_spans::keep::{CallEnd, Grant, Release};
 use skylarkdock_units::times::Millis;
 
 /// Names of header fields.
@@ -23,19 +22,6 @@
     pub key: &'static str,
 }
 
-/// Keys that a holder is to release.
-#[derive(Debug, Clone)]
-pub struct ReleaseCall {
-    /// First key.
-    pub first: u16,
-    /// Last key.
-    pub last: u16,
-    /// The holder.
-    pub holder: Holder,
-    /// The fencing token of the span's next grant.
-    pub fence: Fence,
-}
-
 /// The protocol of upstreams.
 #[derive(Debug, Clone, Copy)]
 pub struct Protocol {
@@ -44,7 +30,7 @@
     /// Builds a grant.
     pub grant: fn(&Grant, Millis) -> Outgoing,
     /// Builds a release.
-    pub release: fn(&ReleaseCall) -> Outgoing,
+    pub release: fn(&Release) -> Outgoing,
     /// Reads the answer to a grant.
     pub granted: fn(&Reply) -> CallEnd,
     /// Reads the answer to a release: what the holder hands over.
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -1,6 +1,7 @@
 //! What the host believes, as the traffic thread gets it.
 
 use crate::serve::Limits;
+use serde::{Deserialize, Serialize};
 use skylarkdock_dispatch::routes::Routes;
 use skylarkdock_dispatch::service::KeyMap;
 use skylarkdock_units::ids::{HostId, Region, ServiceName, UpstreamId, Zone};
@@ -33,7 +34,7 @@
 }
 
 /// An upstream as registered.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Its id.
     pub id: UpstreamId,
@@ -88,6 +89,6 @@
     pub upstreams: Vec<Listed>,
     /// Owners of keys, for each service that is divided.
     pub keys: Vec<(ServiceName, KeyMap)>,
-    /// The other hosts.
-    pub peers: Vec<PeerInfo>,
+    /// The other hosts, `None` while the hosts' records have not been read.
+    pub peers: Option<Vec<PeerInfo>>,
 }
--- a/crates/spans/src/keep.rs
+++ b/crates/spans/src/keep.rs
@@ -31,8 +31,21 @@
     pub handover: Option<String>,
 }
 
+/// Keys that a holder is to release.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Release {
+    /// First key.
+    pub first: u16,
+    /// Last key.
+    pub last: u16,
+    /// The holder.
+    pub holder: Holder,
+    /// The fencing token of the span's next grant, which rules out later renewals with the old one.
+    pub fence: Fence,
+}
+
 /// How a call to an upstream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallEnd {
     /// It was carried out.
     Done,
@@ -44,12 +57,18 @@
     Unknown,
 }
 
-/// When grants were last sent to a life of an upstream.
+/// When a grant was last sent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LastSent {
-    /// The life.
+    /// The holder.
     pub holder: Holder,
-    /// How long ago, in milliseconds.
+    /// First key.
+    pub first: u16,
+    /// Last key.
+    pub last: u16,
+    /// Fencing token.
+    pub fence: Fence,
+    /// How long ago.
     pub age: Millis,
 }
 
@@ -62,7 +81,7 @@
     pub version: u64,
     /// How long its process has run; an earlier one may have sent grants until then.
     pub running: Millis,
-    /// When it last sent grants.
+    /// The grants that it sent and that may still be in force.
     pub sent: Vec<LastSent>,
     /// Holders that don't answer it.
     pub unreachable: Vec<Holder>,
@@ -70,7 +89,6 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Record {
-    sent_at: HostTime,
     answered_at: HostTime,
     failures: u32,
     suspended_at: Option<HostTime>,
@@ -86,7 +104,10 @@
     table: Option<Table>,
     proof_at: HostTime,
     holders: FastMap<Holder, Record>,
+    /// When the renewal of a span is counted from.
     spans: FastMap<(u16, u16, Fence), HostTime>,
+    /// Grants that may still be in force, with those of earlier tables.
+    sent: FastMap<(Holder, u16, u16, Fence), HostTime>,
 }
 
 impl Keep {
@@ -101,6 +122,7 @@
             proof_at: HostTime(0),
             holders: FastMap::default(),
             spans: FastMap::default(),
+            sent: FastMap::default(),
         }
     }
 
@@ -161,17 +183,24 @@
             });
         }
         for grant in &due {
-            self.holders.entry(grant.holder.clone()).or_default().sent_at = now;
+            self.note_sent(grant, now);
         }
+        let lapse = self.timing.lapse();
+        self.sent.retain(|_, sent_at| now.since(*sent_at) <= lapse);
         due
     }
 
     /// Notes a grant that the leader sends on this host.
     pub fn on_sent(&mut self, grant: &Grant, now: HostTime) {
-        self.holders.entry(grant.holder.clone()).or_default().sent_at = now;
+        self.note_sent(grant, now);
         self.spans.insert((grant.first, grant.last, grant.fence), now);
     }
 
+    fn note_sent(&mut self, grant: &Grant, now: HostTime) {
+        let key = (grant.holder.clone(), grant.first, grant.last, grant.fence);
+        self.sent.insert(key, now);
+    }
+
     /// Notes how a renewal ended. One without an answer is sent again at once.
     pub fn on_end(&mut self, grant: &Grant, end: CallEnd, now: HostTime) {
         let record = self.holders.entry(grant.holder.clone()).or_default();
@@ -228,21 +257,19 @@
 
     /// Returns this host's word about its table.
     pub fn ack(&self, now: HostTime) -> Ack {
-        let sent = self
-            .holders
-            .iter()
-            .filter(|(_, record)| record.sent_at.0 > 0)
-            .map(|(holder, record)| LastSent {
-                holder: holder.clone(),
-                age: now.since(record.sent_at),
-            })
-            .collect();
+        let sent = self.sent.iter().map(|((holder, first, last, fence), sent_at)| LastSent {
+            holder: holder.clone(),
+            first: *first,
+            last: *last,
+            fence: *fence,
+            age: now.since(*sent_at),
+        });
         let unreachable = self.holders.keys().filter(|holder| self.is_unreachable(holder));
         Ack {
             host: self.me.clone(),
             version: self.table.as_ref().map_or(0, |table| table.version),
             running: now.since(self.started_at),
-            sent,
+            sent: sent.collect(),
             unreachable: unreachable.cloned().collect(),
         }
     }
--- a/crates/spans/src/lead.rs
+++ b/crates/spans/src/lead.rs
@@ -4,7 +4,7 @@
 //! lapsed for sure; the new owner is granted them with a higher fencing token; that is recorded too. A leader that
 //! is lost on the way leaves the record, from which the next one goes on.
 
-use crate::keep::{Ack, CallEnd, Grant};
+use crate::keep::{Ack, CallEnd, Grant, LastSent, Release};
 use crate::plan::{self, Candidate};
 use crate::table::{Fence, Holder, Keeper, Span, Table};
 use crate::timing::Timing;
@@ -12,21 +12,28 @@
 use skylarkdock_units::ids::{HostId, ServiceName};
 use skylarkdock_units::times::{HostTime, Millis};
 
-/// Time that upstreams have to register before the first table is made, so that it holds most of them.
+/// Time without a new upstream after which the first table is made, so that it holds most of them.
 const SETTLE: Millis = Millis(700);
+/// Longest wait for the first table.
+const MAX_SETTLE: Millis = Millis(3_000);
 /// Time between two plans for the sake of load: the effect of one shows in the next one's counts.
-const PLAN_INTERVAL: Millis = Millis(1_000);
+const PLAN_INTERVAL: Millis = Millis(600);
+/// Pause after a table that could not be recorded, growing up to the longest one.
+const WRITE_PAUSE: Millis = Millis(100);
+const MAX_WRITE_PAUSE: Millis = Millis(1_600);
 /// Pause after a call to an upstream that got no answer.
 const CALL_PAUSE: Millis = Millis(150);
 /// Pause between two questions to a keeper that did not answer.
 const ASK_PAUSE: Millis = Millis(300);
+/// The same while no move waits for the answer.
+const IDLE_ASK_PAUSE: Millis = Millis(1_500);
 /// Grants without an answer after which another upstream gets the keys.
 const MAX_FAILED_GRANTS: u32 = 6;
 /// Time for which an upstream that did not answer grants gets no keys.
 const AVOIDED: Millis = Millis(4_000);
 
-/// Key of a span that is being moved.
-type SpanKey = (u16, u16, Fence);
+/// First key, last key and fencing token of a span.
+pub type SpanKey = (u16, u16, Fence);
 
 /// What the leader wants done. The answers come back through its methods.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,17 +42,8 @@
     Write(Table),
     /// Tell a host the table and ask for its word.
     Ask(HostId),
-    /// End a holder's grant of these keys.
-    Release {
-        /// First key.
-        first: u16,
-        /// Last key.
-        last: u16,
-        /// The holder.
-        holder: Holder,
-        /// The span's new fencing token, which rules out later renewals with the old one.
-        fence: Fence,
-    },
+    /// End a holder's grant.
+    Release(Release),
     /// Grant keys.
     Grant(Grant),
 }
@@ -64,7 +62,7 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Release {
+enum Releasing {
     Idle { not_before: HostTime },
     Sent,
     Ended,
@@ -80,7 +78,7 @@
 #[derive(Debug)]
 struct Move {
     since: HostTime,
-    releases: Vec<Release>,
+    releases: Vec<Releasing>,
     has_failed: bool,
     handover: Option<String>,
     granting: Granting,
@@ -90,7 +88,9 @@
 #[derive(Debug)]
 struct Word {
     version: u64,
-    sent: FastMap<Holder, HostTime>,
+    /// Grants that may be in force, and when they were sent.
+    sent: Vec<(LastSent, HostTime)>,
+    /// When a grant that isn't among them may have been sent at the latest.
     otherwise: HostTime,
 }
 
@@ -108,7 +108,11 @@
     retired: FastMap<HostId, HostTime>,
     avoided: FastMap<Holder, HostTime>,
     first_candidate_at: Option<HostTime>,
+    new_candidate_at: HostTime,
+    candidates: usize,
     planned_at: HostTime,
+    failed_writes: u32,
+    write_not_before: HostTime,
 }
 
 impl Lead {
@@ -126,7 +130,11 @@
             retired: FastMap::default(),
             avoided: FastMap::default(),
             first_candidate_at: None,
+            new_candidate_at: HostTime(0),
+            candidates: 0,
             planned_at: HostTime(0),
+            failed_writes: 0,
+            write_not_before: HostTime(0),
         }
     }
 
@@ -143,45 +151,56 @@
     }
 
     /// Notes the end of a write. One that is not certain to be recorded shows in the log later.
-    pub fn on_written(&mut self, table: Table, is_recorded: bool) {
+    pub fn on_written(&mut self, table: Table, is_recorded: bool, now: HostTime) {
         self.is_writing = false;
         if is_recorded {
+            self.failed_writes = 0;
             self.on_table(&table);
+            return;
         }
+        let factor = 1_u64 << self.failed_writes.min(4);
+        self.failed_writes += 1;
+        self.write_not_before = now + Millis((WRITE_PAUSE.0 * factor).min(MAX_WRITE_PAUSE.0));
+    }
+
+    /// Returns the spans that were granted and are not yet recorded so.
+    pub fn granted(&self) -> Vec<SpanKey> {
+        let done = self.moves.iter().filter(|(_, progress)| progress.granting == Granting::Done);
+        done.map(|(key, _)| *key).collect()
     }
 
     /// Notes a keeper's word that arrived now. The keeper spoke earlier, so what it sent is no younger than told.
     pub fn on_ack(&mut self, ack: Ack, now: HostTime) {
         let at = |age: Millis| HostTime(now.0.saturating_sub(age.0));
-        let sent = ack.sent.iter().map(|sent| (sent.holder.clone(), at(sent.age))).collect();
-        let word = Word { version: ack.version, sent, otherwise: at(ack.running) };
+        let sent = ack.sent.into_iter().map(|sent| {
+            let sent_at = at(sent.age);
+            (sent, sent_at)
+        });
+        let otherwise = at(ack.running.min(self.timing.lapse()));
+        let word = Word { version: ack.version, sent: sent.collect(), otherwise };
         self.words.insert(ack.host, word);
     }
 
     /// Notes the end of a release.
     pub fn on_released(
         &mut self,
-        first: u16,
-        last: u16,
-        fence: Fence,
-        holder: &Holder,
+        release: &Release,
         end: Result<Option<String>, CallEnd>,
         now: HostTime,
     ) {
-        let Some(span) = self.span((first, last, fence)) else { return };
-        let Some(index) = span.former.iter().position(|former| former.holder == *holder) else {
-            return;
-        };
-        let Some(progress) = self.moves.get_mut(&(first, last, fence)) else { return };
+        let key = (release.first, release.last, release.fence);
+        let Some(span) = self.span(key) else { return };
+        let former = span.former.iter().position(|former| former.holder == release.holder);
+        let (Some(index), Some(progress)) = (former, self.moves.get_mut(&key)) else { return };
         match end {
             Ok(handover) => {
-                progress.releases[index] = Release::Ended;
+                progress.releases[index] = Releasing::Ended;
                 progress.handover = handover.or_else(|| progress.handover.take());
             }
-            Err(CallEnd::Gone) => progress.releases[index] = Release::Ended,
+            Err(CallEnd::Gone) => progress.releases[index] = Releasing::Ended,
             Err(_) => {
                 progress.has_failed = true;
-                progress.releases[index] = Release::Idle { not_before: now + CALL_PAUSE };
+                progress.releases[index] = Releasing::Idle { not_before: now + CALL_PAUSE };
             }
         }
     }
@@ -210,6 +229,7 @@
         self.note_moves(now);
         self.advance(inputs, now, &mut actions);
         if !self.is_writing
+            && now >= self.write_not_before
             && let Some(table) = self.revised(inputs, now)
         {
             self.is_writing = true;
@@ -236,7 +256,7 @@
         for (key, former) in pending {
             self.moves.entry(key).or_insert_with(|| Move {
                 since: now,
-                releases: vec![Release::Idle { not_before: now }; former],
+                releases: vec![Releasing::Idle { not_before: now }; former],
                 has_failed: false,
                 handover: None,
                 granting: Granting::Idle { not_before: now },
@@ -257,28 +277,28 @@
                 .iter()
                 .map(|former| {
                     inputs.dead.contains(&former.holder)
-                        || self.has_lapsed(&table, &former.holder, since, now)
+                        || self.has_lapsed(&table, span, &former.holder, since, now)
                 })
                 .collect();
             let Some(progress) = self.moves.get_mut(&key) else { continue };
             for (index, former) in span.former.iter().enumerate() {
                 let release = &mut progress.releases[index];
                 if lapsed[index] {
-                    *release = Release::Ended;
+                    *release = Releasing::Ended;
                 }
-                if let Release::Idle { not_before } = *release
+                if let Releasing::Idle { not_before } = *release
                     && now >= not_before
                 {
-                    *release = Release::Sent;
-                    actions.push(Action::Release {
+                    *release = Releasing::Sent;
+                    actions.push(Action::Release(Release {
                         first: span.first,
                         last: span.last,
                         holder: former.holder.clone(),
                         fence: span.fence,
-                    });
+                    }));
                 }
             }
-            let all_ended = progress.releases.iter().all(|release| *release == Release::Ended);
+            let all_ended = progress.releases.iter().all(|release| *release == Releasing::Ended);
             asks |= progress.has_failed && !all_ended;
             if let Granting::Idle { not_before } = progress.granting
                 && all_ended
@@ -295,18 +315,19 @@
             }
         }
         if asks || !table.retired.is_empty() {
-            self.ask(&table, now, actions);
+            let pause = if asks { ASK_PAUSE } else { IDLE_ASK_PAUSE };
+            self.ask(&table, pause, now, actions);
         }
     }
 
     /// Asks the hosts that may renew for their word on this table.
-    fn ask(&mut self, table: &Table, now: HostTime, actions: &mut Vec<Action>) {
+    fn ask(&mut self, table: &Table, pause: Millis, now: HostTime, actions: &mut Vec<Action>) {
         for host in renewers(table) {
             if self.words.get(&host).is_some_and(|word| word.version >= table.version) {
                 continue;
             }
             let asked_at = self.asked.entry(host.clone()).or_default();
-            if now.since(*asked_at) >= ASK_PAUSE {
+            if now.since(*asked_at) >= pause {
                 *asked_at = now;
                 actions.push(Action::Ask(host));
             }
@@ -314,13 +335,23 @@
     }
 
     /// Returns whether no grant to a former holder can be in force.
-    fn has_lapsed(&self, table: &Table, holder: &Holder, since: HostTime, now: HostTime) -> bool {
+    fn has_lapsed(
+        &self,
+        table: &Table,
+        span: &Span,
+        holder: &Holder,
+        since: HostTime,
+        now: HostTime,
+    ) -> bool {
         if now.since(since) >= self.timing.lapse_without_keepers() {
             return true;
         }
         renewers(table).iter().all(|host| {
             self.words.get(host).is_some_and(|word| {
-                let sent_at = word.sent.get(holder).copied().unwrap_or(word.otherwise);
+                let sent = word.sent.iter().filter(|(sent, _)| {
+                    sent.holder == *holder && sent.first <= span.last && span.first <= sent.last
+                });
+                let sent_at = sent.map(|(_, at)| *at).max().unwrap_or(word.otherwise);
                 word.version >= table.version && now.since(sent_at) >= self.timing.lapse()
             })
         })
@@ -366,7 +397,12 @@
             return None;
         }
         let first_at = *self.first_candidate_at.get_or_insert(now);
-        if now.since(first_at) < SETTLE {
+        if candidates.len() > self.candidates {
+            self.new_candidate_at = now;
+        }
+        self.candidates = candidates.len();
+        let is_settled = now.since(self.new_candidate_at) >= SETTLE;
+        if !is_settled && now.since(first_at) < MAX_SETTLE {
             return None;
         }
         let mut table = Table {
@@ -395,22 +431,19 @@
         }
     }
 
-    /// Chooses the keepers: this host and one or two of each region that are there.
+    /// Chooses the keepers: this host and one that is there of each availability zone.
     fn appoint(&mut self, table: &mut Table, inputs: &Inputs, now: HostTime) {
-        const KEEPERS_PER_REGION: usize = 2;
         table.leader = self.me.clone();
         let present = |host: &HostId| inputs.hosts.iter().any(|keeper| keeper.host == *host);
         let mut keepers: Vec<Keeper> = Vec::new();
-        let mut add = |keeper: &Keeper, is_forced: bool| {
-            let peers = keepers.iter().filter(|other| other.region == keeper.region).count();
-            let is_new = !keepers.iter().any(|other| other.host == keeper.host);
-            if is_new && (is_forced || peers < KEEPERS_PER_REGION) {
+        let mut add = |keeper: &Keeper| {
+            if keepers.iter().all(|other| other.zone != keeper.zone) {
                 keepers.push(keeper.clone());
             }
         };
-        inputs.hosts.iter().filter(|k| k.host == self.me).for_each(|k| add(k, true));
-        table.keepers.iter().filter(|k| present(&k.host)).for_each(|k| add(k, false));
-        inputs.hosts.iter().for_each(|k| add(k, false));
+        inputs.hosts.iter().filter(|k| k.host == self.me).for_each(&mut add);
+        table.keepers.iter().filter(|k| present(&k.host)).for_each(&mut add);
+        inputs.hosts.iter().for_each(&mut add);
         keepers.sort_by(|a, b| a.host.cmp(&b.host));
         let removed = table.keepers.iter().map(|keeper| keeper.host.clone());
         let mut retired: Vec<HostId> = table.retired.iter().cloned().chain(removed).collect();
--- a/crates/spans/src/load.rs
+++ b/crates/spans/src/load.rs
@@ -3,7 +3,7 @@
 use skylarkdock_units::times::{HostTime, Millis};
 
 /// Time after which a request counts half. Hot keys change within seconds.
-const HALF_LIFE: Millis = Millis(2_000);
+const HALF_LIFE: Millis = Millis(1_200);
 const KEYS: usize = 0x1_0000;
 
 /// Request rates of all keys of a service.
--- a/crates/spans/src/plan.rs
+++ b/crates/spans/src/plan.rs
@@ -11,6 +11,8 @@
 const UNEVEN: f32 = 1.2;
 /// Most spans that change hands in one plan for the sake of load.
 const MAX_MOVES: usize = 6;
+/// Spans on their way from one upstream to another above which load isn't evened out further.
+const MAX_PENDING: usize = 8;
 /// Part of the wanted load that a move must carry to be worth the interruption.
 const MIN_PART: f32 = 0.15;
 /// Weight of a key that got no requests, in requests per second. Keeps spans of quiet keys even in width.
@@ -69,8 +71,9 @@
     }
     let mut draft = Draft::new(table, candidates, rates);
     let mut changed = draft.rehome(&is_dead);
-    if !table.has_moves() && !changed {
-        changed = draft.join() || draft.even_out();
+    let pending = table.spans.iter().filter(|span| !span.is_granted).count();
+    if !changed && pending <= MAX_PENDING {
+        changed = draft.join() || draft.fill_empty() || draft.even_out();
     }
     changed.then_some(draft.spans)
 }
@@ -220,6 +223,22 @@
         changed
     }
 
+    /// Gives a share to upstreams that own nothing; returns whether there were any.
+    fn fill_empty(&mut self) -> bool {
+        let mut changed = false;
+        for to in 0..self.candidates.len() {
+            let holder = &self.candidates[to].holder;
+            if self.spans.iter().any(|span| span.owner == *holder) {
+                continue;
+            }
+            let busiest = (0..self.candidates.len())
+                .filter(|index| *index != to)
+                .max_by(|a, b| self.utilization(*a).total_cmp(&self.utilization(*b)));
+            changed |= busiest.is_some_and(|from| self.shift(from, to));
+        }
+        changed
+    }
+
     /// Moves load from busy upstreams to idle ones; returns whether it moved any.
     fn even_out(&mut self) -> bool {
         let capacity: f32 = self.candidates.iter().map(|candidate| candidate.capacity).sum();
--- a/crates/spans/src/table.rs
+++ b/crates/spans/src/table.rs
@@ -1,7 +1,7 @@
 //! The recorded owners of a service's keys.
 
 use serde::{Deserialize, Serialize};
-use skylarkdock_units::ids::{HostId, Region, ServiceName, UpstreamId};
+use skylarkdock_units::ids::{HostId, Region, ServiceName, UpstreamId, Zone};
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -46,6 +46,8 @@
 pub struct Keeper {
     /// The host.
     pub host: HostId,
+    /// The availability zone it is in.
+    pub zone: Zone,
     /// The region it is in.
     pub region: Region,
 }
