--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -13,8 +13,9 @@
 
 /// Time assumed for a request before any was measured, in milliseconds.
 const ASSUMED_SERVICE_MS: f32 = 100.0;
-/// Deviation assumed before any request was measured, and the largest that one request counts with.
+/// Deviation assumed before any request was measured, the least one, and the largest that one request counts with.
 const ASSUMED_DEVIATION: f32 = 0.6;
+const MIN_DEVIATION: f32 = 0.25;
 const MAX_DEVIATION: f32 = 3.0;
 /// Weight of a new sample of the deviation.
 const DEVIATION_WEIGHT: f32 = 0.03;
@@ -216,7 +217,9 @@
     /// Returns when a request that has just gone to an upstream is late enough to be sent a second time.
     pub fn late_at(&self, id: &UpstreamId, now: HostTime) -> Option<HostTime> {
         let expected = self.upstreams.get(id)?.expected_ms(self.typical_ms(), now);
-        Some(now + to_millis(expected * (1.0 + self.deviation * LATE_DEVIATIONS)))
+        Some(
+            now + to_millis(expected * (1.0 + self.deviation.max(MIN_DEVIATION) * LATE_DEVIATIONS)),
+        )
     }
 
     /// Returns an upstream with a free slot for the second attempt of a late request.
--- /dev/null
+++ b/crates/dispatch/tests/decisions.rs
@@ -0,0 +1,157 @@
+//! Routes, shares, the budget for repeats, pauses and crashing requests.
+
+use rstest::rstest;
+use skylarkdock_dispatch::budget::{Budget, Limits};
+use skylarkdock_dispatch::crashes::{Crashes, Fingerprint};
+use skylarkdock_dispatch::returns;
+use skylarkdock_dispatch::routes::{Repeat, Route, Routes};
+use skylarkdock_dispatch::split::{Part, Split};
+use skylarkdock_units::ids::ServiceName;
+use skylarkdock_units::times::{HostTime, Millis};
+
+fn service(name: &str) -> ServiceName {
+    name.parse().unwrap_or_else(|e| panic!("{name}: {e}"))
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Once,
+        split: Split::single(service("s")),
+        timeout: Millis(1_000),
+        objective: Millis(300),
+        attempts: 2,
+        rank: 0,
+    }
+}
+
+#[rstest]
+#[case("h.example", "/a/b/c", Some("long"))]
+#[case("H.Example:8080", "/a/x", Some("short"))]
+#[case("h.example", "/a", None)]
+#[case("other.example", "/a/b/c", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] found: Option<&str>,
+) {
+    let routes =
+        Routes::new([route("short", "h.example", "/a/"), route("long", "h.example", "/a/b/")]);
+    assert_eq!(routes.find(host, path).map(|route| &*route.name), found);
+}
+
+/// Load pattern: few requests for a split route. The shares hold in each hundred, not just in the long run.
+#[rstest]
+#[case(&[90, 10])]
+#[case(&[50, 30, 20])]
+#[case(&[1, 1])]
+#[case(&[97, 0, 3])]
+fn shares_are_exact_and_spread(#[case] weights: &[u32]) {
+    let parts = weights
+        .iter()
+        .enumerate()
+        .map(|(index, weight)| Part { service: service(&format!("s{index}")), weight: *weight });
+    let split = Split::new(parts.collect()).unwrap();
+    let total: u32 = weights.iter().sum();
+    let picks: Vec<ServiceName> =
+        (0..u64::from(total)).map(|count| split.pick(count).clone()).collect();
+    for (index, weight) in weights.iter().enumerate() {
+        let name = service(&format!("s{index}"));
+        assert_eq!(picks.iter().filter(|pick| **pick == name).count(), *weight as usize);
+    }
+    // A half of a run has about half of the largest share.
+    let half = picks.len() / 2;
+    let name = service("s0");
+    let first = picks[..half].iter().filter(|pick| **pick == name).count();
+    assert!(first.abs_diff(weights[0] as usize / 2) <= 2, "{first}");
+}
+
+#[test]
+fn a_split_without_weights_is_none() {
+    assert_eq!(Split::new(vec![Part { service: service("s"), weight: 0 }]), None);
+}
+
+const LIMITS: Limits = Limits { per_mille: 200, constant: 56, window: Millis(10_000) };
+
+/// Load pattern: every host repeats as much as it may, and none hears of the others.
+#[rstest]
+#[case(1)]
+#[case(8)]
+#[case(79)]
+fn the_budget_holds_summed_over_all_hosts(#[case] hosts: u32) {
+    let mut budgets: Vec<Budget> = (0..hosts).map(|_| Budget::new(LIMITS, hosts)).collect();
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut events: Vec<(u64, bool)> = Vec::new();
+    for now in (0..30_000).step_by(5) {
+        let now = HostTime(now);
+        let budget = &mut budgets[rng.usize(..hosts as usize)];
+        budget.on_request(now);
+        events.push((now.0, false));
+        while budget.spend(now) {
+            events.push((now.0, true));
+        }
+    }
+    for end in (10_000..30_000).step_by(100) {
+        let window = events.iter().filter(|(at, _)| *at > end - 10_000 && *at <= end);
+        let (requests, repeats) = window.fold((0.0, 0.0), |(requests, repeats), (_, is_repeat)| {
+            if *is_repeat { (requests, repeats + 1.0) } else { (requests + 1.0, repeats) }
+        });
+        let allowed = requests * 0.2 + 56.0;
+        assert!(repeats <= allowed, "{repeats} of {allowed}");
+    }
+}
+
+/// A host that does not know how many hosts there are uses nothing of the constant part.
+#[test]
+fn the_constant_part_needs_the_number_of_hosts() {
+    let mut budget = Budget::new(LIMITS, u32::MAX);
+    assert!(!budget.spend(HostTime(5_000)));
+    budget.set_hosts(8);
+    assert!(budget.spend(HostTime(5_000)));
+}
+
+#[rstest]
+#[case(Millis(50), Millis(3_000), 0, Millis(50))]
+#[case(Millis(0), Millis(3_000), 0, Millis(20))]
+#[case(Millis(5_000), Millis(3_000), 0, Millis(1_000))]
+fn a_pause_fits_the_callers_time(
+    #[case] expected: Millis,
+    #[case] left: Millis,
+    #[case] point: u32,
+    #[case] pause: Millis,
+) {
+    assert_eq!(returns::pause(expected, left, point), pause);
+}
+
+/// Load pattern: many callers are refused at one moment.
+#[test]
+fn pauses_of_equal_callers_differ() {
+    let pauses: std::collections::BTreeSet<u64> = (0..1_000)
+        .step_by(50)
+        .map(|point| returns::pause(Millis(500), Millis(5_000), point).0)
+        .collect();
+    assert!(pauses.len() >= 19, "{pauses:?}");
+}
+
+#[test]
+fn a_request_that_was_alone_at_two_deaths_is_refused_for_a_while() {
+    let mut crashes = Crashes::default();
+    let print = Fingerprint(1);
+    crashes.on_death(&[print], HostTime(1_000));
+    assert!(!crashes.is_refused(print, HostTime(1_001)));
+    crashes.on_death(&[print], HostTime(2_000));
+    assert!(crashes.is_refused(print, HostTime(2_001)));
+    assert!(!crashes.is_refused(print, HostTime(9_000)));
+}
+
+#[test]
+fn requests_in_flight_by_chance_stay_free() {
+    let mut crashes = Crashes::default();
+    let prints: Vec<Fingerprint> = (0..20).map(Fingerprint).collect();
+    for at in 0..3 {
+        crashes.on_death(&prints, HostTime(1_000 + at * 500));
+    }
+    assert!(!crashes.is_refused(Fingerprint(3), HostTime(2_500)));
+}
--- /dev/null
+++ b/crates/edge/tests/serve.rs
@@ -0,0 +1,156 @@
+//! Connections of callers.
+
+#![allow(clippy::unwrap_used)]
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
+use rstest::rstest;
+use skylarkdock_edge::serve::{self, Answer, Answering, Incoming, Shared};
+use std::cell::Cell;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+struct Server {
+    addr: SocketAddr,
+    shared: Rc<Shared>,
+    started: Rc<Cell<usize>>,
+    cancelled: Rc<Cell<usize>>,
+}
+
+struct Cancelled(Rc<Cell<usize>>, bool);
+
+impl Drop for Cancelled {
+    fn drop(&mut self) {
+        if !self.1 {
+            self.0.set(self.0.get() + 1);
+        }
+    }
+}
+
+/// Runs a server whose answers carry the path and take as many milliseconds as the path says.
+fn with_server<Fut: Future<Output = ()>>(test: impl FnOnce(Server) -> Fut) {
+    let ex = Rc::new(LocalExecutor::new());
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let server = Server {
+        addr: listener.get_ref().local_addr().unwrap(),
+        shared: Rc::new(Shared::default()),
+        started: Rc::default(),
+        cancelled: Rc::default(),
+    };
+    let (started, cancelled) = (Rc::clone(&server.started), Rc::clone(&server.cancelled));
+    let handler = Rc::new(move |req: Incoming| -> Answering {
+        started.set(started.get() + 1);
+        let cancelled = Rc::clone(&cancelled);
+        Box::pin(async move {
+            let mut guard = Cancelled(cancelled, false);
+            let ms: u64 = req.head.target.trim_start_matches('/').parse().unwrap_or(0);
+            Timer::after(Duration::from_millis(ms)).await;
+            guard.1 = true;
+            Answer { body: req.head.target.into_bytes(), ..Answer::empty(200) }
+        })
+    });
+    let shared = Rc::clone(&server.shared);
+    ex.spawn(serve::accept(Rc::clone(&ex), listener, shared, handler)).detach();
+    async_io::block_on(ex.run(test(server)));
+}
+
+async fn connect(addr: SocketAddr) -> Async<TcpStream> {
+    Async::<TcpStream>::connect(addr).await.unwrap()
+}
+
+async fn send(mut stream: &Async<TcpStream>, text: &str) {
+    stream.write_all(text.as_bytes()).await.unwrap();
+}
+
+/// Reads until `count` bodies have come or the connection ends.
+async fn read(mut stream: &Async<TcpStream>, count: usize) -> String {
+    let mut text = String::new();
+    let mut buf = [0; 4096];
+    while text.matches("HTTP/1.1 200 OK").count() < count || !text.ends_with('0') {
+        let len = stream.read(&mut buf).await.unwrap_or(0);
+        if len == 0 {
+            break;
+        }
+        text.push_str(&String::from_utf8_lossy(&buf[..len]));
+    }
+    text
+}
+
+fn get(ms: u32) -> String {
+    format!("GET /{ms} HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+#[test]
+fn pipelined_requests_are_worked_on_together_and_answered_in_order() {
+    with_server(|server| async move {
+        let stream = connect(server.addr).await;
+        send(&stream, &format!("{}{}", get(60), get(10))).await;
+        let text = read(&stream, 2).await;
+        assert!(text.find("/60") < text.find("/10"), "{text}");
+        assert_eq!(server.started.get(), 2);
+    });
+}
+
+#[test]
+fn a_request_is_cancelled_when_its_caller_leaves() {
+    with_server(|server| async move {
+        let stream = connect(server.addr).await;
+        send(&stream, &get(5_000)).await;
+        while server.started.get() == 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        drop(stream);
+        while server.cancelled.get() == 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    });
+}
+
+/// Found by the standard days: a leaving host went on reading a busy connection and cut its requests at the end.
+#[test]
+fn a_leaving_host_reads_no_request_behind_one_that_is_worked_on() {
+    with_server(|server| async move {
+        let stream = connect(server.addr).await;
+        send(&stream, &get(100)).await;
+        while server.started.get() == 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        server.shared.is_leaving.set(true);
+        send(&stream, &get(0)).await;
+        let text = read(&stream, 2).await;
+        assert_eq!(server.started.get(), 1);
+        assert!(text.contains("Connection: close"), "{text}");
+    });
+}
+
+#[test]
+fn a_leaving_host_answers_a_request_on_an_idle_connection_and_closes_it() {
+    with_server(|server| async move {
+        let stream = connect(server.addr).await;
+        server.shared.is_leaving.set(true);
+        send(&stream, &get(0)).await;
+        let text = read(&stream, 2).await;
+        assert!(text.contains("Connection: close") && text.ends_with("/0"), "{text}");
+    });
+}
+
+#[rstest]
+#[case::no_head("nonsense\r\n\r\n", "400")]
+#[case::two_lengths("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400")]
+#[case::coding("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", "501")]
+#[case::broken_chunk("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400")]
+fn a_malformed_request_is_answered_and_nothing_after_it_is_read(
+    #[case] text: &'static str,
+    #[case] status: &'static str,
+) {
+    with_server(move |server| async move {
+        let stream = connect(server.addr).await;
+        send(&stream, &format!("{text}{}", get(0))).await;
+        let answer = read(&stream, 1).await;
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
+        assert_eq!(server.started.get(), 0);
+    });
+}
--- /dev/null
+++ b/crates/http1/tests/heads.rs
@@ -0,0 +1,88 @@
+//! Heads of requests and answers.
+
+use rstest::rstest;
+use skylarkdock_http1::body::Framing;
+use skylarkdock_http1::head::{AnswerHead, HeadError, RequestHead};
+
+fn request(text: &str) -> Result<Option<(RequestHead, usize)>, HeadError> {
+    RequestHead::parse(text.as_bytes())
+}
+
+#[test]
+fn a_request_is_parsed_with_its_length() {
+    let text = "POST /a/b?c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc";
+    let (head, len) = request(text).unwrap().unwrap();
+    assert_eq!(head.method, "POST");
+    assert_eq!(head.target, "/a/b?c");
+    assert_eq!(head.path(), "/a/b");
+    assert_eq!(head.framing, Framing::Length(3));
+    assert_eq!(&text[len..], "abc");
+    assert!(head.keeps_alive());
+}
+
+#[test]
+fn an_incomplete_head_is_waited_for() {
+    assert_eq!(request("GET / HTTP/1.1\r\nHost: h\r\n").unwrap(), None);
+}
+
+#[rstest]
+#[case::two_lengths("Content-Length: 3\r\nContent-Length: 4\r\n", HeadError::AmbiguousLength)]
+#[case::length_and_chunks(
+    "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+    HeadError::AmbiguousLength
+)]
+#[case::signed_length("Content-Length: +3\r\n", HeadError::AmbiguousLength)]
+#[case::empty_length("Content-Length: \r\n", HeadError::AmbiguousLength)]
+#[case::huge_length("Content-Length: 99999999999999999999\r\n", HeadError::AmbiguousLength)]
+#[case::other_coding("Transfer-Encoding: gzip, chunked\r\n", HeadError::UnsupportedCoding)]
+#[case::two_codings(
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    HeadError::UnsupportedCoding
+)]
+#[case::space_before_colon("Content-Length : 3\r\n", HeadError::Malformed)]
+#[case::folded_line("X-A: 1\r\n 2\r\n", HeadError::Malformed)]
+fn a_request_that_could_hide_another_is_refused(#[case] fields: &str, #[case] error: HeadError) {
+    let text = format!("POST / HTTP/1.1\r\nHost: h\r\n{fields}\r\n");
+    assert_eq!(request(&text), Err(error));
+}
+
+#[test]
+fn equal_lengths_are_one() {
+    let text = "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n";
+    assert_eq!(request(text).unwrap().unwrap().0.framing, Framing::Length(3));
+}
+
+#[test]
+fn fields_of_one_connection_are_removed() {
+    let text = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close, X-Own\r\nX-Own: 1\r\nKeep-Alive: timeout=3\r\nX-Other: 2\r\n\r\n";
+    let mut headers = request(text).unwrap().unwrap().0.headers;
+    headers.remove_hop_by_hop();
+    let names: Vec<&str> = headers.0.iter().map(|header| header.name.as_str()).collect();
+    assert_eq!(names, ["Host", "X-Other"]);
+}
+
+#[rstest]
+#[case::length("Content-Length: 5\r\n", false, Framing::Length(5), true)]
+#[case::chunks("Transfer-Encoding: chunked\r\n", false, Framing::Chunked, true)]
+#[case::until_close("", false, Framing::UntilClose, false)]
+#[case::closing("Content-Length: 5\r\nConnection: close\r\n", false, Framing::Length(5), false)]
+#[case::to_head("Content-Length: 5\r\n", true, Framing::Length(0), true)]
+fn an_answer_says_how_it_ends(
+    #[case] fields: &str,
+    #[case] to_head: bool,
+    #[case] framing: Framing,
+    #[case] keeps_alive: bool,
+) {
+    let text = format!("HTTP/1.1 200 OK\r\n{fields}\r\n");
+    let (head, _) = AnswerHead::parse(text.as_bytes(), to_head).unwrap().unwrap();
+    assert_eq!((head.framing, head.keeps_alive), (framing, keeps_alive));
+}
+
+#[rstest]
+#[case(204)]
+#[case(304)]
+fn an_answer_without_a_body_ends_with_its_head(#[case] status: u16) {
+    let text = format!("HTTP/1.1 {status} X\r\nContent-Length: 5\r\n\r\n");
+    let (head, _) = AnswerHead::parse(text.as_bytes(), false).unwrap().unwrap();
+    assert_eq!(head.framing, Framing::Length(0));
+}
