--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::store::{Page, Record, StoreError, Topic};
 use async_io::Timer;
+use metrics::counter;
 use skylarkdock_spans::keep::Keep;
 use skylarkdock_spans::lead::Lead;
 use skylarkdock_spans::table::Table;
@@ -101,6 +102,7 @@
                 continue;
             }
             let asked_at = clock::now();
+            counter!("skylarkdock_store_calls_total", "call" => "read").increment(1);
             let read = match cursor {
                 None => (self.store.newest)(topic).await,
                 Some(next) => (self.store.read)(topic, next, wait(topic)).await,
@@ -341,6 +343,7 @@
             }
         };
         let record = Record { key: format!("{TABLE_PREFIX}{}", table.service), value };
+        counter!("skylarkdock_store_calls_total", "call" => "append").increment(1);
         match (self.store.append)(vec![record], end).await {
             Ok(end) => {
                 let mut beliefs = self.beliefs.borrow_mut();
@@ -388,6 +391,7 @@
                 }
             } else if self.is_leader.get() || now.since(alone_since) >= self.join_delay() {
                 is_member = true;
+                counter!("skylarkdock_store_calls_total", "call" => "join").increment(1);
                 match (self.store.join)().await {
                     Ok(true) => {
                         self.joined_at.set(now);
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -9,13 +9,15 @@
 use crate::clock;
 use crate::serve::Shared;
 use crate::settings::Settings;
-use crate::store::Store;
+use crate::store::{Store, Topic};
 use crate::traffic::Sample;
 use crate::upstreams::Protocol;
 use crate::view::{Config, PeerInfo, View};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use event_listener::Event;
+use metrics::gauge;
+use metrics_exporter_prometheus::PrometheusHandle;
 use registry::Registry;
 use serde::{Deserialize, Serialize};
 use skylarkdock_dispatch::service::KeyMap;
@@ -41,6 +43,10 @@
 /// Silence after which another host counts as gone.
 const HOST_SILENCE: Millis = Millis(2_500);
 
+/// Names of the topics in metrics.
+const TOPIC_NAMES: [(Topic, &str); 3] =
+    [(Topic::Config, "config"), (Topic::Upstreams, "upstreams"), (Topic::Fleet, "fleet")];
+
 /// A host's record in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRecord {
@@ -154,6 +160,43 @@
         control
     }
 
+    /// Serves the metrics, with gauges of what the host believes and how old that is.
+    pub fn serve_metrics(self: &Rc<Self>, handle: PrometheusHandle) {
+        let control = Rc::clone(self);
+        crate::metrics::serve(&self.ex, self.settings.metrics, handle, move || {
+            control.set_gauges()
+        });
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "gauges need no more")]
+    fn set_gauges(&self) {
+        let now = clock::now();
+        let beliefs = self.beliefs.borrow();
+        let owners = self.owners.borrow();
+        let version = beliefs.config.as_ref().map_or(0, |config| config.version);
+        gauge!("skylarkdock_config_version").set(version as f64);
+        for (topic, name) in TOPIC_NAMES {
+            let age = now.since(beliefs.news.proof_at(topic)).duration().as_secs_f64();
+            gauge!("skylarkdock_belief_age_seconds", "topic" => name).set(age);
+        }
+        gauge!("skylarkdock_upstreams_listed").set(beliefs.registry.listed().count() as f64);
+        gauge!("skylarkdock_hosts_known").set(beliefs.hosts.len() as f64);
+        gauge!("skylarkdock_leads").set(f64::from(u8::from(self.is_leader.get())));
+        for (id, ms) in &beliefs.service_ms {
+            gauge!("skylarkdock_upstream_service_seconds", "upstream" => id.to_string())
+                .set(f64::from(*ms) / 1000.0);
+        }
+        for (service, keep) in &owners.keeps {
+            let Some(table) = keep.table() else { continue };
+            let service = service.to_string();
+            let pending = table.spans.iter().filter(|span| !span.is_granted).count();
+            gauge!("skylarkdock_table_version", "service" => service.clone())
+                .set(table.version as f64);
+            gauge!("skylarkdock_spans", "service" => service.clone()).set(table.spans.len() as f64);
+            gauge!("skylarkdock_spans_moving", "service" => service).set(pending as f64);
+        }
+    }
+
     /// Gives the traffic thread what the host believes now.
     fn publish(&self) {
         let beliefs = self.beliefs.borrow();
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -54,13 +54,14 @@
         samples: async_channel::bounded(8),
         is_ready: Arc::new(AtomicBool::new(false)),
     };
+    let handle = crate::metrics::start()?;
     let control = {
         let settings = settings.clone();
         let (views, samples) = (links.views.0.clone(), links.samples.1.clone());
         let is_ready = Arc::clone(&links.is_ready);
         move || {
             let ex = Rc::new(LocalExecutor::new());
-            let _control = Control::start(
+            let control = Control::start(
                 settings,
                 protocol,
                 store(),
@@ -69,6 +70,7 @@
                 samples,
                 is_ready,
             );
+            control.serve_metrics(handle);
             async_io::block_on(ex.run(std::future::pending::<()>()));
         }
     };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod host;
 pub mod logging;
+pub mod metrics;
 pub mod net;
 pub mod pool;
 pub mod serve;
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -37,6 +37,17 @@
     Misdirected,
 }
 
+impl NotRun {
+    /// Returns the reason as a word for logs.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Shed => "shed",
+            Self::Misdirected => "misdirected",
+        }
+    }
+}
+
 /// Notes the end of an attempt, also when it is dropped.
 struct Flight<'a> {
     traffic: &'a Traffic,
@@ -75,6 +86,7 @@
             return Outcome::NotRun(NotRun::Unreachable);
         };
         let started = clock::now();
+        metrics::counter!("skylarkdock_sends_total", "service" => service.to_string()).increment(1);
         if let Some(state) = self.services.borrow_mut().get_mut(service) {
             state.service.on_start(id, started);
         }
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -6,10 +6,12 @@
 use crate::clock;
 use crate::serve::{Answer, Incoming};
 use async_io::Timer;
+use metrics::{counter, histogram};
 use skylarkdock_dispatch::crashes::Fingerprint;
 use skylarkdock_dispatch::returns;
 use skylarkdock_dispatch::routes::{Repeat, Route};
 use skylarkdock_dispatch::service::{Ask, Verdict};
+use skylarkdock_dispatch::upstream::Ended;
 use skylarkdock_http1::head::Headers;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::{HostTime, Millis};
@@ -58,15 +60,27 @@
     tried: Vec<UpstreamId>,
     /// An upstream's answer that its work failed.
     failure: Option<Reply>,
+    /// Time spent waiting for an upstream.
+    waited: Millis,
+    /// What happened, for the log: upstream, outcome and its time since the arrival.
+    steps: Vec<String>,
 }
 
 impl Traffic {
     /// Serves one request.
     pub(super) async fn serve(self: Rc<Self>, incoming: Incoming) -> Answer {
         let arrived = clock::now();
+        let id = incoming.head.headers.text(self.protocol.names.request_id).map(str::to_owned);
         let req = match self.accept(incoming, arrived) {
             Ok(req) => req,
-            Err(answer) => return answer,
+            Err(answer) => {
+                counter!("skylarkdock_requests_rejected_total", "status" => answer.status.to_string())
+                    .increment(1);
+                let version = self.view.borrow().config.as_ref().map_or(0, |config| config.version);
+                log::warn!(request:? = id, status = answer.status, config = version;
+                    "request: rejected before routing");
+                return answer;
+            }
         };
         if let Some(state) = self.services.borrow_mut().get_mut(&req.service) {
             state.budget.on_request(arrived);
@@ -74,11 +88,41 @@
         if let Some(key) = req.key {
             self.note_key(&req.service, key);
         }
-        let answer = self.run(&req).await;
-        log::debug!(request = req.id.as_str(), status = answer.status; "traffic: answered");
+        let mut tries = Tries::default();
+        let (answer, end) = self.run(&req, &mut tries).await;
+        self.note_end(&req, &tries, &answer, end);
         answer
     }
 
+    /// Writes the line and the counts of a request that has its answer.
+    fn note_end(&self, req: &Request, tries: &Tries, answer: &Answer, end: End) {
+        let took = clock::now().since(req.arrived);
+        let kind = if req.route.repeat == Repeat::Once { "once" } else { "idempotent" };
+        let (outcome, reason) = (end.outcome(), end.reason());
+        counter!("skylarkdock_requests_total", "kind" => kind, "outcome" => outcome, "reason" => reason)
+            .increment(1);
+        histogram!("skylarkdock_request_seconds", "outcome" => outcome)
+            .record(took.duration().as_secs_f64());
+        histogram!("skylarkdock_request_wait_seconds")
+            .record(tries.waited.duration().as_secs_f64());
+        let version = self.view.borrow().config.as_ref().map_or(0, |config| config.version);
+        let level = match end {
+            End::Answered if answer.status < 500 => log::Level::Info,
+            _ => log::Level::Warn,
+        };
+        let message = match end {
+            End::Answered if answer.status < 500 => "request: answered",
+            End::Answered => "request: the upstream's work failed",
+            End::Refused(_) => "request: refused, not run",
+            End::Unknown => "request: failed, may have run",
+        };
+        log::log!(level, request = req.id.as_str(), route = &*req.route.name, kind = kind,
+            service = req.service.as_str(), key:? = req.key, config = version,
+            status = answer.status, reason = reason, sent = tries.sent,
+            waited_ms = tries.waited.0, took_ms = took.0, limit_ms = req.limit.since(req.arrived).0,
+            steps = tries.steps.join(" "); "{message}");
+    }
+
     /// Finds the route of a request and checks its headers.
     fn accept(&self, incoming: Incoming, arrived: HostTime) -> Result<Request, Answer> {
         let names = &self.protocol.names;
@@ -140,52 +184,61 @@
     }
 
     /// Sends a request until it has an answer, or none can come.
-    async fn run(&self, req: &Request) -> Answer {
+    async fn run(&self, req: &Request, tries: &mut Tries) -> (Answer, End) {
         let is_once = req.route.repeat == Repeat::Once;
         let print = fingerprint(req);
         let is_suspect = self.crashes.borrow().is_refused(print, req.arrived);
         if is_suspect || self.shared.is_ending.get() {
-            return refusal(Millis(req.limit.since(req.arrived).0 / 3));
+            let reason = if is_suspect { "crashes_upstreams" } else { "host_is_leaving" };
+            let pause = Millis(req.limit.since(req.arrived).0 / 3);
+            return (refusal(pause), End::Refused(reason));
         }
-        let mut tries = Tries::default();
         loop {
-            let id = match self.place(&req.service, self.ask(req, &tries)).await {
+            let asked_at = clock::now();
+            let placed = self.place(&req.service, self.ask(req, tries)).await;
+            tries.waited = tries.waited + clock::now().since(asked_at);
+            let id = match placed {
                 Some(Verdict::Send(id)) => id,
                 Some(Verdict::Refuse { reason, pause }) => {
-                    log::debug!(request = req.id.as_str(), reason = reason.as_str(); "traffic: refused");
-                    return self.final_answer(req, tries, pause);
+                    return self.final_answer(req, tries, pause, reason.as_str());
+                }
+                Some(Verdict::Wait) | None => {
+                    return self.final_answer(req, tries, START_PAUSE, "unknown_service");
                 }
-                Some(Verdict::Wait) | None => return self.final_answer(req, tries, START_PAUSE),
             };
-            let is_spent = tries.sent > 0 && !self.spend(req);
-            if is_spent || !tries.may_run_on(&id, req.route.attempts) {
-                return self.give_up(req, tries);
+            if !tries.may_run_on(&id, req.route.attempts) {
+                return self.give_up(req, tries, "attempts_used");
+            }
+            if tries.sent > 0 && !self.spend(req) {
+                return self.give_up(req, tries, "budget_spent");
             }
-            match self.attempt_hedged(req, &id, &mut tries).await {
+            let outcome = self.attempt_hedged(req, &id, tries).await;
+            tries.note(req, &id, &outcome);
+            match outcome {
                 Outcome::Answered(reply) => {
                     if reply.head.status < 500 || is_once {
-                        return forward(reply);
+                        return (forward(reply), End::Answered);
                     }
                     tries.ran_on(&id);
                     tries.failure = Some(reply);
-                    if !self.may_repeat(req, &tries) {
-                        return self.give_up(req, tries);
+                    if !self.may_repeat(req, tries) {
+                        return self.give_up(req, tries, "upstream_failed");
                     }
                 }
                 Outcome::NotRun(why) => {
                     tries.note_not_run(why, &id, req.key.is_some());
                     if clock::now() >= req.limit || tries.sent > 2 * req.route.attempts {
-                        return self.give_up(req, tries);
+                        return self.give_up(req, tries, why.as_str());
                     }
                     if why == NotRun::Misdirected && req.key.is_some() {
                         Timer::after(MISDIRECTED_PAUSE.duration()).await;
                     }
                 }
                 Outcome::Unknown(ended) => {
-                    log::debug!(request = req.id.as_str(), ended:? = ended; "traffic: no answer");
                     tries.ran_on(&id);
-                    if is_once || !self.may_repeat(req, &tries) {
-                        return self.give_up(req, tries);
+                    if is_once || !self.may_repeat(req, tries) {
+                        let reason = if ended == Ended::TimedOut { "no_answer" } else { "broken" };
+                        return self.give_up(req, tries, reason);
                     }
                 }
             }
@@ -211,7 +264,8 @@
             Either::Second(()) => {}
         }
         let Some(other) = self.second(req, id, tries) else { return first.await };
-        log::debug!(request = req.id.as_str(), upstream:% = id, second:% = other; "traffic: sent again, answer is late");
+        tries.steps.push(format!("{id}:late@{}ms", clock::now().since(req.arrived).0));
+        counter!("skylarkdock_repeats_total", "why" => "late").increment(1);
         tries.ran_on(&other);
         let second = self.attempt(req.attempt(&other), |left| self.outgoing(req, &other, left));
         let mut second = pin!(second);
@@ -253,7 +307,12 @@
 
     fn spend(&self, req: &Request) -> bool {
         let mut services = self.services.borrow_mut();
-        services.get_mut(&req.service).is_some_and(|state| state.budget.spend(clock::now()))
+        let is_spent =
+            services.get_mut(&req.service).is_some_and(|state| state.budget.spend(clock::now()));
+        if is_spent {
+            counter!("skylarkdock_repeats_total", "why" => "failed").increment(1);
+        }
+        is_spent
     }
 
     /// Returns whether an idempotent request may be sent once more.
@@ -269,22 +328,28 @@
     }
 
     /// Returns the final answer for a request that is not tried again.
-    fn give_up(&self, req: &Request, tries: Tries) -> Answer {
+    fn give_up(&self, req: &Request, tries: &mut Tries, reason: &'static str) -> (Answer, End) {
         let left = req.limit.since(clock::now());
         let expected = if tries.shed > 0 { SHED_PAUSE } else { MISDIRECTED_PAUSE };
-        self.final_answer(req, tries, returns::pause(expected, left, req.point))
+        self.final_answer(req, tries, returns::pause(expected, left, req.point), reason)
     }
 
     /// Returns a refusal if no upstream can have run the request, and a failure otherwise.
-    fn final_answer(&self, req: &Request, tries: Tries, pause: Millis) -> Answer {
+    fn final_answer(
+        &self,
+        req: &Request,
+        tries: &mut Tries,
+        pause: Millis,
+        reason: &'static str,
+    ) -> (Answer, End) {
         if tries.ran.is_empty() {
-            return refusal(pause);
+            return (refusal(pause), End::Refused(reason));
         }
-        if let Some(failure) = tries.failure {
-            return forward(failure);
+        if let Some(failure) = tries.failure.take() {
+            return (forward(failure), End::Answered);
         }
         let is_late = clock::now() + ANSWER_MARGIN >= req.limit;
-        Answer::empty(if is_late { 504 } else { 502 })
+        (Answer::empty(if is_late { 504 } else { 502 }), End::Unknown)
     }
 
     fn outgoing(&self, req: &Request, id: &UpstreamId, left: Millis) -> Outgoing {
@@ -298,6 +363,34 @@
     }
 }
 
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// With an upstream's answer.
+    Answered,
+    /// No upstream has run it, for this reason.
+    Refused(&'static str),
+    /// An upstream may have run it.
+    Unknown,
+}
+
+impl End {
+    const fn outcome(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Refused(_) => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    const fn reason(self) -> &'static str {
+        match self {
+            Self::Refused(reason) => reason,
+            Self::Answered | Self::Unknown => "none",
+        }
+    }
+}
+
 impl Request {
     fn attempt<'a>(&'a self, id: &'a UpstreamId) -> Attempt<'a> {
         let is_once = self.route.repeat == Repeat::Once;
@@ -312,6 +405,17 @@
 }
 
 impl Tries {
+    /// Keeps an outcome for the log.
+    fn note(&mut self, req: &Request, id: &UpstreamId, outcome: &Outcome) {
+        let at = clock::now().since(req.arrived).0;
+        let what = match outcome {
+            Outcome::Answered(reply) => reply.head.status.to_string(),
+            Outcome::NotRun(why) => why.as_str().to_owned(),
+            Outcome::Unknown(ended) => format!("{ended:?}").to_lowercase(),
+        };
+        self.steps.push(format!("{id}:{what}@{at}ms"));
+    }
+
     fn ran_on(&mut self, id: &UpstreamId) {
         self.sent += 1;
         self.tried.push(id.clone());
