Renew what was granted and not recorded, bound a host's share of an upstream, and ask for news at intervals

Causes: - Found by the new test of the whole path with the store down: spans granted by a leader that could not record them were renewed by nobody and lapsed after 3 s.

--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -125,6 +125,8 @@
     waiting: Vec<Ask>,
     /// Hosts that send to the service from this region.
     sharers: u32,
+    /// Hosts that send to the owners of its keys.
+    hosts: u32,
     /// Mean distance of a request's time from the learnt time of its upstream, as a part of that.
     deviation: f32,
 }
@@ -136,6 +138,7 @@
             keys: None,
             waiting: Vec::new(),
             sharers: 1,
+            hosts: 1,
             deviation: ASSUMED_DEVIATION,
         }
     }
@@ -168,9 +171,10 @@
         self.keys = keys;
     }
 
-    /// Sets how many hosts of the region send to the service.
-    pub fn set_sharers(&mut self, count: u32) {
-        self.sharers = count;
+    /// Sets how many hosts there are, and how many of them in this region.
+    pub fn set_sharers(&mut self, hosts: u32, near: u32) {
+        self.hosts = hosts;
+        self.sharers = near;
     }
 
     /// Returns an upstream.
@@ -285,7 +289,7 @@
     fn choose(&self, ask: &Ask, typical: f32, now: HostTime) -> Option<UpstreamId> {
         if let Some(keys) = &self.keys {
             let owner = self.upstreams.get(keys.owner(ask.key?)?)?;
-            let is_free = owner.is_usable(now) && owner.has_room(now);
+            let is_free = owner.is_usable(now) && owner.has_room(self.hosts, now);
             return is_free.then(|| owner.listing().id.clone());
         }
         let near = self.best(ask, typical, now, |distance| distance != Distance::Far);
@@ -318,7 +322,7 @@
             let listing = upstream.listing();
             if !in_reach(listing.distance)
                 || !upstream.is_usable(now)
-                || !upstream.has_room(now)
+                || !upstream.has_room(self.sharers, now)
                 || ask.tried.contains(&listing.id)
             {
                 continue;
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -18,6 +18,11 @@
 /// Requests sent to an upstream beyond its slots, in percent of them. Enough to keep a slot busy between an answer and
 /// the next request; the rest waits on the host, where urgent requests pass others.
 const BACKLOG_PERCENT: u32 = 34;
+/// Equal shares of an upstream's room that one host may use, so that all hosts together don't overrun it when a key
+/// gets hot within the time that load reports take.
+const OWN_SHARES: u32 = 3;
+/// Requests that a host may have at an upstream however many share it.
+const MIN_OWN: u32 = 2;
 /// Time for which an upstream that shed a request under load counts as full.
 const SHED_PAUSE: Millis = Millis(40);
 /// Failure rate from which an upstream is avoided.
@@ -181,10 +186,15 @@
         now < self.down_until
     }
 
-    /// Returns whether it takes one more request now.
-    pub fn has_room(&self, now: HostTime) -> bool {
+    /// Returns whether it takes one more request now, if `sharers` hosts send to it without seeing each other's latest
+    /// requests.
+    pub fn has_room(&self, sharers: u32, now: HostTime) -> bool {
         let slots = self.listing.slots.max(1);
         let limit = slots + (slots * BACKLOG_PERCENT).div_ceil(100);
+        let own_limit = (limit * OWN_SHARES).div_ceil(sharers.max(1)).max(MIN_OWN);
+        if self.in_flight() >= own_limit {
+            return false;
+        }
         // After a failed connect, a single request finds out whether it is back.
         let limit = if self.refusals > 0 { 1 } else { limit };
         now >= self.shed_until && self.load(now) < limit
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -109,15 +109,13 @@
 impl Owners {
     /// Returns the spans that have been granted and are not recorded yet, as far as this host knows.
     fn granted(&self) -> Vec<(ServiceName, SpanKey)> {
-        if self.leads.is_empty() {
-            return self.told.clone();
-        }
         let own = self
-            .leads
+            .keeps
             .iter()
-            .flat_map(|(name, lead)| lead.granted().into_iter().map(|key| (name.clone(), key)));
-        let mut own: Vec<(ServiceName, SpanKey)> = own.collect();
+            .flat_map(|(name, keep)| keep.granted().map(|key| (name.clone(), key)));
+        let mut own: Vec<(ServiceName, SpanKey)> = own.chain(self.told.iter().cloned()).collect();
         own.sort();
+        own.dedup();
         own
     }
 }
--- a/crates/edge/src/control/news.rs
+++ b/crates/edge/src/control/news.rs
@@ -37,6 +37,8 @@
 /// Age of the proof of a record's topic from which any other host is asked.
 const LOST_AFTER: Millis = Millis(1_600);
 
+/// Time between questions while nobody has news.
+const LOST_INTERVAL: Millis = Millis(400);
 /// Time for the store's first answer after the start, before other hosts are asked.
 const START_PATIENCE: Millis = Millis(300);
 /// Difference up to which two proofs count as equally old.
@@ -277,7 +279,12 @@
                 Ok(Ok(answer)) => {
                     let told = (answer.run, answer.version);
                     // What is older than what this host has read is asked for as a whole the next time.
-                    known = if self.take_news(answer, now) { told } else { (0, 0) };
+                    let is_newer = self.take_news(answer, now);
+                    known = if is_newer { told } else { (0, 0) };
+                    if !is_newer || self.is_cut_off(clock::now()) {
+                        // Another question would be answered at once, with the same.
+                        Timer::after(LOST_INTERVAL.duration()).await;
+                    }
                 }
                 Ok(Err(e)) => {
                     log::warn!(peer:% = addr, error:% = e; "news: answer can't be read");
@@ -300,7 +307,7 @@
             version,
             config: beliefs.news.config.next,
             fleet: beliefs.news.fleet.next,
-            granted: self.owners.borrow().told.clone(),
+            granted: self.owners.borrow().granted(),
             wait: NEWS_WAIT,
         }
     }
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -223,6 +223,9 @@
                     lead.on_granted(&grant, end, clock::now());
                 }
                 if end == CallEnd::Done {
+                    if let Some(keep) = self.owners.borrow_mut().keeps.get_mut(&service) {
+                        keep.on_granted(&grant);
+                    }
                     // Requests may go there already; the record follows.
                     self.publish();
                 }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -121,7 +121,7 @@
                 budget: Budget::new(self.budget_limits(), hosts),
             });
             state.budget.set_hosts(hosts);
-            state.service.set_sharers(near);
+            state.service.set_sharers(hosts, near);
             let keys = view.keys.iter().find(|(service, _)| *service == info.name);
             let keys = keys.map(|(_, keys)| keys.clone());
             state.service.set_keys(info.is_sharded.then(|| keys.unwrap_or_default()));
--- a/crates/spans/src/keep.rs
+++ b/crates/spans/src/keep.rs
@@ -6,7 +6,7 @@
 use crate::table::{Fence, Holder, Table};
 use crate::timing::Timing;
 use serde::{Deserialize, Serialize};
-use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::collections::{FastMap, FastSet};
 use skylarkdock_units::ids::{HostId, Region};
 use skylarkdock_units::times::{HostTime, Millis};
 
@@ -106,6 +106,9 @@
     holders: FastMap<Holder, Record>,
     /// When the renewal of a span is counted from.
     spans: FastMap<(u16, u16, Fence), HostTime>,
+    /// Spans that this host granted as leader and that are not recorded as granted. It renews them though it may have
+    /// lost the lead: nobody else knows of them while the store is away.
+    granted: FastSet<(u16, u16, Fence)>,
     /// Grants that may still be in force, with those of earlier tables.
     sent: FastMap<(Holder, u16, u16, Fence), HostTime>,
 }
@@ -122,6 +125,7 @@
             proof_at: HostTime(0),
             holders: FastMap::default(),
             spans: FastMap::default(),
+            granted: FastSet::default(),
             sent: FastMap::default(),
         }
     }
@@ -140,6 +144,7 @@
             table.spans.iter().any(|s| s.first == *first && s.last == *last && s.fence == *fence)
         };
         self.spans.retain(|span, _| kept(span));
+        self.granted.retain(|span| kept(span));
         self.table = Some(table);
     }
 
@@ -161,9 +166,12 @@
             return Vec::new();
         }
         let mut due = Vec::new();
-        for span in table.spans.iter().filter(|span| span.is_granted) {
+        for span in &table.spans {
+            let is_own = self.granted.contains(&(span.first, span.last, span.fence));
             let covered = table.keepers.iter().any(|keeper| keeper.region == span.owner.region);
-            if covered && span.owner.region != self.region {
+            let is_near = !covered || span.owner.region == self.region;
+            let is_due = if span.is_granted { is_near } else { is_own };
+            if !is_due {
                 continue;
             }
             if self.holders.get(&span.owner).is_some_and(|record| record.suspended_at.is_some()) {
@@ -196,6 +204,19 @@
         self.spans.insert((grant.first, grant.last, grant.fence), now);
     }
 
+    /// Notes that a grant which this host sent as leader was made.
+    pub fn on_granted(&mut self, grant: &Grant) {
+        self.granted.insert((grant.first, grant.last, grant.fence));
+    }
+
+    /// Returns the spans that this host granted and that are not recorded as granted.
+    pub fn granted(&self) -> impl Iterator<Item = (u16, u16, Fence)> {
+        let spans = self.table.iter().flat_map(|table| &table.spans);
+        let pending = spans.filter(|span| !span.is_granted);
+        let keys = pending.map(|span| (span.first, span.last, span.fence));
+        keys.filter(|key| self.granted.contains(key))
+    }
+
     fn note_sent(&mut self, grant: &Grant, now: HostTime) {
         let key = (grant.holder.clone(), grant.first, grant.last, grant.fence);
         self.sent.insert(key, now);
--- a/crates/spans/src/lead.rs
+++ b/crates/spans/src/lead.rs
@@ -163,12 +163,6 @@
         self.write_not_before = now + Millis((WRITE_PAUSE.0 * factor).min(MAX_WRITE_PAUSE.0));
     }
 
-    /// Returns the spans that were granted and are not yet recorded so.
-    pub fn granted(&self) -> Vec<SpanKey> {
-        let done = self.moves.iter().filter(|(_, progress)| progress.granting == Granting::Done);
-        done.map(|(key, _)| *key).collect()
-    }
-
     /// Notes a keeper's word that arrived now. The keeper spoke earlier, so what it sent is no younger than told.
     pub fn on_ack(&mut self, ack: Ack, now: HostTime) {
         let at = |age: Millis| HostTime(now.0.saturating_sub(age.0));
--- a/crates/spans/tests/steps.rs
+++ b/crates/spans/tests/steps.rs
@@ -210,3 +210,29 @@
     bench.keep.on_end(grant, CallEnd::Unknown, bench.now + Millis(50));
     assert_eq!(bench.keep.due(bench.now + Millis(60)).len(), 1);
 }
+
+/// Found by the test of a store outage: a grant that could not be recorded lapsed, as nobody renewed it.
+#[test]
+fn a_leader_renews_what_it_granted_and_could_not_record() {
+    let mut bench = Bench::new();
+    let mut granted = None;
+    for _ in 0..5 {
+        for action in bench.tick(&["a"]) {
+            match action {
+                Action::Grant(grant) => {
+                    bench.keep.on_granted(&grant);
+                    granted = Some(grant.clone());
+                    bench.lead.on_granted(&grant, CallEnd::Done, bench.now);
+                }
+                Action::Write(table) if granted.is_some() => {
+                    bench.lead.on_written(table, false, bench.now);
+                }
+                other => bench.carry_out(other),
+            }
+        }
+    }
+    let granted = granted.unwrap();
+    bench.keep.prove(bench.now);
+    let due = bench.keep.due(bench.now + Millis(1_000));
+    assert!(due.iter().any(|grant| grant.fence == granted.fence && grant.first == granted.first));
+}
--- a/crates/spans/tests/world/mod.rs
+++ b/crates/spans/tests/world/mod.rs
@@ -431,6 +431,9 @@
             Message::GrantEnd { to, by_lead, grant, end } => {
                 let host = &mut self.hosts[to];
                 if by_lead {
+                    if end == CallEnd::Done {
+                        host.keep.on_granted(&grant);
+                    }
                     if let Some(lead) = &mut host.lead {
                         lead.on_granted(&grant, end, HostTime(self.now));
                     }
