Give reads of the store less time, and take only the newest configuration of a page

Ruled out: the way through the hosts (milliseconds in the log). A read now has 0.7 s beside its wait of 0.4 s.

--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -15,7 +15,7 @@
 
 /// Longest wait of a read for a configuration. Well within the time in which one has to be in force, should the store
 /// not tell of a record at once.
-pub(super) const CONFIG_WAIT: Millis = Millis(500);
+pub(super) const CONFIG_WAIT: Millis = Millis(400);
 /// Longest wait of a read for a record of the hosts.
 const FLEET_WAIT: Millis = Millis(1_500);
 /// Time between reads of the upstreams' entries. Their signs of life come all the time, so a waiting read would never
@@ -174,7 +174,8 @@
     }
 
     fn take_config(&self, page: &Page) {
-        for record in &page.records {
+        // Only the newest counts; an earlier one stays in force if that can't be read.
+        for record in page.records.iter().rev() {
             match (self.store.decode_config)(record) {
                 Ok(Some(config)) => {
                     let mut beliefs = self.beliefs.borrow_mut();
@@ -185,9 +186,11 @@
                         drop(beliefs);
                         self.publish();
                     }
+                    break;
                 }
                 Ok(None) => {}
                 Err(e) => {
+                    counter!("skylarkdock_records_ignored_total", "topic" => "config").increment(1);
                     log::error!(key = record.key.as_str(), error:% = e; "config: rejected");
                 }
             }
@@ -208,6 +211,8 @@
                     changes.push(Change::Put(entry));
                 }
                 Err(e) => {
+                    counter!("skylarkdock_records_ignored_total", "topic" => "upstreams")
+                        .increment(1);
                     log::warn!(key = record.key.as_str(), error:% = e; "registry: entry ignored");
                 }
             }
