Let a request out of its first quarantine after seconds, for one run alone

Ruled out: a stale merge of blame between hosts. The first quarantine is now 4 s; then the request runs alone, is cleared by an answer, or is kept out for five minutes and more.

--- a/crates/outcomes/src/blame.rs
+++ b/crates/outcomes/src/blame.rs
@@ -13,6 +13,10 @@
 const PROOF_SHARE: u32 = 2000;
 const BLAME_LIMIT: u32 = 2000;
 const DEATHS_KEPT: usize = 8;
+/// First quarantine. Two losses are no proof, as upstreams are also lost for other reasons: then the request runs alone
+/// once more. An innocent one is answered and free again.
+const FIRST_QUARANTINE_MS: u64 = 4_000;
+/// Quarantine after a loss that followed a first one.
 const QUARANTINE_MS: u64 = 5 * 60 * 1000;
 const FORGET_MS: u64 = 12 * 60 * 60 * 1000;
 
@@ -97,10 +101,13 @@
         self.cleared_at.max(self.last_death())
     }
 
-    /// Doubles the quarantine with each death after those that led to the first.
+    /// Returns the length of the quarantine: short after the deaths that led to the first, and from the second on
+    /// doubled with each death.
     fn term(&self) -> Millis {
-        let repeats = self.deaths.len().saturating_sub(MAX_DEATHS);
-        Millis(QUARANTINE_MS << repeats)
+        match self.deaths.len().saturating_sub(MAX_DEATHS) {
+            0 => Millis(FIRST_QUARANTINE_MS),
+            repeats => Millis(QUARANTINE_MS << (repeats - 1)),
+        }
     }
 
     fn last_death(&self) -> WallTime {
