Bound the age of told configurations, and leave an address alone that misdirects requests

Now 1.1 s, and reads and news wait for less. After two in a row the upstream rests, and a request is refused after two.

--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -100,6 +100,8 @@
     shed_rate: f32,
     shed_until: HostTime,
     refusals: u32,
+    /// Requests in a row that it said are not for it.
+    misdirections: u32,
     down_until: HostTime,
 }
 
@@ -116,6 +118,7 @@
             shed_rate: 0.0,
             shed_until: HostTime(0),
             refusals: 0,
+            misdirections: 0,
             down_until: HostTime(0),
         }
     }
@@ -135,6 +138,7 @@
         self.failure_rate = 0.0;
         self.shed_rate = 0.0;
         self.refusals = 0;
+        self.misdirections = 0;
         self.down_until = HostTime(0);
         self.shed_until = HostTime(0);
     }
@@ -248,7 +252,14 @@
                     self.shed_until = now + SHED_PAUSE;
                 }
             }
-            Ended::Misdirected => self.refusals = 0,
+            Ended::Misdirected => {
+                // A span on the move costs one; further ones in a row show that another upstream has the address.
+                self.misdirections += 1;
+                if self.misdirections > 1 {
+                    let factor = 1_u64 << (self.misdirections - 2).min(3);
+                    self.down_until = now + Millis((FIRST_PAUSE.0 * factor).min(MAX_PAUSE.0));
+                }
+            }
             Ended::Unreachable => {
                 let factor = 1_u64 << self.refusals.min(3);
                 self.refusals += 1;
@@ -270,6 +281,7 @@
 
     fn reached(&mut self, failed: bool) {
         self.refusals = 0;
+        self.misdirections = 0;
         self.down_until = HostTime(0);
         let target = if failed { 1.0 } else { 0.0 };
         self.failure_rate += (target - self.failure_rate) * OUTCOME_WEIGHT;
--- a/crates/dispatch/tests/service.rs
+++ b/crates/dispatch/tests/service.rs
@@ -228,3 +228,25 @@
     }
     assert_eq!(service.second(&first, START), None);
 }
+
+/// Found by a trial: the address of a lost upstream went to another service, whose upstream refused each of many
+/// requests, and each counted as a repeat there.
+#[test]
+fn an_address_that_another_upstream_has_is_left_alone() {
+    let mut service = Service::default();
+    service.set_upstreams(vec![listing("a", Distance::Zone)]);
+    service.set_keys(Some(KeyMap::new(vec![(u16::MAX, Some(id("a")))])));
+    let mut sent = 0;
+    for ticket in 0..400 {
+        let now = START + Millis(ticket * 5);
+        let mut keyed = ask(ticket, 1, now);
+        keyed.key = Some(7);
+        if service.offer(keyed, now) == Verdict::Send(id("a")) {
+            service.on_start(&id("a"), now);
+            service.on_end(&id("a"), now, Ended::Misdirected, now);
+            sent += 1;
+        }
+        service.cancel(ticket);
+    }
+    assert!(sent <= 5, "{sent} requests in two seconds");
+}
--- a/crates/edge/src/control/follow.rs
+++ b/crates/edge/src/control/follow.rs
@@ -15,14 +15,17 @@
 
 /// Longest wait of a read for a configuration. Well within the time in which one has to be in force, should the store
 /// not tell of a record at once.
-pub(super) const CONFIG_WAIT: Millis = Millis(400);
+pub(super) const CONFIG_WAIT: Millis = Millis(250);
 /// Longest wait of a read for a record of the hosts.
 const FLEET_WAIT: Millis = Millis(1_500);
 /// Time between reads of the upstreams' entries. Their signs of life come all the time, so a waiting read would never
 /// wait.
 const REGISTRY_INTERVAL: Millis = Millis(300);
-/// Age of what another host tells, beside twice the wait of its reads, from which this host reads the store itself.
-const STALE_AFTER: Millis = Millis(1_250);
+/// Age of what another host tells from which this host reads the store itself. News over two hosts are 0.9 s old at most;
+/// reading the store late still has to fit the time in which a configuration has to be in force.
+const STALE_AFTER: Millis = Millis(1_100);
+/// The same for the hosts' records, which are read less often.
+const FLEET_STALE_AFTER: Millis = Millis(4_000);
 /// Time between looks at that age.
 const STALE_INTERVAL: Millis = Millis(150);
 /// First and longest pause after a failed call. Each call is charged for, also while the store is away.
@@ -149,7 +152,7 @@
             && !self.is_leader.get()
             && beliefs.news.is_told()
             && age(Topic::Upstreams) < STALE_AFTER
-            && age(topic) < STALE_AFTER + wait(topic) + wait(topic)
+            && age(topic) < if topic == Topic::Fleet { FLEET_STALE_AFTER } else { STALE_AFTER }
     }
 
     /// Takes over what a read returned. `asked_at` is when it was sent: what it shows was the newest then.
--- a/crates/edge/src/control/news.rs
+++ b/crates/edge/src/control/news.rs
@@ -23,7 +23,7 @@
 use std::rc::Rc;
 
 /// Longest wait for news.
-const NEWS_WAIT: Millis = Millis(400);
+const NEWS_WAIT: Millis = Millis(300);
 /// Time for the answer beside the wait.
 const NEWS_TIMEOUT: Millis = Millis(300);
 /// Pause after an unanswered question.
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -28,6 +28,8 @@
 const MISDIRECTED_PAUSE: Millis = Millis(60);
 /// Expected time until a shed request finds room, told when the budget for repeats is spent.
 const SHED_PAUSE: Millis = Millis(40);
+/// Answers that a request is not for an upstream after which it is refused: each counts as a repeat.
+const MAX_MISDIRECTED: u32 = 2;
 /// Most times that a request is sent to the owner of its key.
 const MAX_KEYED_SENDS: u32 = 3;
 /// Time kept back for the host's own final answer at the limit.
@@ -54,6 +56,7 @@
     /// Requests that reached an upstream.
     sent: u32,
     shed: u32,
+    misdirected: u32,
     /// Upstreams that may have run the request.
     ran: Vec<UpstreamId>,
     /// Upstreams that are not to be tried again.
@@ -227,7 +230,9 @@
                 }
                 Outcome::NotRun(why) => {
                     tries.note_not_run(why, &id, req.key.is_some());
-                    if clock::now() >= req.limit || tries.sent > 2 * req.route.attempts {
+                    let is_hopeless =
+                        tries.misdirected >= MAX_MISDIRECTED || tries.sent > 2 * req.route.attempts;
+                    if clock::now() >= req.limit || is_hopeless {
                         return self.give_up(req, tries, why.as_str());
                     }
                     if why == NotRun::Misdirected && req.key.is_some() {
@@ -436,7 +441,10 @@
                 self.sent += 1;
                 self.shed += 1;
             }
-            NotRun::Misdirected => self.sent += 1,
+            NotRun::Misdirected => {
+                self.sent += 1;
+                self.misdirected += 1;
+            }
         }
         if !is_keyed {
             self.tried.push(id.clone());
