Take an entry that vanishes after the first read for gone

Now just the first records after the pause are taken for a possible lapse. Ruled out: the way of news (milliseconds).

--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -32,7 +32,9 @@
 pub struct Registry {
     known: FastMap<UpstreamId, Known>,
     read_at: HostTime,
-    /// Until when entries that vanish may come back.
+    /// Whether the next records are the first after a pause: entries that they drop may only have lapsed.
+    is_resuming: bool,
+    /// Until when entries that lapsed in the last pause may come back.
     unsure_until: HostTime,
 }
 
@@ -44,6 +46,7 @@
         if self.read_at.0 > 0 && pause > ABSENT_AFTER {
             log::info!(pause:% = pause; "registry: vanished entries may come back, the store was not read for a while");
             self.unsure_until = now + RETURN_TIME;
+            self.is_resuming = true;
         }
         self.read_at = self.read_at.max(proof_at);
     }
@@ -73,6 +76,7 @@
                 taken.push(change);
             }
         }
+        self.is_resuming = false;
         taken.extend(self.sweep(now).into_iter().map(Change::Drop));
         taken
     }
@@ -99,7 +103,7 @@
 
     /// Notes that an entry vanished. Returns whether that changes what may be used.
     fn drop_entry(&mut self, id: &UpstreamId, now: HostTime) -> bool {
-        if now < self.unsure_until {
+        if self.is_resuming {
             if let Some(known) = self.known.get_mut(id) {
                 known.dropped_at.get_or_insert(now);
             }
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -106,3 +106,19 @@
     assert_eq!(registry.take(vec![gone("a")], false, now).len(), 1);
     assert!(listed(&registry).is_empty());
 }
+
+/// Found by a hunt: the store refused a host for a while; an upstream that left after its return was kept for 2 s more.
+#[test]
+fn what_vanishes_after_the_first_read_is_gone() {
+    let mut now = HostTime(10_000);
+    let mut registry = Registry::default();
+    registry.on_read(now, now);
+    registry.take(vec![put("a", 1), put("b", 1)], true, now);
+    now = now + Millis(8_000);
+    registry.on_read(now, now);
+    registry.take(vec![gone("a")], false, now);
+    now = now + Millis(300);
+    registry.on_read(now, now);
+    registry.take(vec![gone("b")], false, now);
+    assert_eq!(listed(&registry), ["a"]);
+}
