Log which entries of upstreams a host drops, marks as leaving or keeps after their deletion

In the incident DRAIN requests reached an upstream that had left, and no log line or metric said what a host believed of an upstream: late, kept and restored entries looked the same. Each such change is now a line with the upstream and the age of the proof that showed it, and skylarkdock_upstreams_kept counts entries that are used although they were deleted.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -210,6 +210,7 @@
             gauge!("skylarkdock_belief_age_seconds", "topic" => name).set(age);
         }
         gauge!("skylarkdock_upstreams_listed").set(fleet.registry.listed().count() as f64);
+        gauge!("skylarkdock_upstreams_kept").set(fleet.registry.kept_count() as f64);
         gauge!("skylarkdock_hosts_known").set(fleet.hosts.len() as f64);
         gauge!("skylarkdock_leads").set(f64::from(u8::from(self.is_leader.get())));
         for (id, ms) in &fleet.service_ms {
--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -110,6 +110,10 @@
             previous.cold = entry.cold;
             previous != entry || known.deleted_at.is_some()
         });
+        if entry.is_leaving && known.is_none_or(|known| !known.listed.entry.is_leaving) {
+            let age = now.since(self.read_at);
+            log::info!(upstream:% = entry.id, service:% = entry.service, seq = entry.seq, age:% = age; "registry: upstream is leaving");
+        }
         let id = entry.id.clone();
         self.upstreams.insert(
             id,
@@ -120,13 +124,21 @@
 
     /// Drops an entry, or keeps it for now after an outage. Returns whether it was dropped.
     fn drop_entry(&mut self, id: &UpstreamId, now: HostTime) -> bool {
+        let age = now.since(self.read_at);
         if self.is_after_outage {
             if let Some(known) = self.upstreams.get_mut(id) {
-                known.deleted_at.get_or_insert(now);
+                let deleted_at = *known.deleted_at.get_or_insert(now);
+                let until = self.expired_kept_until.since(now);
+                let deleted = now.since(deleted_at);
+                log::info!(upstream:% = id, age:% = age, deleted:% = deleted, until:% = until; "registry: deleted entry is kept");
             }
             return false;
         }
-        self.upstreams.remove(id).is_some()
+        let is_dropped = self.upstreams.remove(id).is_some();
+        if is_dropped {
+            log::info!(upstream:% = id, age:% = age; "registry: entry dropped");
+        }
+        is_dropped
     }
 
     /// Drops the entries that were kept after an outage and not written again in time, and returns their ids.
@@ -137,6 +149,7 @@
         let expired = self.upstreams.iter().filter(|(_, known)| known.deleted_at.is_some());
         let expired: Vec<UpstreamId> = expired.map(|(id, _)| id.clone()).collect();
         for id in &expired {
+            log::info!(upstream:% = id; "registry: kept entry dropped, as its upstream did not write it again");
             self.upstreams.remove(id);
         }
         expired
@@ -147,6 +160,11 @@
         self.upstreams.values().map(|known| &known.listed)
     }
 
+    /// Returns the number of entries that are kept although they were deleted.
+    pub fn kept_count(&self) -> usize {
+        self.upstreams.values().filter(|known| known.deleted_at.is_some()).count()
+    }
+
     /// Returns the entry of an upstream, if it is registered.
     pub fn entry(&self, id: &UpstreamId) -> Option<&Entry> {
         self.upstreams.get(id).map(|known| &known.listed.entry)
