Keep deleted entries of upstreams only if the registry's log shows an outage of the store

What callers saw: requests reached an upstream up to 3.5 s after its leaving was acknowledged; nothing bounded it.

Cause: a host took more than 1.5 s between two proofs for an outage of the store, in which entries may expire although their upstreams run, and kept entries deleted by the next read for 2.4 s. When the store refuses the leader alone, each other host reads the store itself once in 1.65 s, so each of its reads looked like the first after an outage, and each extended the time for all kept entries. Hosts that had dropped an entry got it back in the list of a host that kept it. The class: a conclusion about the world (the store was away) drawn from the age of the host's own view.

The change: the log of the registry is the evidence. Upstreams append heartbeats all the time and can't during an outage; an entry is kept only if the log lacks two heartbeat intervals' worth of them. The time is fixed at the first read that shows the deletion. Only the host that reads judges; it tells others which entries it keeps, and they add none that they do not have. A list of all entries must not be older than what is known, a later heartbeat is not replaced by an earlier one of another host, and a read overtaken by an update is not applied. No pause between reads, and no sum of them, enters.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -106,7 +106,6 @@
 }
 
 /// State of the fleet as this host knows it from the store and from other hosts.
-#[derive(Default)]
 struct FleetState {
     config: Option<Arc<Config>>,
     /// Whether the last attempt to get the newest configuration succeeded.
@@ -122,6 +121,21 @@
     service_ms: FastMap<UpstreamId, f32>,
 }
 
+impl FleetState {
+    fn new(heartbeat: Millis) -> Self {
+        Self {
+            config: None,
+            is_config_sure: false,
+            registry: Registry::new(heartbeat),
+            hosts: FastMap::default(),
+            fleet_end: 0,
+            known_records: updates::KnownRecords::default(),
+            last_sample_at: FastMap::default(),
+            service_ms: FastMap::default(),
+        }
+    }
+}
+
 /// This host's part in the ownership of keys: the grants that it renews and the services that it leads.
 #[derive(Default)]
 struct Owners {
@@ -160,6 +174,7 @@
     ) -> Rc<Self> {
         let hold = GRANT_LIFETIME.min(settings.max_hold);
         let timing = Timing { hold, call_timeout: CALL_TIMEOUT, proof_lifetime: PROOF_LIFETIME };
+        let fleet = RefCell::new(FleetState::new(settings.heartbeat));
         let control = Rc::new(Self {
             settings,
             protocol,
@@ -168,7 +183,7 @@
             views,
             timing,
             started_at: clock::now(),
-            fleet: RefCell::default(),
+            fleet,
             owners: RefCell::default(),
             holder_calls: owners::HolderCalls::default(),
             is_leader: Cell::new(false),
@@ -210,7 +225,7 @@
             gauge!("skylarkdock_belief_age_seconds", "topic" => name).set(age);
         }
         gauge!("skylarkdock_upstreams_listed").set(fleet.registry.listed().count() as f64);
-        gauge!("skylarkdock_upstreams_kept").set(fleet.registry.kept_count() as f64);
+        gauge!("skylarkdock_upstreams_kept").set(fleet.registry.kept(now).count() as f64);
         gauge!("skylarkdock_hosts_known").set(fleet.hosts.len() as f64);
         gauge!("skylarkdock_leads").set(f64::from(u8::from(self.is_leader.get())));
         for (id, ms) in &fleet.service_ms {
--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -1,5 +1,10 @@
-//! Registered upstreams. Entries that expired while the store could not be read are kept until their upstreams had time
-//! to write them again.
+//! Registered upstreams. Entries that may have expired only because the store was unavailable are kept until their
+//! upstreams had time to write them again.
+//!
+//! An entry also disappears when its upstream leaves, so each kept entry needs evidence of an outage. How long this host
+//! has not read the store is none: it may have had no reason to, or only its own calls may have been refused. The
+//! registry's log itself is evidence: upstreams append heartbeats to it all the time, and can't while the store is
+//! unavailable.
 
 use crate::view::{Entry, ListedUpstream};
 use serde::{Deserialize, Serialize};
@@ -7,17 +12,18 @@
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::{HostTime, Millis};
 
-/// Time after reads resume within which upstreams that still run write their expired entries again.
-const REWRITE_TIME: Millis = Millis(2_400);
-/// Longest time between two reads that is not an outage. After a longer one, entries may have expired only because the
-/// store was unavailable.
-const MAX_READ_GAP: Millis = Millis(1_500);
+/// Time after the end of an outage within which upstreams that still run write their expired entries again.
+const REWRITE_TIME: Millis = Millis(2_000);
+/// Shortest outage in which entries expire, in heartbeat intervals. An entry expires after three intervals without a
+/// heartbeat, and the last one before an outage may be one interval old.
+const MIN_OUTAGE_HEARTBEATS: u64 = 2;
 
 #[derive(Debug, Clone)]
 struct RegisteredUpstream {
     listed: ListedUpstream,
-    /// When the entry was deleted by a read that followed an outage; `None` unless it is kept in spite of that.
-    deleted_at: Option<HostTime>,
+    /// When the entry is dropped unless it is written again before; `None` unless it was deleted and is kept in spite
+    /// of that.
+    kept_until: Option<HostTime>,
 }
 
 /// Change of one entry of the registry.
@@ -29,70 +35,156 @@
     Drop(UpstreamId),
 }
 
+/// Entry that a host keeps although it was deleted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptEntry {
+    /// The entry before its deletion.
+    pub entry: Entry,
+    /// Time until it is dropped unless it is written again.
+    pub remaining: Millis,
+}
+
+/// How far the registry's log is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogPosition {
+    /// Time at which the store had no further records.
+    pub at: HostTime,
+    /// Offset after the last record.
+    pub end: u64,
+}
+
+impl LogPosition {
+    /// Returns whether the log had few enough heartbeats between two positions that the store may have been unavailable
+    /// for long enough for entries to expire. `upstreams` wrote heartbeats at intervals of `heartbeat`, but `deleted` of
+    /// them only until their entries were deleted, at any time in between. A log that has become shorter lost records in
+    /// an outage.
+    fn shows_outage(self, next: Self, upstreams: usize, deleted: usize, heartbeat: Millis) -> bool {
+        let Some(records) = next.end.checked_sub(self.end) else { return true };
+        let (upstreams, deleted) = (upstreams as u64, deleted as u64);
+        let heartbeats = records.saturating_sub(deleted);
+        // On average, those that were deleted wrote half of the time. Without upstreams there are no heartbeats to
+        // expect, and the elapsed time alone decides.
+        let twice_writers = (2 * upstreams).saturating_sub(deleted).max(1);
+        let covered = 2 * heartbeats * heartbeat.0 / twice_writers;
+        let silence = next.at.since(self.at).0.saturating_sub(covered);
+        silence >= MIN_OUTAGE_HEARTBEATS * heartbeat.0
+    }
+}
+
 /// Registered upstreams by id, including those that are shutting down.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registry {
     upstreams: FastMap<UpstreamId, RegisteredUpstream>,
-    read_at: HostTime,
-    /// Whether the next changes are the first after an outage, so that a deleted entry may belong to a running
-    /// upstream.
-    is_after_outage: bool,
-    /// Until when entries that expired in the last outage are kept.
-    expired_kept_until: HostTime,
+    /// Interval at which an upstream writes its entry.
+    heartbeat: Millis,
+    position: Option<LogPosition>,
 }
 
 impl Registry {
-    /// Records that the store was read at `proof_at`, by this host or by the one that it gets updates from. Call it
-    /// before the changes of that read are applied, so that entries which expired in an outage are kept.
-    pub fn on_read(&mut self, proof_at: HostTime, now: HostTime) {
-        let read_gap = proof_at.since(self.read_at);
-        if self.read_at.0 > 0 && read_gap > MAX_READ_GAP {
-            log::info!(pause:% = read_gap; "registry: store was not read for longer than usual, expired entries are kept for now");
-            self.expired_kept_until = now + REWRITE_TIME;
-            self.is_after_outage = true;
+    /// Creates an empty registry of upstreams that write their entries at intervals of `heartbeat`.
+    pub fn new(heartbeat: Millis) -> Self {
+        Self { upstreams: FastMap::default(), heartbeat, position: None }
+    }
+
+    /// Applies what this host read from the store up to `position`, in the order in which it was recorded. With
+    /// `is_whole` the changes contain all entries, and others were deleted. Deleted entries are kept for now if the
+    /// store was unavailable since the last known position. Returns the changes that are more than heartbeats.
+    pub fn apply_read(
+        &mut self,
+        changes: Vec<RegistryChange>,
+        is_whole: bool,
+        position: LogPosition,
+        now: HostTime,
+    ) -> Vec<RegistryChange> {
+        let missing = if is_whole { self.missing(present(&changes)) } else { Vec::new() };
+        // Those that are kept already stay until their time has passed.
+        let is_kept =
+            |id: &UpstreamId| self.upstreams.get(id).is_some_and(|u| u.kept_until.is_some());
+        let missing: Vec<UpstreamId> = missing.into_iter().filter(|id| !is_kept(id)).collect();
+        let deletions = changes.iter().filter(|change| matches!(change, RegistryChange::Drop(_)));
+        let deleted = missing.len() + deletions.count();
+        let upstreams = self.upstreams.len();
+        let kept_until = self
+            .position
+            .filter(|known| known.shows_outage(position, upstreams, deleted, self.heartbeat))
+            .map(|_| position.at + REWRITE_TIME);
+        if let (Some(known), Some(_)) = (self.position, kept_until) {
+            let pause = position.at.since(known.at);
+            let records = position.end.saturating_sub(known.end);
+            log::info!(pause:% = pause, records = records, upstreams = upstreams, deleted = deleted; "registry: the store was unavailable to upstreams, expired entries are kept for now");
+        }
+        self.position = Some(position);
+        let mut significant = Vec::new();
+        let missing = missing.into_iter().map(RegistryChange::Drop);
+        for change in missing.chain(changes) {
+            let is_significant = match &change {
+                RegistryChange::Put(entry) => self.put(entry.clone(), now),
+                RegistryChange::Drop(id) => match kept_until {
+                    Some(until) => self.keep(id, until, now),
+                    None => self.drop_deleted(id, now),
+                },
+            };
+            if is_significant {
+                significant.push(change);
+            }
         }
-        self.read_at = self.read_at.max(proof_at);
+        significant
+            .extend(self.drop_expired(position.at, now).into_iter().map(RegistryChange::Drop));
+        significant
     }
 
-    /// Applies changes in the order in which they were recorded. With `is_whole` they contain all entries, and others
-    /// are dropped. Returns the changes that are more than heartbeats.
-    pub fn apply(
+    /// Applies what another host knew at `position`. That host has judged which deleted entries to keep: `kept` ones
+    /// are not added to a registry that is known without them. Returns the changes that are more than heartbeats.
+    pub fn apply_update(
         &mut self,
         changes: Vec<RegistryChange>,
+        kept: Vec<KeptEntry>,
         is_whole: bool,
+        position: Option<LogPosition>,
         now: HostTime,
     ) -> Vec<RegistryChange> {
+        let is_first = self.upstreams.is_empty();
         let mut significant = Vec::new();
         if is_whole {
-            let present: FastSet<&UpstreamId> = changes
-                .iter()
-                .filter_map(|change| match change {
-                    RegistryChange::Put(entry) => Some(&entry.id),
-                    RegistryChange::Drop(_) => None,
-                })
-                .collect();
-            let missing: Vec<UpstreamId> =
-                self.upstreams.keys().filter(|id| !present.contains(id)).cloned().collect();
-            for id in missing {
-                if self.drop_entry(&id, now) {
-                    significant.push(RegistryChange::Drop(id));
-                }
-            }
+            let mut present = present(&changes);
+            present.extend(kept.iter().map(|kept| &kept.entry.id));
+            let missing = self.missing(present).into_iter();
+            let dropped = missing.filter(|id| self.drop_deleted(id, now));
+            significant.extend(dropped.map(RegistryChange::Drop));
         }
         for change in changes {
             let is_significant = match &change {
-                RegistryChange::Put(entry) => self.put(entry.clone(), now),
-                RegistryChange::Drop(id) => self.drop_entry(id, now),
+                RegistryChange::Put(entry) => !self.is_older(entry) && self.put(entry.clone(), now),
+                RegistryChange::Drop(id) => self.drop_deleted(id, now),
             };
             if is_significant {
                 significant.push(change);
             }
         }
-        self.is_after_outage = false;
-        significant.extend(self.drop_expired(now).into_iter().map(RegistryChange::Drop));
+        for KeptEntry { entry, remaining } in kept {
+            let id = entry.id.clone();
+            if is_first && self.put(entry.clone(), now) {
+                significant.push(RegistryChange::Put(entry));
+            }
+            self.keep(&id, now + remaining, now);
+        }
+        if position.is_some_and(|next| self.position.is_none_or(|known| known.at < next.at)) {
+            self.position = position;
+        }
         significant
     }
 
+    /// Returns the ids of the entries that are not among those present.
+    fn missing(&self, present: FastSet<&UpstreamId>) -> Vec<UpstreamId> {
+        self.upstreams.keys().filter(|id| !present.contains(id)).cloned().collect()
+    }
+
+    /// Returns whether a later heartbeat of the same incarnation is known.
+    fn is_older(&self, entry: &Entry) -> bool {
+        let known = self.upstreams.get(&entry.id).map(|known| &known.listed.entry);
+        known.is_some_and(|known| known.born == entry.born && known.seq > entry.seq)
+    }
+
     /// Stores an entry, unless one of a later incarnation is known. Returns whether the stored entry changed in
     /// more than its heartbeat.
     fn put(&mut self, entry: Entry, now: HostTime) -> bool {
@@ -108,65 +200,92 @@
             let mut previous = known.listed.entry.clone();
             previous.seq = entry.seq;
             previous.cold = entry.cold;
-            previous != entry || known.deleted_at.is_some()
+            previous != entry || known.kept_until.is_some()
         });
         if entry.is_leaving && known.is_none_or(|known| !known.listed.entry.is_leaving) {
-            let age = now.since(self.read_at);
+            let age = self.age(now);
             log::info!(upstream:% = entry.id, service:% = entry.service, seq = entry.seq, age:% = age; "registry: upstream is leaving");
         }
         let id = entry.id.clone();
         self.upstreams.insert(
             id,
-            RegisteredUpstream { listed: ListedUpstream { entry, cold_until }, deleted_at: None },
+            RegisteredUpstream { listed: ListedUpstream { entry, cold_until }, kept_until: None },
         );
         is_change
     }
 
-    /// Drops an entry, or keeps it for now after an outage. Returns whether it was dropped.
-    fn drop_entry(&mut self, id: &UpstreamId, now: HostTime) -> bool {
-        let age = now.since(self.read_at);
-        if self.is_after_outage {
-            if let Some(known) = self.upstreams.get_mut(id) {
-                let deleted_at = *known.deleted_at.get_or_insert(now);
-                let until = self.expired_kept_until.since(now);
-                let deleted = now.since(deleted_at);
-                log::info!(upstream:% = id, age:% = age, deleted:% = deleted, until:% = until; "registry: deleted entry is kept");
-            }
-            return false;
+    /// Keeps an entry until `until` although it was deleted. Returns `false`, as the entry stays.
+    fn keep(&mut self, id: &UpstreamId, until: HostTime, now: HostTime) -> bool {
+        let age = self.age(now);
+        if let Some(known) = self.upstreams.get_mut(id) {
+            known.kept_until = Some(until);
+            log::info!(upstream:% = id, age:% = age, until:% = until.since(now); "registry: deleted entry is kept");
         }
-        let is_dropped = self.upstreams.remove(id).is_some();
-        if is_dropped {
-            log::info!(upstream:% = id, age:% = age; "registry: entry dropped");
-        }
-        is_dropped
+        false
     }
 
-    /// Drops the entries that were kept after an outage and not written again in time, and returns their ids.
-    fn drop_expired(&mut self, now: HostTime) -> Vec<UpstreamId> {
-        if now < self.expired_kept_until {
-            return Vec::new();
+    /// Drops a deleted entry. Returns whether it was known.
+    fn drop_deleted(&mut self, id: &UpstreamId, now: HostTime) -> bool {
+        let is_known = self.upstreams.remove(id).is_some();
+        if is_known {
+            log::info!(upstream:% = id, age:% = self.age(now); "registry: entry dropped");
         }
-        let expired = self.upstreams.iter().filter(|(_, known)| known.deleted_at.is_some());
+        is_known
+    }
+
+    /// Drops the entries that had not been written again at `read_at` although they had the time, and returns their
+    /// ids.
+    fn drop_expired(&mut self, read_at: HostTime, now: HostTime) -> Vec<UpstreamId> {
+        let upstreams = self.upstreams.iter();
+        let expired =
+            upstreams.filter(|(_, known)| known.kept_until.is_some_and(|at| at <= read_at));
         let expired: Vec<UpstreamId> = expired.map(|(id, _)| id.clone()).collect();
         for id in &expired {
-            log::info!(upstream:% = id; "registry: kept entry dropped, as its upstream did not write it again");
+            log::info!(upstream:% = id, age:% = self.age(now); "registry: kept entry dropped, as its upstream did not write it again");
             self.upstreams.remove(id);
         }
         expired
     }
 
+    fn age(&self, now: HostTime) -> Millis {
+        self.position.map_or(Millis(0), |known| now.since(known.at))
+    }
+
     /// Returns the registered upstreams, including those that are shutting down, in no particular order.
     pub fn listed(&self) -> impl Iterator<Item = &ListedUpstream> {
         self.upstreams.values().map(|known| &known.listed)
     }
 
-    /// Returns the number of entries that are kept although they were deleted.
-    pub fn kept_count(&self) -> usize {
-        self.upstreams.values().filter(|known| known.deleted_at.is_some()).count()
+    /// Returns the entries that were not deleted.
+    pub fn confirmed(&self) -> impl Iterator<Item = &Entry> {
+        let upstreams = self.upstreams.values().filter(|known| known.kept_until.is_none());
+        upstreams.map(|known| &known.listed.entry)
+    }
+
+    /// Returns the entries that are kept although they were deleted.
+    pub fn kept(&self, now: HostTime) -> impl Iterator<Item = KeptEntry> {
+        self.upstreams.values().filter_map(move |known| {
+            let remaining = known.kept_until?.since(now);
+            Some(KeptEntry { entry: known.listed.entry.clone(), remaining })
+        })
     }
 
     /// Returns the entry of an upstream, if it is registered.
     pub fn entry(&self, id: &UpstreamId) -> Option<&Entry> {
         self.upstreams.get(id).map(|known| &known.listed.entry)
     }
+
+    /// Returns how far the registry's log is known, `None` before anything was read.
+    pub const fn position(&self) -> Option<LogPosition> {
+        self.position
+    }
+}
+
+/// Returns the ids of the entries that changes put.
+fn present(changes: &[RegistryChange]) -> FastSet<&UpstreamId> {
+    let puts = changes.iter().filter_map(|change| match change {
+        RegistryChange::Put(entry) => Some(&entry.id),
+        RegistryChange::Drop(_) => None,
+    });
+    puts.collect()
 }
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -1,7 +1,7 @@
 //! Synchronization with the store: reads of the operators' configuration, the registry of upstreams and the fleet
 //! topic, and writes of this host's record and of ownership tables to the fleet topic.
 
-use super::registry::RegistryChange;
+use super::registry::{LogPosition, Registry, RegistryChange};
 use super::{Control, FleetState, HostRecord};
 use crate::clock;
 use crate::store::{Page, Record, StoreError, Topic};
@@ -109,6 +109,14 @@
             match read {
                 Ok(page) => {
                     backoff.on_success();
+                    if topic == Topic::Upstreams
+                        && self.fleet.borrow().known_records.proof_at(topic) > asked_at
+                    {
+                        // Meanwhile another host sent a later state, which this page must not replace.
+                        cursor = None;
+                        Timer::after(REGISTRY_INTERVAL.duration()).await;
+                        continue;
+                    }
                     if topic == Topic::Upstreams {
                         let latency = clock::now().since(asked_at);
                         self.min_store_latency.set(self.min_store_latency.get().min(latency));
@@ -178,7 +186,10 @@
             Topic::Upstreams => {
                 self.fleet.borrow_mut().known_records.record_page(topic, &page, is_whole, asked_at);
                 let changes = self.decode_entries(&page);
-                self.apply_registry_changes(changes, is_whole, asked_at);
+                let position = LogPosition { at: asked_at, end: page.next };
+                self.change_registry(|registry, now| {
+                    registry.apply_read(changes, is_whole, position, now)
+                });
                 self.resume_holders();
             }
             Topic::Fleet => {
@@ -250,18 +261,14 @@
         changes
     }
 
-    /// Applies changes of the registry that were the newest at `proof_at`.
-    pub(super) fn apply_registry_changes(
+    /// Changes the registry with `apply`, which returns the changes that are more than heartbeats, and passes those on.
+    pub(super) fn change_registry(
         &self,
-        changes: Vec<RegistryChange>,
-        is_whole: bool,
-        proof_at: HostTime,
+        apply: impl FnOnce(&mut Registry, HostTime) -> Vec<RegistryChange>,
     ) {
-        let now = clock::now();
         let is_changed = {
             let mut fleet = self.fleet.borrow_mut();
-            fleet.registry.on_read(proof_at, now);
-            let significant = fleet.registry.apply(changes, is_whole, now);
+            let significant = apply(&mut fleet.registry, clock::now());
             fleet.known_records.record_changes(&significant);
             let FleetState { service_ms, registry, .. } = &mut *fleet;
             service_ms.retain(|id, _| registry.entry(id).is_some());
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -6,7 +6,7 @@
 //! milliseconds. A host whose updates are too old reads the store itself. If it can't reach the store either, it
 //! requests updates from any other host.
 
-use super::registry::RegistryChange;
+use super::registry::{KeptEntry, LogPosition, RegistryChange};
 use super::{Control, peers};
 use crate::client::ControlClient;
 use crate::clock;
@@ -69,7 +69,6 @@
     config: TopicRecords,
     fleet: TopicRecords,
     registry_proof_at: HostTime,
-    registry_next: Option<u64>,
     /// Latest changes of the registry, at most `MAX_CHANGES`.
     changes: VecDeque<RegistryChange>,
     /// Number of registry changes since the process started, including those no longer kept.
@@ -85,7 +84,6 @@
             config: TopicRecords::default(),
             fleet: TopicRecords::default(),
             registry_proof_at: HostTime(0),
-            registry_next: None,
             changes: VecDeque::new(),
             version: 0,
             has_source: false,
@@ -134,9 +132,15 @@
     waited: Millis,
     /// Time since the latest proof that the registry had no newer change.
     age: Millis,
-    /// Whether `changes` contain all entries.
+    /// Whether `changes` and `kept` contain all entries.
     is_whole: bool,
     changes: Vec<RegistryChange>,
+    /// Entries that the answering host keeps although they were deleted; empty unless `is_whole`.
+    #[serde(default)]
+    kept: Vec<KeptEntry>,
+    /// Offset after the last record of the registry that the answering host knows of.
+    #[serde(default)]
+    registry_end: Option<u64>,
     config: TopicUpdate,
     fleet: TopicUpdate,
     /// Spans that the answering host knows to be granted although they are not recorded as granted.
@@ -149,7 +153,7 @@
     }
 
     /// Stores a page of a topic, of which the store had no newer records at `proof_at`. For the registry only the
-    /// offset and the time are stored. With `is_whole` the page contains all keys, and others count as deleted.
+    /// time is stored. With `is_whole` the page contains all keys, and others count as deleted.
     pub(super) fn record_page(
         &mut self,
         topic: Topic,
@@ -159,7 +163,6 @@
     ) {
         if topic == Topic::Upstreams {
             self.registry_proof_at = self.registry_proof_at.max(proof_at);
-            self.registry_next = Some(page.next);
             return;
         }
         let known = self.topic(topic);
@@ -263,13 +266,15 @@
         let missing = missing.and_then(|count| usize::try_from(count).ok());
         let missing =
             missing.filter(|count| known.run == request.run && *count <= known.changes.len());
-        let changes = match missing {
+        let (changes, kept) = match missing {
             Some(count) => {
-                known.changes.iter().skip(known.changes.len() - count).cloned().collect()
+                let changes = known.changes.iter().skip(known.changes.len() - count);
+                (changes.cloned().collect(), Vec::new())
             }
             None => {
-                let listed = fleet.registry.listed();
-                listed.map(|listed| RegistryChange::Put(listed.entry.clone())).collect()
+                let confirmed = fleet.registry.confirmed();
+                let changes = confirmed.map(|entry| RegistryChange::Put(entry.clone())).collect();
+                (changes, fleet.registry.kept(now).collect())
             }
         };
         Some(UpdateResponse {
@@ -279,6 +284,8 @@
             age: now.since(known.registry_proof_at),
             is_whole: missing.is_none(),
             changes,
+            kept,
+            registry_end: fleet.registry.position().map(|position| position.end),
             config: topic_update(&known.config, request.config, now),
             fleet: topic_update(&known.fleet, request.fleet, now),
             granted: self.owners.borrow().unrecorded_grants(),
@@ -405,14 +412,21 @@
         let proof_at = proof(response.age);
         let is_newer = {
             let mut fleet = self.fleet.borrow_mut();
-            fleet.known_records.has_source = true;
-            let is_newer = proof_at + PROOF_TOLERANCE >= fleet.known_records.registry_proof_at;
-            fleet.known_records.registry_proof_at =
-                fleet.known_records.registry_proof_at.max(proof_at);
+            let known = &mut fleet.known_records;
+            known.has_source = true;
+            // A list of all entries replaces what this host knows, so it must not be older. Single changes continue
+            // earlier ones of the same host, whose computed time varies with the latency of the calls.
+            let tolerance = if response.is_whole { Millis(0) } else { PROOF_TOLERANCE };
+            let is_newer = proof_at + tolerance >= known.registry_proof_at;
+            known.registry_proof_at = known.registry_proof_at.max(proof_at);
             is_newer
         };
         if is_newer {
-            self.apply_registry_changes(response.changes, response.is_whole, proof_at);
+            let position = response.registry_end.map(|end| LogPosition { at: proof_at, end });
+            let (changes, is_whole) = (response.changes, response.is_whole);
+            self.change_registry(|registry, now| {
+                registry.apply_update(changes, response.kept, is_whole, position, now)
+            });
         }
         for (topic, update) in [(Topic::Config, response.config), (Topic::Fleet, response.fleet)] {
             self.apply_topic_update(topic, update, proof);
