Elect another leader, and go on reading the store, while the store refuses the leader

Each of the other hosts read the store once in 1.65 s, with a read of all entries, instead of being kept up to date.

Cause, of the same class as the kept entries: a host took the age of its own view for a sign that another host kept it up to date. Its own read made the view fresh, so it stopped reading, and took no part in the election. A refused leader also went on answering, with what others had told it.

Change: only what other hosts report counts as being kept up to date, so a host goes on reading at the usual interval until another does so for it. Updates carry the time since the store last accepted a leader's heartbeat; once that is older than the lifetime of leadership, hosts take part in the election, and keepers no longer rely on the leader. Both times are measured from events at the store, so no chain of hosts makes them look younger. Hosts of earlier versions don't report the second; the age of their fleet records stands in for it.

--- a/crates/edge/src/control/election.rs
+++ b/crates/edge/src/control/election.rs
@@ -41,28 +41,28 @@
 }
 
 impl Control {
-    /// Takes part in the election, unless this host receives updates of the fleet topic from another. So the leader
-    /// stays the only member of the group, and hosts that start or stop don't cause another election.
+    /// Takes part in the election, unless another host leads and this one receives updates of the fleet topic. So the
+    /// leader stays the only member of the group, and hosts that start or stop don't cause another election.
     async fn take_part_in_election(self: Rc<Self>) {
         let mut is_member = false;
-        let mut without_updates_since = clock::now();
+        let mut without_leader_since = clock::now();
         loop {
             let now = clock::now();
             if now < self.resigned_until.get() {
                 is_member = false;
-            } else if self.is_updated_by_peer(Topic::Fleet) {
-                without_updates_since = now;
+            } else if self.has_live_leader(now) && self.is_updated_by_peer(Topic::Fleet) {
+                without_leader_since = now;
                 if is_member {
                     is_member = false;
                     self.leave_group().await;
                 }
-            } else if self.is_leader.get() || now.since(without_updates_since) >= self.join_delay()
-            {
+            } else if self.is_leader.get() || now.since(without_leader_since) >= self.join_delay() {
                 is_member = true;
                 counter!("skylarkdock_store_calls_total", "call" => "join").increment(1);
                 match (self.store.join)().await {
                     Ok(true) => {
                         self.accepted_as_leader_at.set(now);
+                        self.fleet.borrow_mut().known_records.record_leader(now);
                         self.set_leader(true);
                     }
                     Ok(false) => {}
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Returns whether the store has lately accepted a heartbeat of a leader, as far as this host knows.
+    pub(super) fn has_live_leader(&self, now: HostTime) -> bool {
+        now.since(self.fleet.borrow().known_records.leader_seen_at()) <= LEADERSHIP_LIFETIME
+    }
+
     async fn leave_group(&self) {
         if let Err(e) = (self.store.leave)().await {
             log::debug!(
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -61,7 +61,7 @@
         }
     }
 
-    fn is_keeper(&self) -> bool {
+    pub(super) fn is_keeper(&self) -> bool {
         let owners = self.owners.borrow();
         let mut tables = owners.renewals.values().filter_map(|renewals| renewals.table());
         tables.any(|table| table.keepers.iter().any(|keeper| keeper.host == self.settings.host))
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -60,6 +60,8 @@
     next: u64,
     /// Latest time at which the store is known to have had no newer record.
     proof_at: HostTime,
+    /// The latest such time that another host reported. This host's own reads don't change it.
+    relayed_at: HostTime,
 }
 
 /// Records and registry changes that this host can send to others.
@@ -69,6 +71,10 @@
     config: TopicRecords,
     fleet: TopicRecords,
     registry_proof_at: HostTime,
+    /// As [`TopicRecords::relayed_at`], for the registry.
+    registry_relayed_at: HostTime,
+    /// Latest time at which the store is known to have accepted a leader's heartbeat.
+    leader_seen_at: HostTime,
     /// Latest changes of the registry, at most `MAX_CHANGES`.
     changes: VecDeque<RegistryChange>,
     /// Number of registry changes since the process started, including those no longer kept.
@@ -84,6 +90,8 @@
             config: TopicRecords::default(),
             fleet: TopicRecords::default(),
             registry_proof_at: HostTime(0),
+            registry_relayed_at: HostTime(0),
+            leader_seen_at: HostTime(0),
             changes: VecDeque::new(),
             version: 0,
             has_source: false,
@@ -143,6 +151,10 @@
     registry_end: Option<u64>,
     config: TopicUpdate,
     fleet: TopicUpdate,
+    /// Time since the latest heartbeat of a leader that the store is known to have accepted. Hosts of earlier versions
+    /// don't report it.
+    #[serde(default)]
+    leader_age: Option<Millis>,
     /// Spans that the answering host knows to be granted although they are not recorded as granted.
     granted: Vec<(ServiceName, SpanId)>,
 }
@@ -205,6 +217,26 @@
         }
     }
 
+    /// Returns the latest time, as reported by other hosts, at which the store is known to have had no newer record of a
+    /// topic.
+    pub(super) const fn relayed_at(&self, topic: Topic) -> HostTime {
+        match topic {
+            Topic::Config => self.config.relayed_at,
+            Topic::Upstreams => self.registry_relayed_at,
+            Topic::Fleet => self.fleet.relayed_at,
+        }
+    }
+
+    /// Returns the latest time at which the store is known to have accepted a leader's heartbeat.
+    pub(super) const fn leader_seen_at(&self) -> HostTime {
+        self.leader_seen_at
+    }
+
+    /// Records that the store accepted a leader's heartbeat which was sent at `at`.
+    pub(super) fn record_leader(&mut self, at: HostTime) {
+        self.leader_seen_at = self.leader_seen_at.max(at);
+    }
+
     /// Returns the offset from which to continue reading the store; `None` to start with the newest record of each key.
     pub(super) const fn next(&self, topic: Topic) -> Option<u64> {
         match topic {
@@ -288,6 +320,7 @@
             registry_end: fleet.registry.position().map(|position| position.end),
             config: topic_update(&known.config, request.config, now),
             fleet: topic_update(&known.fleet, request.fleet, now),
+            leader_age: Some(now.since(known.leader_seen_at)),
             granted: self.owners.borrow().unrecorded_grants(),
         })
     }
@@ -419,6 +452,9 @@
             let tolerance = if response.is_whole { Millis(0) } else { PROOF_TOLERANCE };
             let is_newer = proof_at + tolerance >= known.registry_proof_at;
             known.registry_proof_at = known.registry_proof_at.max(proof_at);
+            known.registry_relayed_at = known.registry_relayed_at.max(proof_at);
+            // Records of the fleet topic come from the leader, so their age stands in for a missing one.
+            known.record_leader(proof(response.leader_age.unwrap_or(response.fleet.age)));
             is_newer
         };
         if is_newer {
@@ -450,6 +486,7 @@
         let (next, known_at) = {
             let mut fleet = self.fleet.borrow_mut();
             let known = fleet.known_records.topic(topic);
+            known.relayed_at = known.relayed_at.max(proof_at);
             (known.next, known.proof_at)
         };
         if proof_at <= known_at || update.next < next || update.next == 0 {
