Say that a route does not exist only while the configuration is recent enough to know

A host that gets its configuration from another took it for current until a read of its own failed, so how old it could be when a caller got a 404 was the sum of the age of updates, the interval of checks and a read's time-out: about 2.2 s if the store is silent, where 2 s are allowed. The age of the proof decides now, whoever gave it: a 404 needs one within the time in which a configuration has to be in force, otherwise the answer is 503. The flag that the last read succeeded is gone. Test: status, pure.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -108,8 +108,6 @@
 /// State of the fleet as this host knows it from the store and from other hosts.
 struct FleetState {
     config: Option<Arc<Config>>,
-    /// Whether the last attempt to get the newest configuration succeeded.
-    is_config_sure: bool,
     registry: Registry,
     hosts: FastMap<HostId, HostRecord>,
     /// Offset after the last known record of the fleet topic; zero until the topic was read.
@@ -125,7 +123,6 @@
     fn new(heartbeat: Millis) -> Self {
         Self {
             config: None,
-            is_config_sure: false,
             registry: Registry::new(heartbeat),
             hosts: FastMap::default(),
             fleet_end: 0,
@@ -263,7 +260,6 @@
         });
         let view = View {
             config: fleet.config.clone(),
-            is_config_current: fleet.is_config_sure,
             upstreams: fleet.registry.listed().cloned().collect(),
             keys: keys.collect(),
             peers: (fleet.fleet_end > 0).then(|| peers.collect()),
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -136,12 +136,7 @@
                     log::info!(topic:? = topic; "store: records at the read offset were deleted; reading the newest record of each key");
                     cursor = None;
                 }
-                Err(e) => {
-                    if topic == Topic::Config {
-                        self.set_config_sure(false);
-                    }
-                    backoff.on_failure(&e).await;
-                }
+                Err(e) => backoff.on_failure(&e).await,
             }
         }
     }
@@ -187,6 +182,7 @@
                 let records = self.apply_config(&page).into_iter().collect();
                 let page = Page { records, next: page.next };
                 self.fleet.borrow_mut().known_records.record_page(topic, &page, false, asked_at);
+                self.status.set_config_proof(asked_at);
             }
             Topic::Upstreams => {
                 self.fleet.borrow_mut().known_records.record_page(topic, &page, is_whole, asked_at);
@@ -204,13 +200,6 @@
         }
     }
 
-    fn set_config_sure(&self, is_sure: bool) {
-        let was_sure = std::mem::replace(&mut self.fleet.borrow_mut().is_config_sure, is_sure);
-        if was_sure != is_sure {
-            self.publish();
-        }
-    }
-
     /// Puts the newest valid configuration of a page in force and returns its record; `None` if the page has none or
     /// the one in force is newer.
     fn apply_config(&self, page: &Page) -> Option<Record> {
@@ -231,16 +220,14 @@
         }
         let known = self.fleet.borrow().config.as_ref().map_or(0, |known| known.version);
         let newest = newest.filter(|(_, config)| config.version >= known);
-        let record = newest.map(|(record, config)| {
+        newest.map(|(record, config)| {
             if known < config.version {
                 log::info!(version = config.version, routes = config.routes.len(); "config: in force");
                 self.fleet.borrow_mut().config = Some(Arc::new(config));
                 self.publish();
             }
             record.clone()
-        });
-        self.set_config_sure(true);
-        record
+        })
     }
 
     /// Decodes a page of the registry. Entries that can't be decoded are logged and left out.
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -93,6 +93,7 @@
         protocol,
         Rc::clone(&ex),
         Rc::clone(&shared),
+        Arc::clone(&links.status),
         links.views.1,
         links.samples.0,
     );
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -1,12 +1,15 @@
-//! Readiness and shutdown state, shared by the threads of a host.
+//! Readiness, shutdown state and age of the configuration, shared by the threads of a host.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use skylarkdock_units::times::{HostTime, Millis};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 /// State of a host, shared by its threads.
 #[derive(Debug, Default)]
 pub struct Status {
     is_ready: AtomicBool,
     is_leaving: AtomicBool,
+    /// In milliseconds, see [`HostTime`].
+    config_proof_at: AtomicU64,
 }
 
 impl Status {
@@ -29,4 +32,14 @@
     pub fn set_leaving(&self) {
         self.is_leaving.store(true, Ordering::Relaxed);
     }
+
+    /// Records that the store had no newer configuration at a time.
+    pub fn set_config_proof(&self, at: HostTime) {
+        self.config_proof_at.fetch_max(at.0, Ordering::Relaxed);
+    }
+
+    /// Returns whether every configuration that was published at least `apply_time` ago is known to this host.
+    pub fn is_config_current(&self, apply_time: Millis, now: HostTime) -> bool {
+        now.since(HostTime(self.config_proof_at.load(Ordering::Relaxed))) <= apply_time
+    }
 }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -11,6 +11,7 @@
 use crate::pool::{self, Pool};
 use crate::serve::{Answer, AnswerFuture, Incoming, ListenerState};
 use crate::settings::Settings;
+use crate::status::Status;
 use crate::upstreams::Protocol;
 use crate::view::{ListedUpstream, View};
 use async_channel::{Receiver, Sender};
@@ -54,6 +55,7 @@
     protocol: Protocol,
     ex: Rc<LocalExecutor<'static>>,
     shared: Rc<ListenerState>,
+    status: Arc<Status>,
     view: RefCell<Arc<View>>,
     services: RefCell<FastMap<ServiceName, ServiceState>>,
     known_upstreams: RefCell<FastMap<UpstreamId, ListedUpstream>>,
@@ -80,11 +82,13 @@
 
 impl Traffic {
     /// Creates the state of the thread and starts its tasks.
+    #[expect(clippy::too_many_arguments, reason = "the parts of a host, each of its own type")]
     pub fn start(
         settings: Settings,
         protocol: Protocol,
         ex: Rc<LocalExecutor<'static>>,
         shared: Rc<ListenerState>,
+        status: Arc<Status>,
         views: Receiver<Arc<View>>,
         samples: Sender<Sample>,
     ) -> Rc<Self> {
@@ -93,6 +97,7 @@
             protocol,
             ex: Rc::clone(&ex),
             shared,
+            status,
             view: RefCell::default(),
             services: RefCell::default(),
             known_upstreams: RefCell::default(),
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -117,8 +117,8 @@
         let Incoming { head, body } = incoming;
         let Some(host) = head.headers.get_str("host") else { return Err(Answer::empty(400)) };
         let Some(route) = config.routes.find(host, head.path()) else {
-            if !view.is_config_current {
-                // The route may have been added in a newer configuration.
+            if !self.status.is_config_current(self.settings.apply_time, arrived) {
+                // The route may have been added in a newer configuration that should be in force by now.
                 return Err(refusal(STARTUP_RETRY_AFTER));
             }
             return Err(Answer::empty(404));
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -88,8 +88,6 @@
 pub struct View {
     /// The configuration in force, if one is known.
     pub config: Option<Arc<Config>>,
-    /// Whether the configuration is known to be the newest one.
-    pub is_config_current: bool,
     /// The registered upstreams, including those that are shutting down.
     pub upstreams: Vec<ListedUpstream>,
     /// Owners of keys, for each sharded service.
--- /dev/null
+++ b/crates/edge/tests/status.rs
@@ -0,0 +1,26 @@
+//! When a host may tell a caller that a route does not exist.
+
+use rstest::rstest;
+use skylarkdock_edge::status::Status;
+use skylarkdock_units::times::{HostTime, Millis};
+
+const APPLY_TIME: Millis = Millis(2_000);
+
+/// A route may have been added since the host last got the configuration, from the store or from another host. Once that
+/// is longer ago than a new configuration may take to be in force, the host must not say that the route does not exist.
+#[rstest]
+#[case::no_configuration_yet(None, false)]
+#[case::within_the_time(Some(HostTime(8_000)), true)]
+#[case::too_old(Some(HostTime(7_999)), false)]
+fn configuration_is_current_only_within_the_apply_time(
+    #[case] proof_at: Option<HostTime>,
+    #[case] expected: bool,
+) {
+    let status = Status::default();
+    if let Some(at) = proof_at {
+        status.set_config_proof(at);
+        // A proof that arrives late does not make the configuration older.
+        status.set_config_proof(HostTime(5_000));
+    }
+    assert_eq!(status.is_config_current(APPLY_TIME, HostTime(10_000)), expected);
+}
