Bound the age of the registry by the time after which a leaving upstream must get no requests

How old a host's registry may become before the host reads the store itself followed from the time in which a configuration has to be in force. Both times are alike on the deployments known so far, so leaving was in time by their sameness only. The platform's own bound is a setting now, and the shorter of the two decides.

--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -22,9 +22,9 @@
 const FLEET_WAIT: Millis = Millis(1_500);
 /// Time between reads of the registry. They don't wait for a record, as the upstreams' heartbeats arrive all the time.
 const REGISTRY_INTERVAL: Millis = Millis(300);
-/// Age of records received from another host at which this host reads the store itself, in percent of the time in which
-/// a configuration has to be in force. Updates that pass through two hosts are 0.9 s old, and there must still be time
-/// to read the store.
+/// Age of records received from another host at which this host reads the store itself, in percent of the time in which a
+/// configuration has to be in force, or of that after which a leaving upstream must get no new requests if it is shorter.
+/// Updates that pass through two hosts are 0.9 s old, and there must still be time to read the store.
 const MAX_AGE_PERCENT: u64 = 55;
 /// Pause after a read of the fleet topic, as all hosts write their records there when they start together.
 const FLEET_PAUSE: Millis = Millis(100);
@@ -143,7 +143,8 @@
 
     /// Returns the age of records received from another host at which this host reads the store itself.
     pub(super) fn max_age(&self) -> Millis {
-        Millis(self.settings.apply_time.0 * MAX_AGE_PERCENT / 100)
+        let effect_time = self.settings.apply_time.min(self.settings.drain_time);
+        Millis(effect_time.0 * MAX_AGE_PERCENT / 100)
     }
 
     /// Returns whether another host keeps this one up to date on a topic, so that it need not read the store itself. What
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -37,6 +37,8 @@
     pub grace: Millis,
     /// Time within which a new configuration has to be in force.
     pub apply_time: Millis,
+    /// Time after which an upstream that leaves must get no new requests.
+    pub drain_time: Millis,
     /// Longest time for which keys may be granted.
     pub max_hold: Millis,
     /// Retry budget of a service over all hosts: retries per request.
