Let only keepers replace a leader that is gone or can't read the store, and keep recorded keepers

Causes and changes: - Reading: a read of its own gives other hosts some time again. Only a keeper replaces the leader as reader of the store, if the leader's reads fail or no leader is known. The other hosts of its zone get their updates from it as before. - Election: a keeper takes part 3 s after the last known heartbeat of a leader, the others after 8 s, in case the keepers are refused too. Before, and still, a host takes part once its updates are late. - A host that had never heard of a leader reported the time since its clock's zero as the age of a heartbeat; on another host's clock that was a time in the past, so every host believed at its start that the leader was long gone. The age is absent now while no heartbeat is known. - A new leader had no samples of other hosts and chose whoever sent the first ones as keepers, also small hosts with slow links. The recorded keepers, but for the former leader, count as available until they had the time to send a sample. - A host whose view is too old asks a random host of its own region, and only keepers ask across regions.

--- a/crates/edge/src/control/election.rs
+++ b/crates/edge/src/control/election.rs
@@ -15,6 +15,11 @@
 const JOIN_INTERVAL: Millis = Millis(600);
 /// Time after the last heartbeat that the store accepted, from which another host may lead.
 const LEADERSHIP_LIFETIME: Millis = Millis(1_900);
+/// Time after the last heartbeat of a leader from which keepers take part in the election. Longer than the lifetime of
+/// leadership by the time that news of a heartbeat takes to reach them.
+const KEEPER_LEADER_TIMEOUT: Millis = Millis(3_000);
+/// Time after which the other hosts do. It leaves a keeper time to become leader and to tell the others.
+const LEADER_TIMEOUT: Millis = Millis(8_000);
 /// Time between a leader's checks whether to hand over, and during a handover between checks for pending moves.
 const HANDOVER_CHECK_INTERVAL: Millis = Millis(100);
 /// Time between the checks of a host that does not lead whether it was told to stop.
@@ -41,8 +46,8 @@
 }
 
 impl Control {
-    /// Takes part in the election, unless another host leads and this one receives updates of the fleet topic. So the
-    /// leader stays the only member of the group, and hosts that start or stop don't cause another election.
+    /// Takes part in the election, unless this host receives updates of the fleet topic and a leader is known. So the leader
+    /// stays the only member of the group, and hosts that start or stop don't cause another election.
     async fn take_part_in_election(self: Rc<Self>) {
         let mut is_member = false;
         let mut without_leader_since = clock::now();
@@ -50,7 +55,7 @@
             let now = clock::now();
             if now < self.resigned_until.get() {
                 is_member = false;
-            } else if self.has_live_leader(now) && self.is_updated_by_peer(Topic::Fleet) {
+            } else if !self.lacks_leader(now) && self.is_updated_by_peer(Topic::Fleet) {
                 without_leader_since = now;
                 if is_member {
                     is_member = false;
@@ -78,9 +83,12 @@
         }
     }
 
-    /// Returns whether the store has lately accepted a heartbeat of a leader, as far as this host knows.
-    pub(super) fn has_live_leader(&self, now: HostTime) -> bool {
-        now.since(self.fleet.borrow().known_records.leader_seen_at()) <= LEADERSHIP_LIFETIME
+    /// Returns whether the store has accepted no heartbeat of a leader for so long, as far as this host knows, that another
+    /// should lead. Keepers notice it first, as each further candidate may move leadership.
+    pub(super) fn lacks_leader(&self, now: HostTime) -> bool {
+        let seen_at = self.fleet.borrow().known_records.leader_seen_at();
+        let timeout = if self.is_keeper() { KEEPER_LEADER_TIMEOUT } else { LEADER_TIMEOUT };
+        seen_at.is_some_and(|seen_at| now.since(seen_at) > timeout)
     }
 
     async fn leave_group(&self) {
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -276,6 +276,15 @@
     /// largest down.
     fn available_hosts(&self, now: HostTime) -> Vec<Keeper> {
         let fleet = self.fleet.borrow();
+        let owners = self.owners.borrow();
+        // Hosts have sent their samples to the former leader, which judged the recorded keepers by them.
+        let is_new_leader = now.since(self.leader_since.get()) < HOST_TIMEOUT;
+        let is_recorded_keeper = |host: &HostId| {
+            let mut tables = owners.renewals.values().filter_map(Renewals::table);
+            tables.any(|table| {
+                table.leader != *host && table.keepers.iter().any(|keeper| keeper.host == *host)
+            })
+        };
         let own = Keeper {
             host: self.settings.host.clone(),
             zone: self.settings.zone.clone(),
@@ -290,6 +299,7 @@
             .filter(|record| {
                 let last_sample_at = fleet.last_sample_at.get(&record.host);
                 last_sample_at.is_some_and(|at| now.since(*at) < HOST_TIMEOUT)
+                    || (is_new_leader && is_recorded_keeper(&record.host))
             })
             .collect();
         others.sort_by_key(|record| Reverse(Rank::of(&record.host, record.size)));
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -160,8 +160,8 @@
         Millis(effect_time.0 * MAX_AGE_PERCENT / 100)
     }
 
-    /// Returns whether another host keeps this one up to date on a topic, so that it need not read the store itself. What
-    /// this host has read itself doesn't count: it must go on reading until another host does so for it.
+    /// Returns whether another host keeps this one up to date on a topic, so that it need not read the store itself. After
+    /// a read of its own, it gives other hosts some time to do so.
     pub(super) fn is_updated_by_peer(&self, topic: Topic) -> bool {
         // Updates omit heartbeats. Suspended renewals resume on a heartbeat, so they need the registry itself.
         let needs_heartbeats = topic == Topic::Upstreams
@@ -172,14 +172,17 @@
                 .values()
                 .any(|renewals| !renewals.suspended().is_empty());
         let now = clock::now();
-        // A keeper gets its updates from the leader. One that no longer leads may only return what keepers told it.
-        let is_source_sure = !self.is_keeper() || self.has_live_leader(now);
+        // Keepers replace the leader as readers of the store if it can't read it, or no longer leads and may only return
+        // what it was told. If all hosts did, they would overload the store.
+        let replaces_leader = topic != Topic::Fleet
+            && self.is_keeper()
+            && (self.fleet.borrow().known_records.source_reads_fail() || self.lacks_leader(now));
         let max_age = self.max_age();
         let fleet = self.fleet.borrow();
-        let age = |topic| now.since(fleet.known_records.relayed_at(topic));
+        let age = |topic| now.since(fleet.known_records.proof_at(topic));
         !needs_heartbeats
             && !self.is_leader.get()
-            && is_source_sure
+            && !replaces_leader
             && fleet.known_records.has_source()
             && age(Topic::Upstreams) < max_age
             && age(topic) < if topic == Topic::Fleet { MAX_FLEET_AGE } else { max_age }
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -60,8 +60,6 @@
     next: u64,
     /// Latest time at which the store is known to have had no newer record.
     proof_at: HostTime,
-    /// The latest such time that another host reported. This host's own reads don't change it.
-    relayed_at: HostTime,
 }
 
 /// Records and registry changes that this host can send to others.
@@ -71,16 +69,16 @@
     config: TopicRecords,
     fleet: TopicRecords,
     registry_proof_at: HostTime,
-    /// As [`TopicRecords::relayed_at`], for the registry.
-    registry_relayed_at: HostTime,
-    /// Latest time at which the store is known to have accepted a leader's heartbeat.
-    leader_seen_at: HostTime,
+    /// Latest time at which the store is known to have accepted a leader's heartbeat; `None` if it never did.
+    leader_seen_at: Option<HostTime>,
     /// Latest changes of the registry, at most `MAX_CHANGES`.
     changes: VecDeque<RegistryChange>,
     /// Number of registry changes since the process started, including those no longer kept.
     version: u64,
-    /// Whether this host gets updates from a host whose own reads don't fail.
+    /// Whether this host has received updates since it last had no source of them.
     has_source: bool,
+    /// Whether the source's own reads of the registry fail.
+    source_reads_fail: bool,
     /// Whether this host's last read of the registry failed.
     reads_fail: bool,
 }
@@ -92,11 +90,11 @@
             config: TopicRecords::default(),
             fleet: TopicRecords::default(),
             registry_proof_at: HostTime(0),
-            registry_relayed_at: HostTime(0),
-            leader_seen_at: HostTime(0),
+            leader_seen_at: None,
             changes: VecDeque::new(),
             version: 0,
             has_source: false,
+            source_reads_fail: false,
             reads_fail: false,
         }
     }
@@ -149,13 +147,12 @@
     /// Entries that the answering host keeps although they were deleted; empty unless `is_whole`.
     #[serde(default)]
     kept: Vec<KeptEntry>,
-    /// Whether the answering host's own reads of the registry fail, so that others should read the store.
+    /// Whether the answering host's own reads of the registry fail.
     #[serde(default)]
     reads_fail: bool,
     config: TopicUpdate,
     fleet: TopicUpdate,
-    /// Time since the latest heartbeat of a leader that the store is known to have accepted. Hosts of earlier versions
-    /// don't report it.
+    /// Time since the latest heartbeat of a leader that the store is known to have accepted; `None` if none is known.
     #[serde(default)]
     leader_age: Option<Millis>,
     /// Spans that the answering host knows to be granted although they are not recorded as granted.
@@ -211,11 +208,16 @@
         self.reads_fail = reads_fail;
     }
 
-    /// Returns whether this host gets updates from another whose own reads don't fail.
+    /// Returns whether this host gets updates from another.
     pub(super) const fn has_source(&self) -> bool {
         self.has_source
     }
 
+    /// Returns whether the own reads of the host that sends updates to this one fail.
+    pub(super) const fn source_reads_fail(&self) -> bool {
+        self.source_reads_fail
+    }
+
     /// Returns the latest time at which the store is known to have had no newer record of a topic.
     pub(super) const fn proof_at(&self, topic: Topic) -> HostTime {
         match topic {
@@ -225,24 +227,14 @@
         }
     }
 
-    /// Returns the latest time, as reported by other hosts, at which the store is known to have had no newer record of a
-    /// topic.
-    pub(super) const fn relayed_at(&self, topic: Topic) -> HostTime {
-        match topic {
-            Topic::Config => self.config.relayed_at,
-            Topic::Upstreams => self.registry_relayed_at,
-            Topic::Fleet => self.fleet.relayed_at,
-        }
-    }
-
-    /// Returns the latest time at which the store is known to have accepted a leader's heartbeat.
-    pub(super) const fn leader_seen_at(&self) -> HostTime {
+    /// Returns the latest time at which the store is known to have accepted a leader's heartbeat, if it ever did.
+    pub(super) const fn leader_seen_at(&self) -> Option<HostTime> {
         self.leader_seen_at
     }
 
     /// Records that the store accepted a leader's heartbeat which was sent at `at`.
     pub(super) fn record_leader(&mut self, at: HostTime) {
-        self.leader_seen_at = self.leader_seen_at.max(at);
+        self.leader_seen_at = self.leader_seen_at.max(Some(at));
     }
 
     /// Returns the offset from which to continue reading the store; `None` to start with the newest record of each key.
@@ -328,7 +320,7 @@
             reads_fail: known.reads_fail,
             config: topic_update(&known.config, request.config, now),
             fleet: topic_update(&known.fleet, request.fleet, now),
-            leader_age: Some(now.since(known.leader_seen_at)),
+            leader_age: known.leader_seen_at.map(|seen_at| now.since(seen_at)),
             granted: self.owners.borrow().unrecorded_grants(),
         })
     }
@@ -456,15 +448,16 @@
         let is_newer = {
             let mut fleet = self.fleet.borrow_mut();
             let known = &mut fleet.known_records;
-            known.has_source = !response.reads_fail;
+            known.has_source = true;
+            known.source_reads_fail = response.reads_fail;
             // A list of all entries replaces what this host knows, so it must not be older. Single changes continue
             // earlier ones of the same host, whose computed time varies with the latency of the calls.
             let tolerance = if response.is_whole { Millis(0) } else { PROOF_TOLERANCE };
             let is_newer = proof_at + tolerance >= known.registry_proof_at;
             known.registry_proof_at = known.registry_proof_at.max(proof_at);
-            known.registry_relayed_at = known.registry_relayed_at.max(proof_at);
-            // Records of the fleet topic come from the leader, so their age stands in for a missing one.
-            known.record_leader(proof(response.leader_age.unwrap_or(response.fleet.age)));
+            if let Some(age) = response.leader_age {
+                known.record_leader(proof(age));
+            }
             is_newer
         };
         if is_newer {
@@ -495,7 +488,6 @@
         let (next, known_at) = {
             let mut fleet = self.fleet.borrow_mut();
             let known = fleet.known_records.topic(topic);
-            known.relayed_at = known.relayed_at.max(proof_at);
             (known.next, known.proof_at)
         };
         if proof_at <= known_at || update.next < next || update.next == 0 {
@@ -522,11 +514,15 @@
         relay.map(|record| record.host.clone())
     }
 
-    /// Returns the address of any other host, or a configured one if no host is known yet.
+    /// Returns the address of another host, or a configured one if no host is known yet. Only keepers ask hosts of other
+    /// regions, as the links between regions can't carry the whole registry to all hosts at once.
     fn random_peer(&self, avoided: &FastMap<SocketAddr, HostTime>) -> Option<SocketAddr> {
         let fleet = self.fleet.borrow();
         let own = &self.settings.host;
-        let others = fleet.hosts.values().filter(|record| record.host != *own);
+        let is_keeper = self.is_keeper();
+        let others = fleet.hosts.values().filter(|record| {
+            record.host != *own && (is_keeper || record.region == self.settings.region)
+        });
         let mut addrs: Vec<SocketAddr> = others.map(|record| record.peers).collect();
         if addrs.is_empty() {
             addrs.extend(&self.settings.seeds);
