Never extend the time of a kept entry by telling other hosts of it

Hosts that keep an entry tell each other for how long; each message takes time, so the time grew by it at each hop. The shorter of the known and the told time holds now. Found by reading; test: a kept entry that another host reports five times is dropped when it was to be.

--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -149,7 +149,10 @@
             if is_first && self.put(entry.clone(), now) {
                 significant.push(RegistryChange::Put(entry));
             }
-            self.keep(&id, now + remaining, now);
+            // Hosts that tell each other of an entry must not extend its time.
+            let known_until = self.upstreams.get(&id).and_then(|known| known.kept_until);
+            let until = now + remaining;
+            self.keep(&id, known_until.map_or(until, |known| known.min(until)), now);
         }
         self.read_at = self.read_at.max(read_at);
         significant
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -217,6 +217,20 @@
     assert_eq!(reads.listed(), ["b"], "kept for longer than the other host said");
 }
 
+/// Hosts that keep an entry tell each other of it, and each message takes time. That must not extend the entry's time.
+#[test]
+fn kept_entry_of_another_host_is_not_kept_for_longer_than_known() {
+    let mut reads = Reads::start(vec![put("a", 1), put("b", 1)]);
+    reads.fail(Millis(300));
+    reads.apply(Millis(7_700), vec![put("b", 2)], true);
+    for _ in 0..5 {
+        reads.now = reads.now + Millis(300);
+        let kept = vec![KeptEntry { entry: entry("a", 1), remaining: Millis(1_900) }];
+        reads.registry.apply_update(vec![put("b", 2)], kept, true, reads.now, reads.now);
+    }
+    assert_eq!(reads.apply(Millis(500), vec![put("b", 3)], true), [delete("a")]);
+}
+
 /// A list of another host may be put together before an upstream reported that it leaves, and arrive after that.
 #[test]
 fn older_heartbeat_from_another_host_does_not_replace_a_later_one() {
