--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! the owners of keys.
 
 mod election;
+mod known_records;
 mod owners;
 mod peers;
 pub mod registry;
@@ -112,7 +113,7 @@
     hosts: FastMap<HostId, HostRecord>,
     /// Offset after the last known record of the fleet topic; zero until the topic was read.
     fleet_end: u64,
-    known_records: updates::KnownRecords,
+    known_records: known_records::KnownRecords,
     /// When each host last sent this one a sample.
     last_sample_at: FastMap<HostId, HostTime>,
     /// Smoothed service time of each upstream, in milliseconds.
@@ -126,7 +127,7 @@
             registry: Registry::new(heartbeat),
             hosts: FastMap::default(),
             fleet_end: 0,
-            known_records: updates::KnownRecords::default(),
+            known_records: known_records::KnownRecords::default(),
             last_sample_at: FastMap::default(),
             service_ms: FastMap::default(),
         }
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -112,20 +112,16 @@
             match read {
                 Ok(page) => {
                     backoff.on_success();
-                    if topic == Topic::Upstreams {
-                        self.fleet.borrow_mut().known_records.set_reads_fail(false);
-                    }
-                    if topic == Topic::Upstreams
-                        && self.fleet.borrow().known_records.proof_at(topic) > asked_at
-                    {
-                        // Meanwhile another host sent a later state, which this page must not replace.
-                        cursor = None;
-                        Timer::after(REGISTRY_INTERVAL.duration()).await;
-                        continue;
-                    }
                     if topic == Topic::Upstreams {
                         let latency = clock::now().since(asked_at);
                         self.min_store_latency.set(self.min_store_latency.get().min(latency));
+                        self.fleet.borrow_mut().known_records.set_reads_fail(false);
+                        if self.fleet.borrow().known_records.proof_at(topic) > asked_at {
+                            // Meanwhile another host sent a later state, which this page must not replace.
+                            cursor = None;
+                            Timer::after(REGISTRY_INTERVAL.duration()).await;
+                            continue;
+                        }
                     }
                     let is_whole = cursor.is_none();
                     cursor = Some(page.next);
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -4,8 +4,13 @@
 //! only the leader reads the store. One host of each availability zone requests updates from the leader by long
 //! polling, and the other hosts of the zone request them from that host. Updates contain changes only and arrive within
 //! milliseconds. A host whose updates are too old reads the store itself. If it can't reach the store either, it
-//! requests updates from any other host.
+//! requests updates from any other host of its region, and a keeper from any other host at all.
+//!
+//! A host can't tell from the age of its updates whether the store is unavailable, refuses only the leader, or nobody
+//! leads. So updates also say whether the sender's own reads fail, and how long ago the store accepted a leader's
+//! heartbeat.
 
+use super::known_records::{KnownRecords, TopicRecords};
 use super::registry::{KeptEntry, RegistryChange};
 use super::{Control, peers};
 use crate::client::ControlClient;
@@ -20,7 +25,6 @@
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{HostId, ServiceName};
 use skylarkdock_units::times::{HostTime, Millis};
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -39,8 +43,6 @@
 const HOSTS_PER_MILLI: u64 = 4;
 /// Longest pause between two requests. Two of them fit the time in which a configuration has to be in force.
 const MAX_REQUEST_PAUSE: Millis = Millis(250);
-/// Changes of the registry that are kept for followers. One that has missed more gets all entries.
-const MAX_CHANGES: usize = 2_048;
 /// Time that a host gets to read the store itself, after its updates became too old, before it counts as isolated.
 const ISOLATION_MARGIN: Millis = Millis(500);
 
@@ -51,55 +53,6 @@
 /// Difference up to which two proofs of the registry count as equally old.
 const PROOF_TOLERANCE: Millis = Millis(40);
 
-/// Records of a topic other than the registry that this host knows.
-#[derive(Default, Clone)]
-struct TopicRecords {
-    /// Newest value of each key, empty for a deleted one, and the offset after the page that contained it.
-    records: FastMap<String, (Vec<u8>, u64)>,
-    /// Offset after the last known record.
-    next: u64,
-    /// Latest time at which the store is known to have had no newer record.
-    proof_at: HostTime,
-}
-
-/// Records and registry changes that this host can send to others.
-pub(super) struct KnownRecords {
-    /// Random id of this process. Versions of different runs can't be compared.
-    run: u64,
-    config: TopicRecords,
-    fleet: TopicRecords,
-    registry_proof_at: HostTime,
-    /// Latest time at which the store is known to have accepted a leader's heartbeat; `None` if it never did.
-    leader_seen_at: Option<HostTime>,
-    /// Latest changes of the registry, at most `MAX_CHANGES`.
-    changes: VecDeque<RegistryChange>,
-    /// Number of registry changes since the process started, including those no longer kept.
-    version: u64,
-    /// Whether this host has received updates since it last had no source of them.
-    has_source: bool,
-    /// Whether the source's own reads of the registry fail.
-    source_reads_fail: bool,
-    /// Whether this host's last read of the registry failed.
-    reads_fail: bool,
-}
-
-impl Default for KnownRecords {
-    fn default() -> Self {
-        Self {
-            run: fastrand::u64(1..),
-            config: TopicRecords::default(),
-            fleet: TopicRecords::default(),
-            registry_proof_at: HostTime(0),
-            leader_seen_at: None,
-            changes: VecDeque::new(),
-            version: 0,
-            has_source: false,
-            source_reads_fail: false,
-            reads_fail: false,
-        }
-    }
-}
-
 /// Request for updates. It is answered once there are some or `wait` has passed.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct UpdateRequest {
@@ -159,100 +112,12 @@
     granted: Vec<(ServiceName, SpanId)>,
 }
 
-impl KnownRecords {
-    fn topic(&mut self, topic: Topic) -> &mut TopicRecords {
-        if topic == Topic::Config { &mut self.config } else { &mut self.fleet }
-    }
-
-    /// Stores a page of a topic, of which the store had no newer records at `proof_at`. For the registry only the
-    /// time is stored. With `is_whole` the page contains all keys, and others count as deleted.
-    pub(super) fn record_page(
-        &mut self,
-        topic: Topic,
-        page: &Page,
-        is_whole: bool,
-        proof_at: HostTime,
-    ) {
-        if topic == Topic::Upstreams {
-            self.registry_proof_at = self.registry_proof_at.max(proof_at);
-            return;
-        }
-        let known = self.topic(topic);
-        if is_whole {
-            for (value, offset) in known.records.values_mut().filter(|(value, _)| !value.is_empty())
-            {
-                value.clear();
-                *offset = page.next;
-            }
-        }
-        for record in &page.records {
-            known.records.insert(record.key.clone(), (record.value.clone(), page.next));
-        }
-        known.next = known.next.max(page.next);
-        known.proof_at = known.proof_at.max(proof_at);
-    }
-
-    /// Stores changes of the registry, each with the next version.
-    pub(super) fn record_changes(&mut self, changes: &[RegistryChange]) {
-        for change in changes {
-            self.version += 1;
-            self.changes.push_back(change.clone());
-        }
-        while self.changes.len() > MAX_CHANGES {
-            self.changes.pop_front();
-        }
-    }
-
-    /// Records whether this host's last read of the registry failed.
-    pub(super) const fn set_reads_fail(&mut self, reads_fail: bool) {
-        self.reads_fail = reads_fail;
-    }
-
-    /// Returns whether this host gets updates from another.
-    pub(super) const fn has_source(&self) -> bool {
-        self.has_source
-    }
-
-    /// Returns whether the own reads of the host that sends updates to this one fail.
-    pub(super) const fn source_reads_fail(&self) -> bool {
-        self.source_reads_fail
-    }
-
-    /// Returns the latest time at which the store is known to have had no newer record of a topic.
-    pub(super) const fn proof_at(&self, topic: Topic) -> HostTime {
-        match topic {
-            Topic::Config => self.config.proof_at,
-            Topic::Upstreams => self.registry_proof_at,
-            Topic::Fleet => self.fleet.proof_at,
-        }
-    }
-
-    /// Returns the latest time at which the store is known to have accepted a leader's heartbeat, if it ever did.
-    pub(super) const fn leader_seen_at(&self) -> Option<HostTime> {
-        self.leader_seen_at
-    }
-
-    /// Records that the store accepted a leader's heartbeat which was sent at `at`.
-    pub(super) fn record_leader(&mut self, at: HostTime) {
-        self.leader_seen_at = self.leader_seen_at.max(Some(at));
-    }
-
-    /// Returns the offset from which to continue reading the store; `None` to start with the newest record of each key.
-    pub(super) const fn next(&self, topic: Topic) -> Option<u64> {
-        match topic {
-            Topic::Config => Some(self.config.next),
-            // Changes received from other hosts have no offsets.
-            Topic::Upstreams => None,
-            Topic::Fleet => Some(self.fleet.next),
-        }
-    }
-
-    fn has_updates_for(&self, request: &UpdateRequest) -> bool {
-        self.run != request.run
-            || self.version != request.version
-            || self.config.next > request.config
-            || self.fleet.next > request.fleet
-    }
+/// Returns whether a host that sent a request lacks records.
+fn has_updates_for(known: &KnownRecords, request: &UpdateRequest) -> bool {
+    known.run != request.run
+        || known.version != request.version
+        || known.config.next > request.config
+        || known.fleet.next > request.fleet
 }
 
 /// Returns the update of a topic for a host that knows its records before the offset `next`.
@@ -278,7 +143,7 @@
         let until = asked_at + request.wait.min(UPDATE_WAIT);
         loop {
             let listener = self.changed.listen();
-            let has_updates = self.fleet.borrow().known_records.has_updates_for(&request)
+            let has_updates = has_updates_for(&self.fleet.borrow().known_records, &request)
                 || self.owners.borrow().unrecorded_grants() != request.granted;
             if clock::now() < self.resigned_until.get() {
                 return None;
