Keep all hosts together within the limit that an upstream names

An upstream that named a limit of 7 requests a second got 79 in 4 s, as hosts did not read the limit: the rate at it was the same before and after (timeline in docs/incidents). A limit kept by each host alone, or by all but repeats and hedged attempts, would be exceeded too, as it is a sum over all hosts.

The class: a bound on a sum over hosts that no state of the fleet represents. For each limited upstream one host now issues permits from a pool, and each send uses one. A pool refills at its members' share of the limit and a host is a member of one pool at a time, so the sum over all pools holds without agreement: while hosts start, end, are suspended or can't hear each other. Without a permit a request is refused at once, by rank, or uses another upstream. The leader plans keys with the limit as the owner's capacity.

The retry budget, the other bound on a sum over hosts, divides a constant by the number of hosts and needs no change.

--- a/crates/dispatch/src/routing.rs
+++ b/crates/dispatch/src/routing.rs
@@ -36,6 +36,8 @@
     NoUpstream,
     /// The owner of the request's key is unknown or can't be used.
     KeyUnowned,
+    /// The upstream limits its rate, and other requests use all of it.
+    Limited,
     /// The deadline came too close while the request waited.
     Expired,
 }
@@ -47,6 +49,7 @@
             Self::Overload => "overload",
             Self::NoUpstream => "no_upstream",
             Self::KeyUnowned => "key_unowned",
+            Self::Limited => "limited",
             Self::Expired => "expired",
         }
     }
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -7,6 +7,7 @@
 
 use crate::arrivals::ArrivalRates;
 use crate::key_owners::{KeyMap, KeyOwners};
+use crate::permits::{Demand, MAX_WANTED};
 use crate::retry_after;
 use crate::routing::{RefusalReason, RoutingDecision, RoutingRequest};
 use crate::upstream::{AttemptOutcome, Distance, Upstream, UpstreamInfo, as_f32};
@@ -219,7 +220,10 @@
             self.arrivals.record(request.rank, now);
         }
         let mean_ms = self.mean_service_ms();
-        if let Some(id) = self.choose_upstream(&request, mean_ms, now) {
+        let chosen = self.choose_upstream(&request, mean_ms, now);
+        self.record_demand(&request, chosen.as_ref(), now);
+        if let Some(id) = chosen {
+            self.take_permit(&id, now);
             return RoutingDecision::Send(id);
         }
         let decision = self.admit(&request, mean_ms, now);
@@ -242,11 +246,76 @@
 
     /// Returns the upstream for a hedged attempt: the one that `choose_upstream` returns, if it has a free slot and is
     /// not in another region. No other upstream is considered.
-    pub fn choose_hedge(&self, request: &RoutingRequest, now: HostTime) -> Option<UpstreamId> {
+    pub fn choose_hedge(&mut self, request: &RoutingRequest, now: HostTime) -> Option<UpstreamId> {
         let id = self.choose_upstream(request, self.mean_service_ms(), now)?;
         let upstream = self.upstreams.get(&id)?;
         let is_free = upstream.load(now) < upstream.info().slots;
-        (is_free && upstream.info().distance != Distance::Far).then_some(id)
+        if !is_free || upstream.info().distance == Distance::Far {
+            return None;
+        }
+        self.take_permit(&id, now);
+        Some(id)
+    }
+
+    /// Uses a permit for an upstream that is chosen. It is used at the decision, so that no other request is sent with
+    /// it before this one has started.
+    fn take_permit(&mut self, id: &UpstreamId, now: HostTime) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.permits_mut().take(now);
+        }
+    }
+
+    /// Records that a request can't be sent to limited upstreams for want of a permit, although it is for them. In a
+    /// sharded service that shows from the queue.
+    fn record_demand(
+        &mut self,
+        request: &RoutingRequest,
+        chosen: Option<&UpstreamId>,
+        now: HostTime,
+    ) {
+        if let Some(keys) = &self.keys {
+            let owner = request.key.and_then(|key| keys.owner(key)).cloned();
+            if chosen.is_none()
+                && let Some(owner) = owner.and_then(|id| self.upstreams.get_mut(&id))
+                && !owner.permits().is_available(now)
+            {
+                owner.record_demand(request.rank);
+            }
+            return;
+        }
+        let lacking = self.upstreams.values_mut().filter(|upstream| {
+            upstream.permits().rate().is_some()
+                && upstream.is_usable(now)
+                && upstream.info().distance != Distance::Far
+                && !upstream.permits().is_available(now)
+        });
+        lacking.for_each(|upstream| upstream.record_demand(request.rank));
+    }
+
+    /// Returns the permits that this host needs for each limited upstream: for the requests that lacked one since the
+    /// last call and, in a sharded service, for those that wait.
+    pub fn take_demands(&mut self) -> Vec<(UpstreamId, Demand)> {
+        let mut demands = Vec::new();
+        for (id, upstream) in &mut self.upstreams {
+            if upstream.permits().limit() == Default::default() {
+                continue;
+            }
+            let mut demand = upstream.take_demand().unwrap_or_default();
+            if let Some(keys) = &self.keys {
+                let waiting = self
+                    .waiting
+                    .iter()
+                    .filter(|request| request.key.and_then(|key| keys.owner(key)) == Some(id));
+                let ranks: Vec<u8> = waiting.map(|request| request.rank).collect();
+                if let Some(rank) = ranks.iter().min() {
+                    let waiting = u8::try_from(ranks.len()).unwrap_or(MAX_WANTED).min(MAX_WANTED);
+                    let rank = if demand.count == 0 { *rank } else { demand.rank.min(*rank) };
+                    demand = Demand { count: demand.count.max(waiting), rank };
+                }
+            }
+            demands.push((id.clone(), demand));
+        }
+        demands
     }
 
     /// Decides on the waiting requests. Returns those that are sent or refused now, and removes them from the queue.
@@ -269,10 +338,13 @@
                     // it.
                     Some(id) if !sent.contains_key(&id) => {
                         sent.insert(id.clone(), 1);
+                        self.take_permit(&id, now);
                         Some(RoutingDecision::Send(id))
                     }
                     Some(_) => None,
-                    None => self.refuse_unowned(request, now),
+                    None => self
+                        .refuse_unowned(request, now)
+                        .or_else(|| self.refuse_limited(request, now)),
                 }
             };
             match decision {
@@ -411,7 +483,26 @@
                 / (as_f32(owner.in_flight()) + peer_requests))
                 .max(0.1);
             let wait = to_millis(service_ms * as_f32(ahead + 1) / (slots * own_share));
-            return self.admit_if_wait_fits(request, wait, to_millis(service_ms), now);
+            let permits = owner.permits();
+            if let Some(rate) = permits.rate().filter(|_| !permits.is_available(now)) {
+                let interval = to_millis(as_f32(ahead) * 1_000.0 / rate.0.max(0.001));
+                let wait = Millis(permits.expected_wait(request.rank, now).0 + interval.0);
+                let service_time = to_millis(service_ms);
+                return self.admit_if_wait_fits(
+                    request,
+                    RefusalReason::Limited,
+                    wait,
+                    service_time,
+                    now,
+                );
+            }
+            return self.admit_if_wait_fits(
+                request,
+                RefusalReason::Overload,
+                wait,
+                to_millis(service_ms),
+                now,
+            );
         }
         let is_usable_in_region = |upstream: &&Upstream| {
             upstream.is_usable(now) && upstream.info().distance != Distance::Far
@@ -420,9 +511,7 @@
             .upstreams
             .values()
             .filter(is_usable_in_region)
-            .map(|upstream| {
-                as_f32(upstream.info().slots) / upstream.service_ms().unwrap_or(mean_ms).max(1.0)
-            })
+            .map(|upstream| upstream.requests_per_ms(mean_ms))
             .sum();
         if requests_per_ms <= 0.0
             && !self.upstreams.values().any(|upstream| upstream.is_usable(now))
@@ -436,6 +525,7 @@
             .max(share_per_ms * MIN_CAPACITY_SHARE);
         self.admit_if_wait_fits(
             request,
+            RefusalReason::Overload,
             to_millis(as_f32(ahead + 1) / available_per_ms),
             service_time,
             now,
@@ -446,6 +536,7 @@
     fn admit_if_wait_fits(
         &self,
         request: &RoutingRequest,
+        reason: RefusalReason,
         wait: Millis,
         service_time: Millis,
         now: HostTime,
@@ -460,7 +551,7 @@
         if wait.0 <= allowed_ms {
             return RoutingDecision::Wait;
         }
-        self.refusal(request, RefusalReason::Overload, wait, now)
+        self.refusal(request, reason, wait, now)
     }
 
     /// Decides whether a request waits or is refused when its key has no usable owner.
@@ -485,6 +576,20 @@
         }
     }
 
+    /// Refuses a waiting request whose owner issues no permit in time.
+    fn refuse_limited(&self, request: &RoutingRequest, now: HostTime) -> Option<RoutingDecision> {
+        let owner = self.available_owner(request.key?, now)?;
+        let permits = owner.permits();
+        if permits.is_available(now) {
+            return None;
+        }
+        let service_time = to_millis(owner.service_ms().unwrap_or(self.mean_service_ms()));
+        let wait = permits.expected_wait(request.rank, now);
+        let decision =
+            self.admit_if_wait_fits(request, RefusalReason::Limited, wait, service_time, now);
+        (decision != RoutingDecision::Wait).then_some(decision)
+    }
+
     /// Counts the waiting requests that are served before `request` and satisfy `is_counted`.
     fn count_ahead(
         &self,
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -1,7 +1,9 @@
 //! State of one upstream as seen by one host: load, service time, failures and backoff.
 
+use crate::permits::{Demand, MAX_WANTED, Permits};
 use skylarkdock_units::collections::FastHasher;
 use skylarkdock_units::ids::UpstreamId;
+use skylarkdock_units::measures::RequestRate;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::hash::{Hash, Hasher};
 
@@ -113,6 +115,9 @@
     /// Consecutive attempts that ended as misdirected.
     misdirections: u32,
     down_until: HostTime,
+    permits: Permits,
+    /// Requests that were sent elsewhere or refused for want of a permit since the last [`Upstream::take_demand`].
+    demand: Option<Demand>,
 }
 
 impl Upstream {
@@ -134,6 +139,8 @@
             connect_failures: 0,
             misdirections: 0,
             down_until: HostTime(0),
+            permits: Permits::default(),
+            demand: None,
         }
     }
 
@@ -147,8 +154,9 @@
         self.info = info;
     }
 
-    /// Clears failures and backoff, because the upstream has restarted under the same id.
-    pub fn on_restart(&mut self) {
+    /// Clears failures, backoff and limit, because the upstream has restarted under the same id.
+    pub fn on_restart(&mut self, now: HostTime) {
+        self.permits.on_restart(now);
         self.failure_rate = 0.0;
         self.shed_rate = 0.0;
         self.connect_failures = 0;
@@ -180,12 +188,52 @@
         self.service_ms
     }
 
-    /// Returns the measured service time if it has changed since the last call.
-    pub const fn take_updated_service_ms(&mut self) -> Option<f32> {
+    /// Returns the service time at which the upstream can be planned with, if it has changed since the last call: the
+    /// measured one, or the one at which its slots take no more requests than its limit allows.
+    pub fn take_updated_service_ms(&mut self) -> Option<f32> {
         if !std::mem::replace(&mut self.has_new_service_ms, false) {
             return None;
         }
-        self.service_ms
+        let limited =
+            self.permits.rate().map(|rate| as_f32(self.info.slots) * 1_000.0 / rate.0.max(0.1));
+        self.service_ms.map(|measured| measured.max(limited.unwrap_or_default()))
+    }
+
+    /// Returns the permits for this upstream.
+    pub const fn permits(&self) -> &Permits {
+        &self.permits
+    }
+
+    /// Returns the permits for this upstream for changes.
+    pub const fn permits_mut(&mut self) -> &mut Permits {
+        &mut self.permits
+    }
+
+    /// Records whether an answer to a request that was sent at `sent_at` named a limit.
+    pub fn on_limit(&mut self, rate: Option<RequestRate>, sent_at: HostTime, now: HostTime) {
+        let known = self.permits.rate();
+        self.permits.on_answer(rate, sent_at, now);
+        self.has_new_service_ms |= known != self.permits.rate();
+    }
+
+    /// Returns the requests per millisecond that the upstream takes from all hosts. `mean_service_ms` stands in for an
+    /// upstream without measurements.
+    pub fn requests_per_ms(&self, mean_service_ms: f32) -> f32 {
+        let service_ms = self.service_ms.unwrap_or(mean_service_ms).max(1.0);
+        let by_slots = as_f32(self.info.slots.max(1)) / service_ms;
+        self.permits.rate().map_or(by_slots, |rate| by_slots.min(rate.0 / 1_000.0))
+    }
+
+    /// Records that a request lacked a permit.
+    pub fn record_demand(&mut self, rank: u8) {
+        let known = self.demand.unwrap_or(Demand { count: 0, rank });
+        let count = known.count.saturating_add(1).min(MAX_WANTED);
+        self.demand = Some(Demand { count, rank: known.rank.min(rank) });
+    }
+
+    /// Returns the requests that lacked a permit since the last call.
+    pub const fn take_demand(&mut self) -> Option<Demand> {
+        self.demand.take()
     }
 
     /// Returns the moving average of failed attempts, from 0 to 1.
@@ -230,6 +278,9 @@
     /// Returns whether the upstream can take one more request beside the `load` known requests. `sharing_hosts` hosts
     /// send to it without seeing each other's latest requests, which bounds the requests of each.
     pub fn has_capacity(&self, sharing_hosts: u32, load: u32, now: HostTime) -> bool {
+        if !self.permits.is_available(now) {
+            return false;
+        }
         let limit = self.capacity();
         let host_limit = (limit * HOST_SHARES).div_ceil(sharing_hosts.max(1)).max(MIN_HOST_LIMIT);
         if self.in_flight() >= host_limit {
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -9,6 +9,7 @@
 use skylarkdock_dispatch::crash_tracker::Fingerprint;
 use skylarkdock_dispatch::upstream::AttemptOutcome;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
+use skylarkdock_units::measures::RequestRate;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -97,7 +98,14 @@
         let mut guard =
             AttemptGuard { traffic: self, service, id, started, ended: AttemptOutcome::Cancelled };
         let attempt_result = match self.exchange_pooled(addr, &attempt, build).await {
-            Ok(result) => self.classify_result(result),
+            Ok(result) => {
+                let limit = result.as_ref().ok().map(|reply| self.protocol.names.limit(reply));
+                let attempt_result = self.classify_result(result);
+                if let Some(limit) = limit {
+                    self.on_limit(&attempt, &attempt_result, limit, started);
+                }
+                attempt_result
+            }
             Err(e) => {
                 if e.kind() == ErrorKind::ConnectionRefused {
                     self.on_unreachable_or_restarted(id);
@@ -119,6 +127,37 @@
         attempt_result
     }
 
+    /// Records whether an upstream's answer named a limit. One that did not run the request may come from another
+    /// upstream at the address, or from a part of it that knows of no limit, so it can't end a limit.
+    fn on_limit(
+        &self,
+        attempt: &Attempt<'_>,
+        result: &AttemptResult,
+        limit: Option<RequestRate>,
+        sent_at: HostTime,
+    ) {
+        let is_relevant = match result {
+            AttemptResult::Answered(_) => true,
+            AttemptResult::NotRun(NotRun::Shed) => limit.is_some(),
+            AttemptResult::NotRun(_) | AttemptResult::Unknown(_) => false,
+        };
+        if !is_relevant {
+            return;
+        }
+        let mut services = self.services.borrow_mut();
+        let state = services.get_mut(attempt.service);
+        let Some(upstream) = state.and_then(|state| state.service.upstream_mut(attempt.id)) else {
+            return;
+        };
+        let known = upstream.permits().rate();
+        upstream.on_limit(limit, sent_at, clock::now());
+        let rate = upstream.permits().rate();
+        if rate != known {
+            let rate = rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+            log::info!(upstream:% = attempt.id, rate = rate, source = "answer"; "permits: the limit of an upstream changed");
+        }
+    }
+
     /// Sends the request on a pooled connection, or on a new one if there is none or nothing could be sent on it.
     ///
     /// # Errors
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -3,11 +3,13 @@
 mod attempt;
 mod crash_reports;
 mod history;
+mod permits;
 mod race;
 mod reports;
 mod request;
 mod waiting;
 
+use crate::clock;
 use crate::pool::{self, Pool};
 use crate::serve::{Answer, AnswerFuture, Incoming, ListenerState};
 use crate::settings::Settings;
@@ -16,7 +18,7 @@
 use crate::view::{ListedUpstream, View};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::Timer;
+use async_io::{Async, Timer};
 use event_listener::Event;
 use skylarkdock_dispatch::crash_tracker::CrashTracker;
 use skylarkdock_dispatch::retry_budget::{self, RetryBudget};
@@ -27,6 +29,7 @@
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::Millis;
 use std::cell::{Cell, RefCell};
+use std::net::UdpSocket;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -68,6 +71,11 @@
     reported_crashes: RefCell<Vec<crash_reports::ReportedCrash>>,
     route_counts: RefCell<FastMap<Arc<str>, u64>>,
     reports: RefCell<reports::Reports>,
+    pools: RefCell<permits::Pools>,
+    /// Socket for load reports and permits, unless it could not be opened.
+    datagrams: RefCell<Option<Rc<Async<UdpSocket>>>>,
+    /// Number that tells this process from others of the same host.
+    run: u32,
     sample: RefCell<Sample>,
     last_ticket: Cell<u64>,
 }
@@ -108,6 +116,9 @@
             reported_crashes: RefCell::default(),
             route_counts: RefCell::default(),
             reports: RefCell::default(),
+            pools: RefCell::default(),
+            datagrams: RefCell::default(),
+            run: fastrand::u32(..),
             sample: RefCell::default(),
             last_ticket: Cell::new(0),
         });
@@ -115,6 +126,7 @@
         ex.spawn(Rc::clone(&traffic).poll_waiting()).detach();
         ex.spawn(Rc::clone(&traffic).send_samples(samples)).detach();
         reports::start(&traffic);
+        ex.spawn(Rc::clone(&traffic).keep_memberships()).detach();
         traffic
     }
 
@@ -168,7 +180,7 @@
                 if is_restarted {
                     self.on_unreachable_or_restarted(&listed.entry.id);
                     if let Some(upstream) = state.service.upstream_mut(&listed.entry.id) {
-                        upstream.on_restart();
+                        upstream.on_restart(clock::now());
                     }
                 }
             }
--- a/crates/edge/src/traffic/reports.rs
+++ b/crates/edge/src/traffic/reports.rs
@@ -5,8 +5,8 @@
 //! their availability zone, which sends the sum to the relays of the other zones, and sends to each of its members the
 //! load of all other hosts that it knows of. The number of datagrams thus grows linearly with the number of hosts.
 
-use super::Traffic;
 use super::crash_reports::CrashReport;
+use super::{Traffic, permits};
 use crate::clock;
 use crate::relays::{self, Rank};
 use crate::view::PeerInfo;
@@ -105,6 +105,7 @@
             return;
         }
     };
+    *traffic.datagrams.borrow_mut() = Some(Rc::clone(&socket));
     let ex = Rc::clone(&traffic.ex);
     ex.spawn(send(Rc::clone(traffic), Rc::clone(&socket))).detach();
     ex.spawn(receive(Rc::clone(traffic), socket)).detach();
@@ -143,6 +144,9 @@
     let mut buf = [0; 2_048];
     loop {
         match socket.recv_from(&mut buf).await {
+            Ok((len, from)) if permits::is_message(&buf[..len]) => {
+                traffic.on_permit_message(&buf[..len], from);
+            }
             Ok((len, from)) => match postcard::from_bytes::<Report>(&buf[..len]) {
                 Ok(report) => traffic.apply_report(report, from),
                 Err(e) => log::debug!("reports: can't read a report: {e}"),
@@ -294,6 +298,11 @@
 }
 
 impl Reports {
+    /// Returns the upstream with this hash of its id, and its service.
+    pub(super) fn upstream(&self, hash: UpstreamHash) -> Option<&(ServiceName, UpstreamId)> {
+        self.names.get(&hash)
+    }
+
     /// Sets the upstreams that reports may refer to.
     pub(super) fn set_upstreams<'a>(
         &mut self,
--- a/crates/edge/src/traffic/waiting.rs
+++ b/crates/edge/src/traffic/waiting.rs
@@ -38,12 +38,14 @@
             state.service.decide(request, clock::now())
         };
         if decision != RoutingDecision::Wait {
+            self.request_permits(service);
             return Some(decision);
         }
         let (tx, rx) = async_channel::bounded(1);
         self.waiters.borrow_mut().insert(ticket, tx);
         self.has_waiting.notify(1);
         let _guard = QueueGuard { traffic: self, service, ticket };
+        self.request_permits(service);
         rx.recv().await.ok()
     }
 
--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -3,6 +3,7 @@
 use crate::client::{Outgoing, Reply};
 use skylarkdock_http1::head::Headers;
 use skylarkdock_spans::renewal::{CallEnd, Grant, Release};
+use skylarkdock_units::measures::RequestRate;
 use skylarkdock_units::times::Millis;
 
 /// Names of header fields.
@@ -20,6 +21,8 @@
     pub not_run: &'static str,
     /// Sharding key of the request.
     pub key: &'static str,
+    /// Requests a second that the upstream takes from all hosts together, as a decimal number; absent without a limit.
+    pub limit: &'static str,
 }
 
 /// Protocol between the host and upstreams.
@@ -51,6 +54,16 @@
 }
 
 impl HeaderNames {
+    /// Returns the limit that an upstream's answer names. A value that is no rate counts as absent.
+    pub fn limit(&self, reply: &Reply) -> Option<RequestRate> {
+        let text = reply.head.headers.get_str(self.limit)?;
+        let rate = text.parse();
+        if rate.is_err() {
+            log::warn!(value = text; "upstreams: an answer names an invalid limit");
+        }
+        rate.ok()
+    }
+
     /// Classifies an upstream's answer.
     pub fn classify(&self, reply: &Reply) -> ReplyKind {
         let headers: &Headers = &reply.head.headers;
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -18,6 +18,7 @@
     expected: "Expected",
     not_run: "Not-Run",
     key: "Key",
+    limit: "X-Limit",
 };
 
 /// Starts a peer that answers the first request on one connection with `answer` and closes it.
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -19,6 +19,7 @@
   --seed N          seed of the random number generator [1]
   --loads A,B,...   offered loads, as fractions of the capacity [0.5,0.8,1,1.2,1.5,2,3,4]
   --only POLICY     only dispatch, no-queue, least-in-flight or round-robin
+  --hosts N         number of hosts, instead of that of the shape
   --html FILE       write charts to a self-contained HTML page
 
 Examples:
@@ -51,13 +52,15 @@
     let only: Option<Policy> = args.opt_value_from_str("--only")?;
     let policies = only.map_or_else(|| Policy::ALL.to_vec(), |only| vec![only]);
     let html: Option<PathBuf> = args.opt_value_from_str("--html")?;
+    let hosts: Option<u32> = args.opt_value_from_str("--hosts")?;
     let files = args.finish();
     if files.is_empty() {
         return Err(eyre!("no shape file given; see --help"));
     }
     let mut charts = Vec::new();
     for file in files {
-        let shape = Shape::read(&PathBuf::from(file))?;
+        let mut shape = Shape::read(&PathBuf::from(file))?;
+        shape.hosts = hosts.unwrap_or(shape.hosts).max(1);
         let policy_runs = simulate(&shape, &policies, &loads, seed);
         print_table(&shape, &policy_runs);
         charts.extend(curves(&shape, &policy_runs));
@@ -91,21 +94,23 @@
     println!("## {}", shape.name);
     println!();
     println!(
-        "| policy | load | credit | goodput | {} | sends per request | late refusals |",
+        "| policy | load | credit | goodput | {} | sends per request | late refusals | limit: worst window | limit: used |",
         headers.join(" | ")
     );
-    println!("| --- |{}", " ---: |".repeat(ranks.len() + 5));
+    println!("| --- |{}", " ---: |".repeat(ranks.len() + 7));
     for (policy, runs) in policy_runs {
         for (load, stats) in runs {
             let answered: Vec<String> =
                 ranks.iter().map(|rank| format!("{:.3}", stats.answered_ratio(*rank))).collect();
             println!(
-                "| {policy} | {load} | {:.3} | {:.1} | {} | {:.2} | {:.1} % |",
+                "| {policy} | {load} | {:.3} | {:.1} | {} | {:.2} | {:.1} % | {:.2} | {:.2} |",
                 stats.credit_ratio(),
                 goodput(shape, stats),
                 answered.join(" | "),
                 stats.amplification(),
-                stats.late_refusal_ratio() * 100.0
+                stats.late_refusal_ratio() * 100.0,
+                stats.limited.worst_rate,
+                stats.limited.used_share()
             );
         }
     }
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -138,6 +138,11 @@
         self.service.on_end(id, started, outcome, now);
     }
 
+    /// Returns the routing state.
+    pub const fn service(&mut self) -> &mut Service {
+        &mut self.service
+    }
+
     /// Returns the number of requests from this host at each upstream.
     pub const fn in_flight(&self) -> &FastMap<UpstreamId, u32> {
         &self.in_flight
--- a/crates/emulator/src/shape.rs
+++ b/crates/emulator/src/shape.rs
@@ -21,6 +21,18 @@
     /// Periods with a multiple of the load.
     #[serde(default)]
     pub bursts: Vec<Burst>,
+    /// Whether each request has a key, and the upstreams own equal shares of the keys.
+    #[serde(default)]
+    pub is_sharded: bool,
+    /// Fraction of the requests that go to the first tenth of the hosts, besides their equal share.
+    #[serde(default)]
+    pub uneven: f64,
+    /// Periods in which a fraction `x` of the hosts, the first ones, is suspended.
+    #[serde(default)]
+    pub suspended: Vec<Burst>,
+    /// Periods in which a fraction `x` of the hosts, the last ones, exchanges no messages with any other host.
+    #[serde(default)]
+    pub isolated: Vec<Burst>,
 }
 
 /// Group of identical upstreams.
@@ -48,6 +60,9 @@
     /// Period with an additional factor on the work.
     #[serde(default)]
     pub slow_spell: Option<Burst>,
+    /// Periods in which each upstream names a limit of `x` requests a second in its answers.
+    #[serde(default)]
+    pub limits: Vec<Burst>,
 }
 
 /// Kind of request, with its rate, work and time limits.
@@ -93,10 +108,14 @@
 }
 
 impl Burst {
+    /// Returns whether a time is within the period.
+    pub fn contains(&self, at_ms: u64) -> bool {
+        (self.at_ms..self.at_ms + self.for_ms).contains(&at_ms)
+    }
+
     /// Returns the factor at a time, which is 1 outside the period.
     pub fn factor(&self, at_ms: u64) -> f64 {
-        let is_active = (self.at_ms..self.at_ms + self.for_ms).contains(&at_ms);
-        if is_active { self.x } else { 1.0 }
+        if self.contains(at_ms) { self.x } else { 1.0 }
     }
 }
 
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -1,9 +1,11 @@
 //! Discrete-event simulation of callers, hosts and upstreams in virtual time.
 
+use crate::limits::{Envelope, Limits};
 use crate::policy::{HostRouter, Policy, upstream_info};
-use crate::shape::{RequestKind, Shape};
+use crate::shape::{Burst, RequestKind, Shape};
 use crate::stats::RunStats;
 use crate::upstream::{Admission, Job, UpstreamModel};
+use skylarkdock_dispatch::key_owners::KeyMap;
 use skylarkdock_dispatch::retry_after;
 use skylarkdock_dispatch::retry_budget::{RetryBudget, RetryLimits};
 use skylarkdock_dispatch::routes::Idempotency;
@@ -11,6 +13,7 @@
 use skylarkdock_dispatch::upstream::AttemptOutcome;
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::UpstreamId;
+use skylarkdock_units::measures::RequestRate;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -23,6 +26,12 @@
 const REPORT_INTERVAL_MS: u64 = 100;
 /// One-way network latency between caller and host, and between host and upstream.
 const ONE_WAY_LATENCY_MS: u64 = 1;
+/// Interval at which hosts repeat and renew their requests for permits, the same as on real hosts.
+const PERMIT_INTERVAL_MS: u64 = 50;
+/// Interval between announcements of limits, the same as on real hosts.
+const ANNOUNCEMENT_INTERVAL_MS: u64 = 500;
+/// One-way network latency between hosts, which may be in different regions.
+const HOST_LATENCY_MS: u64 = 8;
 /// Largest number of attempts that one host makes for a request.
 const MAX_ATTEMPTS: usize = 3;
 /// Expected time until capacity is available for a shed request.
@@ -43,6 +52,12 @@
     ProcessQueues,
     /// Hosts exchange their load at the upstreams.
     LoadReports,
+    /// Hosts request permits for limited upstreams that they need no permit for now, too.
+    PermitRequests,
+    /// Hosts announce the limits of their pools.
+    Announcements,
+    /// A message about permits reaches a host.
+    PermitMessage { index: usize },
 }
 
 struct Request {
@@ -56,6 +71,7 @@
     work_ms: f64,
     tried: Vec<UpstreamId>,
     is_finished: bool,
+    key: Option<u16>,
 }
 
 struct Attempt {
@@ -79,12 +95,15 @@
     requests: Vec<Request>,
     attempts: Vec<Attempt>,
     stats: RunStats,
+    limits: Limits,
+    messages: Vec<Envelope>,
 }
 
 /// Simulates a shape at a multiple of its load and returns what the callers got.
 pub fn simulate(shape: &Shape, policy: Policy, load: f64, seed: u64) -> RunStats {
     let mut simulation = Simulation::new(shape, policy, load, seed);
     simulation.run();
+    simulation.stats.limited = simulation.limits.stats(shape, START_MS);
     simulation.stats
 }
 
@@ -104,6 +123,11 @@
         let host =
             |index: u32| HostRouter::new(policy, &upstream_infos, shape.hosts, index as usize * 7);
         let index_by_id = ids.iter().cloned().zip(0..).collect();
+        let mut hosts: Vec<HostRouter> = (0..shape.hosts).map(host).collect();
+        if shape.is_sharded {
+            let keys = equal_shares(&ids);
+            hosts.iter_mut().for_each(|host| host.service().set_keys(Some(keys.clone())));
+        }
         Self {
             shape,
             load,
@@ -111,10 +135,12 @@
             now_ms: START_MS,
             events: BinaryHeap::new(),
             event_seq: 0,
-            hosts: (0..shape.hosts).map(host).collect(),
+            hosts,
             budgets: (0..shape.hosts)
                 .map(|_| RetryBudget::new(RETRY_LIMITS, shape.hosts))
                 .collect(),
+            limits: Limits::new(shape.hosts, &ids),
+            messages: Vec::new(),
             upstreams,
             ids,
             index_by_id,
@@ -130,6 +156,10 @@
         }
         self.schedule(QUEUE_INTERVAL_MS, Event::ProcessQueues);
         self.schedule(REPORT_INTERVAL_MS, Event::LoadReports);
+        if self.shape.upstreams.iter().any(|group| !group.limits.is_empty()) {
+            self.schedule(PERMIT_INTERVAL_MS, Event::PermitRequests);
+            self.schedule(ANNOUNCEMENT_INTERVAL_MS, Event::Announcements);
+        }
         let longest_deadline_ms =
             self.shape.kinds.iter().map(|kind| kind.deadline_ms).max().unwrap_or(0);
         let end_ms = START_MS + self.shape.length_ms + longest_deadline_ms;
@@ -142,8 +172,19 @@
                 Event::NewRequest { kind } => self.create_request(kind),
                 Event::HostArrival { request } => self.arrive_at_host(request),
                 Event::JobFinished { upstream, attempt } => self.finish_job(upstream, attempt),
+                Event::PermitRequests => {
+                    (0..self.hosts.len()).for_each(|host| self.request_permits(host));
+                    self.schedule(PERMIT_INTERVAL_MS, Event::PermitRequests);
+                }
+                Event::Announcements => {
+                    self.announce_limits();
+                    self.schedule(ANNOUNCEMENT_INTERVAL_MS, Event::Announcements);
+                }
+                Event::PermitMessage { index } => self.on_permit_message(index),
                 Event::ProcessQueues => {
-                    (0..self.hosts.len()).for_each(|host| self.process_queue(host));
+                    let running: Vec<usize> =
+                        (0..self.hosts.len()).filter(|host| !self.is_suspended(*host)).collect();
+                    running.into_iter().for_each(|host| self.process_queue(host));
                     self.schedule(QUEUE_INTERVAL_MS, Event::ProcessQueues);
                 }
                 Event::LoadReports => {
@@ -184,6 +225,7 @@
         self.schedule_request(index);
         let kind = &self.shape.kinds[index];
         self.stats.on_asked(index, kind);
+        let key = self.shape.is_sharded.then(|| self.rng.u16(..));
         let work_factor = 1.0 + (self.rng.f64() * 2.0 - 1.0) * kind.spread;
         self.requests.push(Request {
             kind: index,
@@ -195,12 +237,45 @@
             work_ms: kind.work_ms * work_factor,
             tried: Vec::new(),
             is_finished: false,
+            key,
         });
         self.schedule(ONE_WAY_LATENCY_MS, Event::HostArrival { request: self.requests.len() - 1 });
     }
 
+    /// Returns whether a host is suspended.
+    fn is_suspended(&self, host: usize) -> bool {
+        let elapsed_ms = self.now_ms - START_MS;
+        let is_in = |period: &Burst| {
+            period.contains(elapsed_ms) && host < share(period.x, self.hosts.len())
+        };
+        self.shape.suspended.iter().any(is_in)
+    }
+
+    /// Returns whether a host exchanges no messages with others.
+    fn is_isolated(&self, host: usize) -> bool {
+        let elapsed_ms = self.now_ms - START_MS;
+        let is_in = |period: &Burst| {
+            period.contains(elapsed_ms)
+                && host >= self.hosts.len() - share(period.x, self.hosts.len())
+        };
+        self.shape.isolated.iter().any(is_in)
+    }
+
+    /// Returns the host that a request reaches, which is not suspended.
+    fn pick_host(&mut self) -> usize {
+        loop {
+            let is_uneven = self.shape.uneven > 0.0 && self.rng.f64() < self.shape.uneven;
+            let range =
+                if is_uneven { share(0.1, self.hosts.len()).max(1) } else { self.hosts.len() };
+            let host = self.rng.usize(..range);
+            if !self.is_suspended(host) {
+                return host;
+            }
+        }
+    }
+
     fn arrive_at_host(&mut self, request: usize) {
-        let host = self.rng.usize(..self.hosts.len());
+        let host = self.pick_host();
         let state = &mut self.requests[request];
         state.host = host;
         state.host_arrival_ms = self.now_ms;
@@ -225,7 +300,7 @@
             arrived: HostTime(state.host_arrival_ms),
             objective: HostTime(state.host_arrival_ms + kind.objective_ms),
             deadline: HostTime(deadline_at_ms),
-            key: None,
+            key: state.key,
             tried: state.tried.clone(),
             jitter_per_mille: u32::try_from(request % 1_000).unwrap_or_default(),
         };
@@ -233,6 +308,56 @@
         let now = self.now();
         let decision = self.hosts[host].decide(routing_request, now);
         self.apply_decision(request, decision);
+        self.request_permits(host);
+    }
+
+    /// Sends a host's requests for permits.
+    fn request_permits(&mut self, host: usize) {
+        if self.is_suspended(host) {
+            return;
+        }
+        let now = self.now();
+        for envelope in self.limits.requests(host, &mut self.hosts[host], now) {
+            self.send_message(envelope);
+        }
+    }
+
+    fn send_message(&mut self, envelope: Envelope) {
+        if self.is_isolated(envelope.from) || self.is_isolated(envelope.to) {
+            return;
+        }
+        self.messages.push(envelope);
+        let index = self.messages.len() - 1;
+        self.schedule(HOST_LATENCY_MS, Event::PermitMessage { index });
+    }
+
+    fn on_permit_message(&mut self, index: usize) {
+        let envelope = self.messages[index];
+        if self.is_suspended(envelope.to) {
+            return;
+        }
+        let now = self.now();
+        if let Some(reply) = self.limits.on_message(envelope, &mut self.hosts[envelope.to], now) {
+            self.send_message(reply);
+        } else {
+            self.process_queue(envelope.to);
+        }
+    }
+
+    /// Announces limits to all hosts.
+    fn announce_limits(&mut self) {
+        for host in 0..self.hosts.len() {
+            if self.is_suspended(host) || self.is_isolated(host) {
+                continue;
+            }
+            for (upstream, limit) in self.limits.announcements(host) {
+                for to in 0..self.hosts.len() {
+                    if !self.is_suspended(to) && !self.is_isolated(to) {
+                        self.limits.on_announcement(&mut self.hosts[to], host, upstream, limit);
+                    }
+                }
+            }
+        }
     }
 
     fn apply_decision(&mut self, request: usize, decision: RoutingDecision) {
@@ -250,6 +375,7 @@
         state.tried.push(id.clone());
         self.hosts[state.host].on_start(id, now);
         self.stats.sends += 1;
+        self.limits.on_arrival(upstream, self.now_ms);
         let attempt = self.attempts.len();
         let deadline_at_ms = state.created_ms + self.shape.kinds[state.kind].deadline_ms;
         self.attempts.push(Attempt { request, upstream, started: now });
@@ -274,6 +400,13 @@
         let Attempt { request, upstream, started } = self.attempts[attempt];
         let (host, now) = (self.requests[request].host, self.now());
         self.hosts[host].on_end(&self.ids[upstream], started, outcome, now);
+        let elapsed_ms = self.now_ms - START_MS;
+        let limits = &self.upstreams[upstream].group().limits;
+        let limit = limits.iter().find(|limit| limit.contains(elapsed_ms));
+        let rate = limit.map(|limit| RequestRate(limit.x as f32));
+        if let Some(state) = self.hosts[host].service().upstream_mut(&self.ids[upstream]) {
+            state.on_limit(rate, started, now);
+        }
         request
     }
 
@@ -374,6 +507,22 @@
     }
 }
 
+/// Returns the number of hosts in a share of all hosts.
+#[expect(clippy::cast_precision_loss, reason = "a count of hosts")]
+fn share(fraction: f64, hosts: usize) -> usize {
+    usize::try_from(round(fraction * hosts as f64)).unwrap_or(hosts).min(hosts)
+}
+
+/// Returns a key map in which each upstream owns an equal share of the keys.
+fn equal_shares(ids: &[UpstreamId]) -> KeyMap {
+    let count = u32::try_from(ids.len()).unwrap_or(1).max(1);
+    let last_key =
+        |index: u32| u16::try_from((index + 1) * 0x1_0000 / count - 1).unwrap_or(u16::MAX);
+    KeyMap::new(
+        ids.iter().zip(0..).map(|(id, index)| (last_key(index), Some(id.clone()))).collect(),
+    )
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/emulator/src/stats.rs
+++ b/crates/emulator/src/stats.rs
@@ -38,6 +38,29 @@
     pub refused: u64,
     /// Refusals after more than an eighth of the objective.
     pub refused_late: u64,
+    /// Arrivals at upstreams while they name a limit.
+    pub limited: LimitStats,
+}
+
+/// Arrivals at upstreams that name a limit, from the time on at which all hosts have to keep to it.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct LimitStats {
+    /// Largest number of arrivals at one upstream in a window, as a fraction of what its limit allows in that time.
+    pub worst_window: f64,
+    /// The same without the allowance for single requests: as a fraction of the limit times the length of the window.
+    pub worst_rate: f64,
+    /// Arrivals at all limited upstreams.
+    pub arrivals: u64,
+    /// Sum of the limits over the time for which they were named.
+    pub allowed: f64,
+}
+
+impl LimitStats {
+    /// Returns the arrivals as a fraction of what the limits allow.
+    #[expect(clippy::cast_precision_loss, reason = "counts far below 2^52")]
+    pub fn used_share(&self) -> f64 {
+        self.arrivals as f64 / self.allowed.max(1e-9)
+    }
 }
 
 impl RunStats {
--- a/crates/units/src/measures.rs
+++ b/crates/units/src/measures.rs
@@ -107,3 +107,27 @@
         })
     }
 }
+
+/// A rate of requests per second, which may be a fraction.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestRate(pub f32);
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let number = text.strip_suffix("/s").unwrap_or(text).parse().ok();
+        let rate = number.filter(|rate: &f32| rate.is_finite() && *rate >= 0.0);
+        rate.map(Self).ok_or_else(|| UnitError::Form {
+            text: text.to_owned(),
+            form: "a rate, for example 6.3/s",
+        })
+    }
+}
