--- a/crates/emulator/src/shape.rs
+++ b/crates/emulator/src/shape.rs
@@ -30,6 +30,9 @@
     /// Periods in which a fraction `x` of the hosts, the first ones, is suspended.
     #[serde(default)]
     pub suspended: Vec<Burst>,
+    /// Periods in which a fraction `x` of the hosts, the first ones, can't open connections to upstreams.
+    #[serde(default)]
+    pub cut_off: Vec<Burst>,
     /// Periods in which a fraction `x` of the hosts, the last ones, exchanges no messages with any other host.
     #[serde(default)]
     pub isolated: Vec<Burst>,
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -32,6 +32,10 @@
 const ANNOUNCEMENT_INTERVAL_MS: u64 = 500;
 /// One-way network latency between hosts, which may be in different regions.
 const HOST_LATENCY_MS: u64 = 8;
+/// Time-out of opening a connection, the same as on real hosts.
+const CONNECT_TIMEOUT_MS: u64 = 300;
+/// Time after which hosts should have found another way to the upstreams.
+const DETOUR_TIME_MS: u64 = 3_000;
 /// Largest number of attempts that one host makes for a request.
 const MAX_ATTEMPTS: usize = 3;
 /// Expected time until capacity is available for a shed request.
@@ -46,6 +50,8 @@
     NewRequest { kind: usize },
     /// A new or retried request reaches a host.
     HostArrival { request: usize },
+    /// An attempt to open a connection to an upstream fails.
+    ConnectFailed { attempt: usize },
     /// The answer of an upstream reaches the host.
     JobFinished { upstream: usize, attempt: usize },
     /// Hosts decide on their waiting requests.
@@ -72,6 +78,13 @@
     tried: Vec<UpstreamId>,
     is_finished: bool,
     key: Option<u16>,
+    /// The first host that it reached, if that was while hosts were cut off from the upstreams.
+    first_attempt: Option<FirstAttempt>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct FirstAttempt {
+    is_cut_off: bool,
 }
 
 struct Attempt {
@@ -171,6 +184,10 @@
             match event {
                 Event::NewRequest { kind } => self.create_request(kind),
                 Event::HostArrival { request } => self.arrive_at_host(request),
+                Event::ConnectFailed { attempt } => {
+                    let request = self.end_attempt(attempt, AttemptOutcome::Unreachable);
+                    self.retry_or_refuse(request);
+                }
                 Event::JobFinished { upstream, attempt } => self.finish_job(upstream, attempt),
                 Event::PermitRequests => {
                     (0..self.hosts.len()).for_each(|host| self.request_permits(host));
@@ -238,6 +255,7 @@
             tried: Vec::new(),
             is_finished: false,
             key,
+            first_attempt: None,
         });
         self.schedule(ONE_WAY_LATENCY_MS, Event::HostArrival { request: self.requests.len() - 1 });
     }
@@ -261,6 +279,34 @@
         self.shape.isolated.iter().any(is_in)
     }
 
+    /// Returns whether a host can't open connections to upstreams.
+    fn is_cut_off(&self, host: usize) -> bool {
+        let elapsed_ms = self.now_ms - START_MS;
+        let is_in = |period: &Burst| {
+            period.contains(elapsed_ms) && host < share(period.x, self.hosts.len())
+        };
+        self.shape.cut_off.iter().any(is_in)
+    }
+
+    /// Returns whether hosts are cut off, for long enough that they should have found another way.
+    fn is_detour_time(&self) -> bool {
+        let elapsed_ms = self.now_ms - START_MS;
+        let mut periods = self.shape.cut_off.iter();
+        periods.any(|period| {
+            period.contains(elapsed_ms) && elapsed_ms >= period.at_ms + DETOUR_TIME_MS
+        })
+    }
+
+    /// Counts the first attempt of a caller that the host ends.
+    fn end_first_attempt(&mut self, request: usize, is_served: bool) {
+        let Some(FirstAttempt { is_cut_off }) = self.requests[request].first_attempt.take() else {
+            return;
+        };
+        let group = if is_cut_off { &mut self.stats.at_cut_off } else { &mut self.stats.at_others };
+        group.asked += 1;
+        group.served += u64::from(is_served);
+    }
+
     /// Returns the host that a request reaches, which is not suspended.
     fn pick_host(&mut self) -> usize {
         loop {
@@ -276,6 +322,11 @@
 
     fn arrive_at_host(&mut self, request: usize) {
         let host = self.pick_host();
+        let is_first = self.requests[request].host_arrival_ms == 0;
+        if is_first && self.is_detour_time() {
+            let is_cut_off = self.is_cut_off(host);
+            self.requests[request].first_attempt = Some(FirstAttempt { is_cut_off });
+        }
         let state = &mut self.requests[request];
         state.host = host;
         state.host_arrival_ms = self.now_ms;
@@ -374,8 +425,16 @@
         let state = &mut self.requests[request];
         state.tried.push(id.clone());
         self.hosts[state.host].on_start(id, now);
+        let host = state.host;
+        if self.is_cut_off(host) {
+            let attempt = self.attempts.len();
+            self.attempts.push(Attempt { request, upstream, started: now });
+            self.schedule(CONNECT_TIMEOUT_MS, Event::ConnectFailed { attempt });
+            return;
+        }
         self.stats.sends += 1;
         self.limits.on_arrival(upstream, self.now_ms);
+        let state = &self.requests[request];
         let attempt = self.attempts.len();
         let deadline_at_ms = state.created_ms + self.shape.kinds[state.kind].deadline_ms;
         self.attempts.push(Attempt { request, upstream, started: now });
@@ -404,7 +463,9 @@
         let limits = &self.upstreams[upstream].group().limits;
         let limit = limits.iter().find(|limit| limit.contains(elapsed_ms));
         let rate = limit.map(|limit| RequestRate(limit.x as f32));
-        if let Some(state) = self.hosts[host].service().upstream_mut(&self.ids[upstream]) {
+        if outcome != AttemptOutcome::Unreachable
+            && let Some(state) = self.hosts[host].service().upstream_mut(&self.ids[upstream])
+        {
             state.on_limit(rate, started, now);
         }
         request
@@ -446,6 +507,7 @@
         } else if !is_failure {
             self.deliver_answer(request);
         } else {
+            self.end_first_attempt(request, false);
             self.requests[request].is_finished = true;
         }
         let host = self.requests[request].host;
@@ -453,6 +515,7 @@
     }
 
     fn deliver_answer(&mut self, request: usize) {
+        self.end_first_attempt(request, true);
         let kind = self.kind(request);
         let state = &mut self.requests[request];
         if !std::mem::replace(&mut state.is_finished, true) {
@@ -463,6 +526,7 @@
 
     /// Refuses a request. Its caller sends it again while it has retries and time left.
     fn refuse(&mut self, request: usize, delay: Millis) {
+        self.end_first_attempt(request, false);
         let kind = self.kind(request);
         let state = &mut self.requests[request];
         self.stats.on_refused(kind, self.now_ms - state.host_arrival_ms);
--- a/crates/emulator/src/stats.rs
+++ b/crates/emulator/src/stats.rs
@@ -40,6 +40,27 @@
     pub refused_late: u64,
     /// Arrivals at upstreams while they name a limit.
     pub limited: LimitStats,
+    /// First attempts of callers at hosts that can't open connections to upstreams, from the time on at which they
+    /// should have found another way.
+    pub at_cut_off: FirstAttempts,
+    /// First attempts at the other hosts in the same time.
+    pub at_others: FirstAttempts,
+}
+
+/// First attempts of callers at a group of hosts.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct FirstAttempts {
+    /// Attempts.
+    pub asked: u64,
+    /// Those that were answered by an upstream.
+    pub served: u64,
+}
+
+impl FirstAttempts {
+    /// Returns the part that was served.
+    pub fn served_ratio(&self) -> f64 {
+        ratio(self.served, self.asked)
+    }
 }
 
 /// Arrivals at upstreams that name a limit, from the time on at which all hosts have to keep to it.
