Log when renewals to a holder are suspended and resumed, and count suspended holders

Keys stayed without an owner for long after hosts had lost their paths to upstreams. Whether renewals stop for good could not be seen: suspensions were not logged. The line names the error that caused one; the gauge shows how many last. No decision changes.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -237,7 +237,9 @@
             gauge!("skylarkdock_table_version", "service" => service.clone())
                 .set(table.version as f64);
             gauge!("skylarkdock_spans", "service" => service.clone()).set(table.spans.len() as f64);
-            gauge!("skylarkdock_spans_moving", "service" => service).set(pending as f64);
+            gauge!("skylarkdock_spans_moving", "service" => service.clone()).set(pending as f64);
+            gauge!("skylarkdock_holders_suspended", "service" => service)
+                .set(renewals.suspended().len() as f64);
         }
     }
 
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -123,6 +123,7 @@
         if timed_out {
             return;
         }
+        log::info!(service:% = service, upstream:% = holder.id, error:% = failure; "owners: renewals suspended");
         let seq = self.fleet.borrow().registry.entry(&holder.id).map_or(0, |entry| entry.seq);
         self.holder_calls.suspended_at_seq.borrow_mut().entry(holder.clone()).or_insert(seq);
         if let Some(renewals) = self.owners.borrow_mut().renewals.get_mut(service) {
@@ -140,6 +141,7 @@
                 let Some(entry) = fleet.registry.entry(&holder.id) else { continue };
                 let last = *suspended_at_seq.entry(holder.clone()).or_insert(entry.seq);
                 if entry.born == holder.born && entry.seq > last {
+                    log::info!(upstream:% = holder.id; "owners: renewals resumed");
                     suspended_at_seq.remove(&holder);
                     renewals.resume(&holder, now);
                 }
