--- /dev/null
+++ b/crates/dispatch/src/paths.rs
@@ -0,0 +1,140 @@
+//! Paths from one host to the upstreams: direct ones, and detours over other hosts.
+//!
+//! Load pattern: some hosts, up to all of an availability zone, can't open connections to upstreams for seconds, while
+//! callers, the store and the other hosts reach them. Their requests are relayed by hosts that reach the upstream.
+//! Only connections show which paths work: the result of each one is recorded here, and a failed path is probed until
+//! it works again.
+
+use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::times::{HostTime, Millis};
+use std::net::SocketAddr;
+
+/// Time between two probes of a failed path.
+const PROBE_INTERVAL: Millis = Millis(500);
+/// Number of upstreams, with no other path working since, whose failed connections show that this host is cut off from
+/// all upstreams.
+const CUT_OFF_FAILURES: usize = 3;
+/// Number of paths that a host which is cut off probes in a probe interval.
+const CUT_OFF_PROBES: usize = 3;
+/// Time for which a relay that does not reach an upstream is not asked for it again.
+const RELAY_AVOID_TIME: Millis = Millis(2_000);
+
+/// Another host that can relay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Relay {
+    /// Its address for calls of other hosts.
+    pub addr: SocketAddr,
+    /// Whether it is in this host's region.
+    pub is_near: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct FailedPath {
+    next_probe_at: HostTime,
+}
+
+/// Paths from one host.
+#[derive(Debug, Default)]
+pub struct Paths {
+    failed: FastMap<SocketAddr, FailedPath>,
+    /// Number of paths that failed since one last worked.
+    failures_in_a_row: usize,
+    /// When a host that is cut off probes next.
+    next_probe_at: HostTime,
+    /// Relays that don't reach an upstream, or any if there is none, and until when that counts.
+    avoided: FastMap<(SocketAddr, Option<SocketAddr>), HostTime>,
+}
+
+impl Paths {
+    /// Returns whether connections to an upstream may be opened directly.
+    pub fn is_direct(&self, upstream: SocketAddr) -> bool {
+        !self.is_cut_off() && !self.failed.contains_key(&upstream)
+    }
+
+    /// Returns whether this host seems to reach no upstream.
+    pub const fn is_cut_off(&self) -> bool {
+        self.failures_in_a_row >= CUT_OFF_FAILURES
+    }
+
+    /// Records that an upstream answered on a direct connection, or that one could be opened. Returns whether the path
+    /// was not in use.
+    pub fn on_success(&mut self, upstream: SocketAddr) -> bool {
+        let was_direct = self.is_direct(upstream);
+        self.failures_in_a_row = 0;
+        self.failed.remove(&upstream);
+        !was_direct
+    }
+
+    /// Records that a direct connection could not be opened, or went silent. Returns whether the path was in use.
+    pub fn on_failure(&mut self, upstream: SocketAddr, now: HostTime) -> bool {
+        let was_direct = self.is_direct(upstream);
+        let next_probe_at = now + PROBE_INTERVAL;
+        if self.failed.insert(upstream, FailedPath { next_probe_at }).is_none() {
+            self.failures_in_a_row += 1;
+        }
+        was_direct
+    }
+
+    /// Returns the paths to probe now.
+    pub fn take_due_probes(&mut self, now: HostTime) -> Vec<SocketAddr> {
+        let mut due: Vec<SocketAddr> = self
+            .failed
+            .iter()
+            .filter(|(_, path)| now >= path.next_probe_at)
+            .map(|(upstream, _)| *upstream)
+            .collect();
+        due.sort();
+        if self.is_cut_off() {
+            if now < self.next_probe_at {
+                return Vec::new();
+            }
+            self.next_probe_at = now + PROBE_INTERVAL;
+            due.truncate(CUT_OFF_PROBES);
+        }
+        for upstream in &due {
+            // Those that were not probed now come first the next time.
+            let next_probe_at = now + PROBE_INTERVAL;
+            self.failed.insert(*upstream, FailedPath { next_probe_at });
+        }
+        due
+    }
+
+    /// Forgets the paths to upstreams that are no longer listed.
+    pub fn retain(&mut self, is_listed: impl Fn(SocketAddr) -> bool) {
+        self.failed.retain(|upstream, _| is_listed(*upstream));
+    }
+
+    /// Returns the relay for a request to an upstream, `None` if there is none left that may reach it. Relays of this
+    /// region come first; `seed` selects among them, so that their load is even.
+    pub fn pick_relay(
+        &self,
+        upstream: SocketAddr,
+        relays: &[Relay],
+        seed: u64,
+        now: HostTime,
+    ) -> Option<SocketAddr> {
+        let is_avoided = |key: (SocketAddr, Option<SocketAddr>)| {
+            self.avoided.get(&key).is_some_and(|until| now < *until)
+        };
+        let usable = |relay: &&Relay| {
+            !is_avoided((relay.addr, None)) && !is_avoided((relay.addr, Some(upstream)))
+        };
+        let near: Vec<&Relay> =
+            relays.iter().filter(usable).filter(|relay| relay.is_near).collect();
+        let candidates =
+            if near.is_empty() { relays.iter().filter(usable).collect() } else { near };
+        let index = seed.checked_rem(candidates.len() as u64)?;
+        candidates.get(usize::try_from(index).unwrap_or_default()).map(|relay| relay.addr)
+    }
+
+    /// Records that a relay did not reach an upstream; with `None`, that it reaches none or could not be reached itself.
+    pub fn on_relay_failure(
+        &mut self,
+        relay: SocketAddr,
+        upstream: Option<SocketAddr>,
+        now: HostTime,
+    ) {
+        self.avoided.retain(|_, until| now < *until);
+        self.avoided.insert((relay, upstream), now + RELAY_AVOID_TIME);
+    }
+}
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -87,7 +87,11 @@
     async fn send_renewal(self: Rc<Self>, service: ServiceName, grant: Grant) {
         let end = self.send_grant(&service, &grant).await;
         if let Some(renewals) = self.owners.borrow_mut().renewals.get_mut(&service) {
+            let was_suspended = renewals.suspended_at(&grant.holder).is_some();
             renewals.on_renewal_end(&grant, end, clock::now());
+            if !was_suspended && renewals.suspended_at(&grant.holder).is_some() {
+                log::info!(service:% = service, upstream:% = grant.holder.id, end:? = end; "owners: renewals suspended");
+            }
         }
     }
 
--- /dev/null
+++ b/crates/edge/src/relay.rs
@@ -0,0 +1,393 @@
+//! Calls to upstreams over another host, for hosts that can't reach an upstream themselves.
+//!
+//! The caller of a relay gets the upstream's answer, or learns whether anything was sent. A call states until when it
+//! may be sent, by the relay's clock: one that is delayed on its way must not arrive at the upstream after its caller
+//! has given it up, as a late renewal would extend a grant that counts as expired. The caller knows the relay's clock
+//! from its last answer; the first call only asks for it.
+
+use crate::client::{Conn, Failure, Outgoing, Reply, exchange_within};
+use crate::clock;
+use crate::pool::Pool;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use serde::{Deserialize, Serialize};
+use skylarkdock_dispatch::paths::{Paths, Relay};
+use skylarkdock_http1::body::Framing;
+use skylarkdock_http1::head::{Header, Headers, ResponseHead};
+use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::times::{HostTime, Millis};
+use std::cell::RefCell;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Path of the call to a relay.
+pub const RELAY_PATH: &str = "/relay";
+/// Longest time to open a connection to an upstream or to a relay. A round trip between regions takes some tens of
+/// milliseconds, and TCP resends a lost SYN only after a second.
+pub const CONNECT_TIMEOUT: Millis = Millis(300);
+/// Number of relays that one call is tried on.
+const MAX_RELAYS: u32 = 3;
+/// Time that a relay may take beyond the timeout of the call, for its own work.
+const RELAY_MARGIN: Millis = Millis(30);
+/// Idle connections to each relay, and from a relay to each upstream.
+const MAX_IDLE: usize = 8;
+
+/// Paths to upstreams, shared by the threads of a host.
+#[derive(Debug, Default)]
+pub struct SharedPaths(Mutex<Paths>);
+
+impl SharedPaths {
+    /// Returns the paths for a short time, without waiting for I/O meanwhile.
+    pub fn lock(&self) -> MutexGuard<'_, Paths> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that a path works.
+    pub fn on_success(&self, upstream: SocketAddr) {
+        if self.lock().on_success(upstream) {
+            log::info!(addr:% = upstream; "paths: an upstream can be reached again");
+        }
+    }
+
+    /// Records that a path failed.
+    pub fn on_failure(&self, upstream: SocketAddr, error: &dyn std::fmt::Display) {
+        let mut paths = self.lock();
+        let was_cut_off = paths.is_cut_off();
+        let was_direct = paths.on_failure(upstream, clock::now());
+        let is_cut_off = paths.is_cut_off();
+        drop(paths);
+        if was_direct {
+            log::info!(addr:% = upstream, error:% = error; "paths: an upstream can't be reached");
+        }
+        if is_cut_off && !was_cut_off {
+            log::warn!("paths: this host seems to reach no upstream");
+        }
+    }
+}
+
+/// Call to a relay.
+#[derive(Debug, Serialize, Deserialize)]
+struct RelayCall {
+    upstream: SocketAddr,
+    /// Process of the relay whose clock `send_by` refers to; another one does not send the call.
+    run: u64,
+    /// Time by the relay's clock until which the call may be sent, in milliseconds.
+    send_by: u64,
+    timeout_ms: u64,
+    is_once: bool,
+    is_head: bool,
+    id: Option<String>,
+    bytes: Vec<u8>,
+}
+
+/// Answer of a relay.
+#[derive(Debug, Serialize, Deserialize)]
+struct RelayAnswer {
+    /// The relay's process.
+    run: u64,
+    /// The relay's clock, in milliseconds.
+    clock: u64,
+    end: RelayEnd,
+}
+
+/// How a relayed call ended.
+#[derive(Debug, Serialize, Deserialize)]
+enum RelayEnd {
+    /// The upstream answered.
+    Answered { status: u16, headers: Vec<(String, Vec<u8>)>, body: Vec<u8>, is_matched: bool },
+    /// The call came too late, or for an earlier process. Nothing was sent.
+    Expired,
+    /// The relay has no path to the upstream. Nothing was sent.
+    NoPath { is_cut_off: bool, is_refused: bool },
+    /// The connection to the upstream broke.
+    Broken,
+    /// The upstream's answer was invalid.
+    Malformed,
+    /// The upstream did not answer in time.
+    TimedOut,
+}
+
+/// Why a call could not be relayed. Nothing was sent to the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum RelayError {
+    /// No other host reaches the upstream, or none is known.
+    #[error("no other host reaches the upstream")]
+    NoRelay,
+    /// The upstream refused a connection of another host, too.
+    #[error("the upstream refuses connections of other hosts")]
+    Refused,
+}
+
+/// Caller of relays.
+#[derive(Default)]
+pub struct RelayClient {
+    pool: RefCell<Pool>,
+    /// Process and clock of each relay, and when its answer arrived.
+    clocks: RefCell<FastMap<SocketAddr, (u64, u64, HostTime)>>,
+}
+
+impl RelayClient {
+    /// Makes a call to an upstream over one of `relays`. Returns as [`Conn::exchange`] does if anything may have been
+    /// sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no relay has sent the call.
+    pub async fn call(
+        &self,
+        paths: &SharedPaths,
+        relays: &[Relay],
+        upstream: SocketAddr,
+        (req, is_once): (&Outgoing, bool),
+        timeout: Millis,
+    ) -> Result<Result<Reply, Failure>, RelayError> {
+        let give_up_at = clock::now() + timeout;
+        let mut error = RelayError::NoRelay;
+        for _ in 0..MAX_RELAYS {
+            let now = clock::now();
+            let picked = paths.lock().pick_relay(upstream, relays, fastrand::u64(..), now);
+            let (Some(relay), true) = (picked, now < give_up_at) else { return Err(error) };
+            match self.call_relay(relay, upstream, (req, is_once), give_up_at).await {
+                Ok(RelayEnd::Answered { status, headers, body, is_matched }) => {
+                    return Ok(Ok(reply(status, headers, body, is_matched)));
+                }
+                Ok(RelayEnd::Broken) => {
+                    return Ok(Err(Failure::Broken(ErrorKind::ConnectionReset.into())));
+                }
+                Ok(RelayEnd::Malformed) => return Ok(Err(Failure::Malformed)),
+                Ok(RelayEnd::TimedOut) => return Ok(Err(Failure::TimedOut)),
+                Ok(RelayEnd::Expired) => {}
+                Ok(RelayEnd::NoPath { is_cut_off, is_refused }) => {
+                    let failed = if is_cut_off { None } else { Some(upstream) };
+                    paths.lock().on_relay_failure(relay, failed, clock::now());
+                    if is_refused {
+                        error = RelayError::Refused;
+                    }
+                }
+                Err(Failure::NotSent(e)) => {
+                    log::debug!("relay: can't reach {relay}: {e}");
+                    paths.lock().on_relay_failure(relay, None, clock::now());
+                }
+                Err(failure) => {
+                    paths.lock().on_relay_failure(relay, None, clock::now());
+                    return Ok(Err(failure));
+                }
+            }
+        }
+        Err(error)
+    }
+
+    /// Makes a call over a relay. The first one to a process of a relay asks for its clock.
+    async fn call_relay(
+        &self,
+        relay: SocketAddr,
+        upstream: SocketAddr,
+        (req, is_once): (&Outgoing, bool),
+        give_up_at: HostTime,
+    ) -> Result<RelayEnd, Failure> {
+        let mut expired = false;
+        loop {
+            let now = clock::now();
+            let timeout = give_up_at.since(now);
+            let known = self.clocks.borrow().get(&relay).copied();
+            // The relay's clock shows at least what it showed with its answer and the time since that arrived.
+            let (run, send_by) = known.map_or((0, 0), |(run, clock, received_at)| {
+                (run, clock + now.since(received_at).0 + timeout.0)
+            });
+            let call = RelayCall {
+                upstream,
+                run,
+                send_by,
+                timeout_ms: timeout.0,
+                is_once,
+                is_head: req.is_head,
+                id: req.id.as_ref().map(|(_, id)| id.clone()),
+                bytes: if known.is_some() { req.bytes.clone() } else { Vec::new() },
+            };
+            let answer = self.send(relay, &call, timeout + RELAY_MARGIN).await?;
+            self.clocks.borrow_mut().insert(relay, (answer.run, answer.clock, clock::now()));
+            let is_first = matches!(answer.end, RelayEnd::Expired) && !expired;
+            if !is_first || clock::now() >= give_up_at {
+                return Ok(answer.end);
+            }
+            expired = true;
+        }
+    }
+
+    async fn send(
+        &self,
+        relay: SocketAddr,
+        call: &RelayCall,
+        timeout: Millis,
+    ) -> Result<RelayAnswer, Failure> {
+        let body = postcard::to_stdvec(call).map_err(|e| {
+            log::error!("relay: can't encode a call: {e}");
+            Failure::NotSent(ErrorKind::InvalidData.into())
+        })?;
+        let mut headers = Headers::default();
+        headers.push("Host", relay.to_string());
+        let outgoing = Outgoing::new("POST", RELAY_PATH, &headers, &body);
+        let pooled = self.pool.borrow_mut().take(relay, true);
+        let conn = match pooled {
+            Some(conn) => conn,
+            None => {
+                Conn::open(relay, CONNECT_TIMEOUT.min(timeout)).await.map_err(Failure::NotSent)?
+            }
+        };
+        let mut conn = ResetOnDrop(Some(conn));
+        let Some(open) = conn.0.as_mut() else { return Err(Failure::Malformed) };
+        let (reply, reusable) = exchange_within(open, &outgoing, timeout).await?;
+        if let Some(conn) = conn.0.take().filter(|_| reusable) {
+            self.pool.borrow_mut().put(relay, conn, MAX_IDLE);
+        }
+        if reply.head.status == 404 {
+            // An earlier version, which does not relay.
+            return Err(Failure::NotSent(ErrorKind::Unsupported.into()));
+        }
+        postcard::from_bytes(&reply.body).map_err(|e| {
+            log::warn!(peer:% = relay, error:% = e; "relay: can't decode an answer");
+            Failure::Malformed
+        })
+    }
+}
+
+/// Relay for other hosts.
+pub struct RelayServer {
+    pool: RefCell<Pool>,
+    run: u64,
+    id_header: &'static str,
+}
+
+impl RelayServer {
+    /// Creates a relay of a new process. `id_header` is the name of the header with a request's id.
+    pub fn new(id_header: &'static str) -> Self {
+        Self { pool: RefCell::default(), run: fastrand::u64(1..), id_header }
+    }
+
+    /// Handles a call and returns the encoded answer. `is_listed` returns whether an address is one of an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call or the answer can't be decoded or encoded.
+    pub async fn on_call(
+        &self,
+        paths: &SharedPaths,
+        body: &[u8],
+        is_listed: impl Fn(SocketAddr) -> bool,
+    ) -> Result<Vec<u8>, postcard::Error> {
+        let call: RelayCall = postcard::from_bytes(body)?;
+        let end = if call.run != self.run || clock::now().0 > call.send_by {
+            RelayEnd::Expired
+        } else if is_listed(call.upstream) {
+            self.relay(paths, call).await
+        } else {
+            RelayEnd::NoPath { is_cut_off: false, is_refused: false }
+        };
+        postcard::to_stdvec(&RelayAnswer { run: self.run, clock: clock::now().0, end })
+    }
+
+    async fn relay(&self, paths: &SharedPaths, call: RelayCall) -> RelayEnd {
+        let upstream = call.upstream;
+        let no_path = |is_refused| {
+            let is_cut_off = paths.lock().is_cut_off();
+            RelayEnd::NoPath { is_cut_off, is_refused }
+        };
+        if !paths.lock().is_direct(upstream) {
+            return no_path(false);
+        }
+        let give_up_at = clock::now() + Millis(call.timeout_ms);
+        let pooled = self.pool.borrow_mut().take(upstream, call.is_once);
+        let conn = match pooled {
+            Some(conn) => conn,
+            None => {
+                match Conn::open(upstream, CONNECT_TIMEOUT.min(Millis(call.timeout_ms))).await {
+                    Ok(conn) => conn,
+                    Err(e) => {
+                        paths.on_failure(upstream, &e);
+                        return no_path(e.kind() == ErrorKind::ConnectionRefused);
+                    }
+                }
+            }
+        };
+        let mut conn = ResetOnDrop(Some(conn));
+        if clock::now().0 > call.send_by {
+            return RelayEnd::Expired;
+        }
+        let outgoing = Outgoing {
+            bytes: call.bytes,
+            is_head: call.is_head,
+            id: call.id.map(|id| (self.id_header, id)),
+        };
+        let Some(open) = conn.0.as_mut() else { return RelayEnd::Broken };
+        let timed_out = async {
+            Timer::at(clock::instant(give_up_at)).await;
+            Err(Failure::TimedOut)
+        };
+        match open.exchange(&outgoing).or(timed_out).await {
+            Ok((reply, reusable)) => {
+                paths.on_success(upstream);
+                if let Some(conn) = conn.0.take().filter(|_| reusable) {
+                    self.pool.borrow_mut().put(upstream, conn, MAX_IDLE);
+                }
+                let headers = reply.head.headers.0.into_iter();
+                RelayEnd::Answered {
+                    status: reply.head.status,
+                    headers: headers.map(|header| (header.name, header.value)).collect(),
+                    body: reply.body,
+                    is_matched: reply.is_matched,
+                }
+            }
+            Err(Failure::NotSent(_)) => no_path(false),
+            Err(Failure::Broken(_)) => RelayEnd::Broken,
+            Err(Failure::Malformed) => RelayEnd::Malformed,
+            Err(Failure::TimedOut) => RelayEnd::TimedOut,
+        }
+    }
+}
+
+/// Opens a connection to an upstream whose path failed, and records whether that works.
+pub async fn probe(paths: &SharedPaths, upstream: SocketAddr) -> Option<Conn> {
+    match Conn::open(upstream, CONNECT_TIMEOUT).await {
+        Ok(conn) => {
+            paths.on_success(upstream);
+            Some(conn)
+        }
+        Err(e) => {
+            paths.on_failure(upstream, &e);
+            None
+        }
+    }
+}
+
+/// Connection that is reset when it is dropped, so that no undelivered part of a call that was given up arrives later.
+struct ResetOnDrop(Option<Conn>);
+
+impl Drop for ResetOnDrop {
+    fn drop(&mut self) {
+        if let Some(conn) = self.0.take() {
+            conn.reset();
+        }
+    }
+}
+
+fn reply(status: u16, headers: Vec<(String, Vec<u8>)>, body: Vec<u8>, is_matched: bool) -> Reply {
+    let headers = headers.into_iter().map(|(name, value)| Header { name, value });
+    let head = ResponseHead {
+        status,
+        headers: Headers(headers.collect()),
+        framing: Framing::Length(body.len() as u64),
+        keeps_alive: true,
+    };
+    Reply { head, body, is_matched }
+}
+
+impl From<RelayError> for io::Error {
+    fn from(error: RelayError) -> Self {
+        let kind = match error {
+            RelayError::NoRelay => ErrorKind::NotConnected,
+            RelayError::Refused => ErrorKind::ConnectionRefused,
+        };
+        Self::new(kind, error)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/traffic/detours.rs
@@ -0,0 +1,116 @@
+//! Detours of requests over other hosts, and probes of the paths that failed.
+
+use super::Traffic;
+use crate::client::{Failure, Outgoing, Reply};
+use crate::clock;
+use crate::relay::{self, RelayError};
+use crate::view::{PeerInfo, View};
+use async_io::Timer;
+use metrics::{counter, gauge};
+use skylarkdock_dispatch::paths::Relay;
+use skylarkdock_units::collections::FastSet;
+use skylarkdock_units::ids::UpstreamId;
+use skylarkdock_units::times::Millis;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Interval at which due probes are sent.
+const PROBE_CHECK_INTERVAL: Millis = Millis(100);
+/// Shortest time between two checks of a path whose answers are late.
+const PATH_CHECK_INTERVAL: Millis = Millis(2_000);
+
+impl Traffic {
+    /// Sends a request to an upstream over another host. `direct` is the error of the direct connection, if one was
+    /// tried.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no other host reaches the upstream either, with [`io::ErrorKind::ConnectionRefused`] only if the
+    /// upstream refuses connections from everywhere.
+    pub(super) async fn exchange_relayed(
+        &self,
+        addr: SocketAddr,
+        req: &Outgoing,
+        is_once: bool,
+        timeout: Millis,
+        direct: Option<io::Error>,
+    ) -> io::Result<Result<Reply, Failure>> {
+        let relays = self.relays();
+        let paths = self.status.paths();
+        let relayed = self.relay_client.call(paths, &relays, addr, (req, is_once), timeout).await;
+        let result = match &relayed {
+            Ok(Ok(_)) => "answered",
+            Ok(Err(_)) => "unknown",
+            Err(_) => "no_path",
+        };
+        counter!("skylarkdock_relayed_total", "result" => result).increment(1);
+        match (relayed, direct) {
+            (Ok(result), _) => Ok(result),
+            (Err(_), Some(direct)) if relays.is_empty() => Err(direct),
+            (Err(error @ RelayError::Refused), _) => Err(error.into()),
+            (Err(error @ RelayError::NoRelay), _) => Err(error.into()),
+        }
+    }
+
+    /// Returns the hosts that can relay.
+    fn relays(&self) -> Vec<Relay> {
+        let view = self.view.borrow();
+        let relay = |peer: &PeerInfo| Relay {
+            addr: peer.calls,
+            is_near: peer.region == self.settings.region,
+        };
+        view.peers.iter().flatten().map(relay).collect()
+    }
+
+    /// Checks the path to an upstream whose answer is late: a connection that lives on may have gone silent.
+    pub(super) fn check_path(&self, id: &UpstreamId) {
+        let known = self.known_upstreams.borrow();
+        let Some(addr) = known.get(id).map(|listed| listed.entry.addr) else { return };
+        let now = clock::now();
+        let mut checked_at = self.path_checked_at.borrow_mut();
+        if checked_at.get(&addr).is_some_and(|at| now.since(*at) < PATH_CHECK_INTERVAL)
+            || !self.status.paths().lock().is_direct(addr)
+        {
+            return;
+        }
+        checked_at.insert(addr, now);
+        let (status, pool) = (std::sync::Arc::clone(&self.status), Rc::clone(&self.pool));
+        let probe = async move {
+            match relay::probe(status.paths(), addr).await {
+                Some(conn) => pool.borrow_mut().put(addr, conn, 1),
+                None => pool.borrow_mut().close_all(addr),
+            }
+        };
+        self.ex.spawn(probe).detach();
+    }
+
+    /// Probes the paths that failed until they work again.
+    pub(super) async fn probe_failed_paths(self: Rc<Self>) {
+        loop {
+            Timer::after(PROBE_CHECK_INTERVAL.duration()).await;
+            let (due, is_cut_off) = {
+                let mut paths = self.status.paths().lock();
+                (paths.take_due_probes(clock::now()), paths.is_cut_off())
+            };
+            gauge!("skylarkdock_cut_off").set(f64::from(u8::from(is_cut_off)));
+            for addr in due {
+                let traffic = Rc::clone(&self);
+                let probe = async move {
+                    if let Some(conn) = relay::probe(traffic.status.paths(), addr).await {
+                        traffic.pool.borrow_mut().put(addr, conn, 1);
+                    }
+                };
+                self.ex.spawn(probe).detach();
+            }
+        }
+    }
+
+    /// Forgets the paths to upstreams that a view no longer lists.
+    pub(super) fn forget_paths(&self, view: &View) {
+        let listed: FastSet<SocketAddr> =
+            view.upstreams.iter().map(|listed| listed.entry.addr).collect();
+        self.status.paths().lock().retain(|addr| listed.contains(&addr));
+        self.path_checked_at.borrow_mut().retain(|addr, _| listed.contains(addr));
+    }
+}
