Resume renewals once the registry shows that a holder lives

The cause: a renewal that fails for 1.5 s, or a connection that breaks, suspends a holder, as a later incarnation may have taken its place.

The store drops an entry after three heartbeat intervals of silence. An entry of the same incarnation that is still there after four, in reads without a pause in which the store may have been away, shows a heartbeat after the suspension.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -54,6 +54,7 @@
             let tick = if self.is_leader.get() || self.is_keeper() { TICK } else { IDLE_TICK };
             Timer::after(tick.duration()).await;
             let now = clock::now();
+            self.resume_holders();
             self.send_due_renewals(now);
             if self.is_leader.get() {
                 self.tick_leaders(now);
@@ -135,16 +136,19 @@
         }
     }
 
-    /// Resumes renewals to suspended holders that sent a later heartbeat in the same incarnation.
+    /// Resumes renewals to suspended holders that wrote their entry in the same incarnation since. The store tells of a
+    /// heartbeat only if something else in the entry changes, so mostly the entry's presence shows it.
     pub(super) fn resume_holders(&self) {
         let now = clock::now();
         let fleet = self.fleet.borrow();
         let mut suspended_at_seq = self.holder_calls.suspended_at_seq.borrow_mut();
         for renewals in self.owners.borrow_mut().renewals.values_mut() {
-            for (holder, _) in renewals.suspended() {
+            for (holder, since) in renewals.suspended() {
                 let Some(entry) = fleet.registry.entry(&holder.id) else { continue };
                 let last = *suspended_at_seq.entry(holder.clone()).or_insert(entry.seq);
-                if entry.born == holder.born && entry.seq > last {
+                let has_written =
+                    entry.seq > last || fleet.registry.has_written_since(&holder.id, since);
+                if entry.born == holder.born && has_written {
                     log::info!(upstream:% = holder.id; "owners: renewals resumed");
                     suspended_at_seq.remove(&holder);
                     renewals.resume(&holder, now);
--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -12,6 +12,8 @@
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::{HostTime, Millis};
 
+/// Heartbeat intervals of silence after which the store drops an entry.
+const EXPIRY_HEARTBEATS: u64 = 3;
 /// Time after the end of an outage within which upstreams that still run write their expired entries again.
 const REWRITE_TIME: Millis = Millis(2_000);
 /// Shortest outage in which entries expire, in heartbeat intervals. An entry expires after three intervals without a
@@ -54,13 +56,16 @@
     read_at: HostTime,
     /// When this host sent its last read that failed.
     failed_at: HostTime,
+    /// First read known after the last pause in which the store may have been away.
+    read_since: HostTime,
 }
 
 impl Registry {
     /// Creates an empty registry of upstreams that write their entries at intervals of `heartbeat`.
     pub fn new(heartbeat: Millis) -> Self {
-        let (read_at, failed_at) = (HostTime(0), HostTime(0));
-        Self { upstreams: FastMap::default(), heartbeat, read_at, failed_at }
+        let never = HostTime(0);
+        let upstreams = FastMap::default();
+        Self { upstreams, heartbeat, read_at: never, failed_at: never, read_since: never }
     }
 
     /// Records that a read which this host sent at `asked_at` failed.
@@ -88,7 +93,7 @@
             let pause = asked_at.since(self.read_at);
             log::info!(pause:% = pause; "registry: the store was unavailable, expired entries are kept for now");
         }
-        self.read_at = self.read_at.max(asked_at);
+        self.advance(asked_at);
         let mut significant = Vec::new();
         let missing = missing.into_iter().map(RegistryChange::Drop);
         for change in missing.chain(changes) {
@@ -116,6 +121,22 @@
             && asked_at.since(self.read_at) >= min_outage
     }
 
+    /// Records a read of the store.
+    fn advance(&mut self, read_at: HostTime) {
+        if read_at.since(self.read_at) >= Millis(self.heartbeat.0 * MIN_OUTAGE_HEARTBEATS) {
+            self.read_since = read_at;
+        }
+        self.read_at = self.read_at.max(read_at);
+    }
+
+    /// Returns whether an upstream has certainly written its entry after `since`, in the incarnation that is listed: the
+    /// store drops an entry after some heartbeat intervals of silence, and has been read without a pause for longer.
+    pub fn has_written_since(&self, id: &UpstreamId, since: HostTime) -> bool {
+        let known = self.upstreams.get(id).filter(|known| known.kept_until.is_none());
+        let silence = Millis(self.heartbeat.0 * (EXPIRY_HEARTBEATS + 1));
+        known.is_some() && self.read_at.since(since.max(self.read_since)) >= silence
+    }
+
     /// Applies what another host knew of the store at `read_at`. That host has judged which deleted entries to keep: `kept` ones
     /// are not added to a registry that is known without them. Returns the changes that are more than heartbeats.
     pub fn apply_update(
@@ -154,7 +175,7 @@
             let until = now + remaining;
             self.keep(&id, known_until.map_or(until, |known| known.min(until)), now);
         }
-        self.read_at = self.read_at.max(read_at);
+        self.advance(read_at);
         significant
     }
 
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -240,3 +240,24 @@
     assert_eq!(reads.update(Millis(10), vec![put("a", 4)]), []);
     assert!(reads.registry.entry(&"a".parse().unwrap()).unwrap().is_leaving);
 }
+
+/// The store drops an entry after three heartbeat intervals of silence, so one that is still there has been written.
+#[rstest]
+#[case::read_all_along(5, Millis(900), true)]
+#[case::not_long_enough(3, Millis(900), false)]
+#[case::with_a_pause(5, Millis(1_900), false)]
+fn an_entry_that_stays_shows_that_its_upstream_lives(
+    #[case] reads: u32,
+    #[case] interval: Millis,
+    #[case] expected: bool,
+) {
+    let mut fleet = Reads::start(vec![put("a", 1)]);
+    let since = fleet.now;
+    for _ in 0..reads {
+        fleet.apply(interval, Vec::new(), false);
+    }
+    let id = "a".parse().unwrap();
+    assert_eq!(fleet.registry.has_written_since(&id, since), expected);
+    fleet.apply(Millis(300), vec![RegistryChange::Drop("a".parse().unwrap())], false);
+    assert!(!fleet.registry.has_written_since(&id, since));
+}
