Send requests and grants over other hosts when this one has no path to the upstream

Callers of hosts that had lost their paths to upstreams were served 0 of 778 first attempts, the others 362 of 783.

The cause: a host that could not open a connection tried other upstreams by itself and then refused, though other hosts reached them all; grants and releases of a leader or keeper without paths failed alike. The class: reachability was taken for a property of the upstream, and it is one of a pair of host and upstream.

dispatch::paths records what connections show: failed paths, which are probed until they work, and a host whose connections to several upstreams fail in a row counts as cut off. Requests and grants then go over another host, those in the region first.

--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -77,12 +77,9 @@
 
     /// Returns the paths to probe now.
     pub fn take_due_probes(&mut self, now: HostTime) -> Vec<SocketAddr> {
-        let mut due: Vec<SocketAddr> = self
-            .failed
-            .iter()
-            .filter(|(_, path)| now >= path.next_probe_at)
-            .map(|(upstream, _)| *upstream)
-            .collect();
+        let failed = self.failed.iter().filter(|(_, path)| now >= path.next_probe_at);
+        let mut due: Vec<(HostTime, SocketAddr)> =
+            failed.map(|(upstream, path)| (path.next_probe_at, *upstream)).collect();
         due.sort();
         if self.is_cut_off() {
             if now < self.next_probe_at {
@@ -91,8 +88,9 @@
             self.next_probe_at = now + PROBE_INTERVAL;
             due.truncate(CUT_OFF_PROBES);
         }
+        let due: Vec<SocketAddr> = due.into_iter().map(|(_, upstream)| upstream).collect();
         for upstream in &due {
-            // Those that were not probed now come first the next time.
+            // Those that were left out now come first the next time.
             let next_probe_at = now + PROBE_INTERVAL;
             self.failed.insert(*upstream, FailedPath { next_probe_at });
         }
--- /dev/null
+++ b/crates/dispatch/tests/paths.rs
@@ -0,0 +1,86 @@
+//! Paths to upstreams: failures, probes and relays.
+
+use skylarkdock_dispatch::paths::{Paths, Relay};
+use skylarkdock_units::times::{HostTime, Millis};
+use std::net::SocketAddr;
+
+const START: HostTime = HostTime(100_000);
+
+fn upstream(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number))
+}
+
+fn relay(number: u16, is_near: bool) -> Relay {
+    Relay { addr: SocketAddr::from(([127, 0, 0, 2], number)), is_near }
+}
+
+#[test]
+fn a_failed_path_is_used_again_once_a_probe_succeeds() {
+    let mut paths = Paths::default();
+    assert!(paths.on_failure(upstream(1), START));
+    assert!(!paths.is_direct(upstream(1)) && paths.is_direct(upstream(2)));
+    assert!(paths.take_due_probes(START + Millis(100)).is_empty());
+    assert_eq!(paths.take_due_probes(START + Millis(500)), [upstream(1)]);
+    assert!(paths.take_due_probes(START + Millis(600)).is_empty());
+    assert!(paths.on_success(upstream(1)));
+    assert!(paths.is_direct(upstream(1)));
+}
+
+#[test]
+fn failures_to_several_upstreams_in_a_row_show_that_the_host_is_cut_off() {
+    let mut paths = Paths::default();
+    for number in 1..=3 {
+        assert!(!paths.is_cut_off());
+        paths.on_failure(upstream(number), START);
+    }
+    assert!(paths.is_cut_off() && !paths.is_direct(upstream(9)));
+    paths.on_success(upstream(2));
+    assert!(paths.is_direct(upstream(9)) && !paths.is_direct(upstream(1)));
+}
+
+#[test]
+fn upstreams_that_end_while_others_answer_don_t_make_the_host_seem_cut_off() {
+    let mut paths = Paths::default();
+    for number in 1..=20 {
+        paths.on_failure(upstream(number), START);
+        paths.on_success(upstream(100));
+    }
+    assert!(!paths.is_cut_off());
+}
+
+#[test]
+fn a_cut_off_host_probes_few_paths_at_a_time() {
+    let mut paths = Paths::default();
+    for number in 1..=40 {
+        paths.on_failure(upstream(number), START);
+    }
+    let due = paths.take_due_probes(START + Millis(500));
+    assert!((1..=3).contains(&due.len()), "{due:?}");
+    assert!(paths.take_due_probes(START + Millis(600)).is_empty());
+    assert_ne!(paths.take_due_probes(START + Millis(1_000)), due);
+}
+
+#[test]
+fn relays_of_the_region_come_first_and_failed_ones_are_avoided() {
+    let mut paths = Paths::default();
+    let (near, far) = (relay(1, true), relay(2, false));
+    let pick =
+        |paths: &Paths, number, now| paths.pick_relay(upstream(number), &[far, near], 7, now);
+    assert_eq!(pick(&paths, 1, START), Some(near.addr));
+    paths.on_relay_failure(near.addr, Some(upstream(1)), START);
+    assert_eq!(pick(&paths, 1, START), Some(far.addr));
+    assert_eq!(pick(&paths, 2, START), Some(near.addr));
+    paths.on_relay_failure(far.addr, None, START);
+    assert_eq!(pick(&paths, 1, START), None);
+    assert_eq!(pick(&paths, 1, START + Millis(2_000)), Some(near.addr));
+    assert_eq!(paths.pick_relay(upstream(1), &[], 0, START), None);
+}
+
+#[test]
+fn load_is_spread_over_relays() {
+    let paths = Paths::default();
+    let relays = [relay(1, true), relay(2, true), relay(3, true)];
+    for (seed, expected) in (0..3).zip(relays) {
+        assert_eq!(paths.pick_relay(upstream(1), &relays, seed, START), Some(expected.addr));
+    }
+}
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -1,12 +1,14 @@
 //! Renewal of grants and, on the leader, the actions that change owners of keys.
 
-use super::{Control, FleetState};
-use crate::client::{ControlClient, Failure, Reply};
+use super::{Control, FleetState, HostRecord};
+use crate::client::{ControlClient, Failure, Outgoing, Reply};
 use crate::clock;
+use crate::relay::RelayError;
 use crate::traffic::Sample;
 use async_channel::Receiver;
 use async_io::Timer;
 use async_lock::Mutex;
+use skylarkdock_dispatch::paths::Relay;
 use skylarkdock_spans::leader::{Action, Inputs};
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::plan::Candidate;
@@ -16,6 +18,8 @@
 use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId};
 use skylarkdock_units::times::{HostTime, Millis};
 use std::cell::RefCell;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Time between checks for due renewals and, on the leader, between ticks of the leader state.
@@ -86,7 +90,13 @@
     }
 
     async fn send_renewal(self: Rc<Self>, service: ServiceName, grant: Grant) {
-        let end = self.send_grant(&service, &grant).await;
+        // Another host opens a new connection, which a later incarnation may have accepted.
+        let may_relay = {
+            let owners = self.owners.borrow();
+            let renewals = owners.renewals.get(&service);
+            renewals.is_some_and(|renewals| renewals.has_recent_answer(&grant.holder, clock::now()))
+        };
+        let end = self.send_grant(&service, &grant, may_relay).await;
         if let Some(renewals) = self.owners.borrow_mut().renewals.get_mut(&service) {
             let was_suspended = renewals.suspended_at(&grant.holder).is_some();
             renewals.on_renewal_end(&grant, end, clock::now());
@@ -102,26 +112,74 @@
         Rc::clone(callers.entry(holder.clone()).or_insert_with(new))
     }
 
-    async fn send_grant(&self, service: &ServiceName, grant: &Grant) -> CallEnd {
-        let caller = self.caller(&grant.holder);
-        let mut caller = caller.lock().await;
+    /// Sends a grant, over another host if this one has no path to the upstream and `may_relay` is set.
+    async fn send_grant(&self, service: &ServiceName, grant: &Grant, may_relay: bool) -> CallEnd {
+        let addr = grant.holder.addr;
+        let paths = self.status.paths();
         let req = (self.protocol.build_grant)(grant, self.timing.hold);
-        let done = caller.call(&req, self.timing.call_timeout).await;
-        match done {
-            Ok(reply) => (self.protocol.parse_grant_reply)(&reply),
-            Err(failure) => {
+        let started = clock::now();
+        if paths.lock().is_direct(addr) {
+            let caller = self.caller(&grant.holder);
+            let mut caller = caller.lock().await;
+            let failure = match caller.call(&req, self.timing.call_timeout).await {
+                Ok(reply) => {
+                    paths.on_success(addr);
+                    return (self.protocol.parse_grant_reply)(&reply);
+                }
+                Err(failure) => failure,
+            };
+            if is_path_failure(&failure) {
+                paths.on_failure(addr, &failure);
+            }
+            if !matches!(&failure, Failure::NotSent(e) if e.kind() != ErrorKind::ConnectionReset) {
+                self.on_call_failure(service, &grant.holder, &failure);
+                return CallEnd::Unknown;
+            }
+        }
+        if !may_relay {
+            return CallEnd::Unknown;
+        }
+        let remaining = self.timing.call_timeout.saturating_sub(clock::now().since(started));
+        match self.call_over_relay(addr, &req, remaining).await {
+            Ok(Ok(reply)) => (self.protocol.parse_grant_reply)(&reply),
+            Ok(Err(failure)) => {
                 self.on_call_failure(service, &grant.holder, &failure);
                 CallEnd::Unknown
             }
+            Err(RelayError::Refused) => {
+                let refused = Failure::NotSent(ErrorKind::ConnectionRefused.into());
+                self.on_call_failure(service, &grant.holder, &refused);
+                CallEnd::Unknown
+            }
+            Err(RelayError::NoRelay) => CallEnd::Unknown,
         }
     }
 
+    /// Makes a call to an upstream over another host.
+    async fn call_over_relay(
+        &self,
+        upstream: SocketAddr,
+        req: &Outgoing,
+        timeout: Millis,
+    ) -> Result<Result<Reply, Failure>, RelayError> {
+        let relays: Vec<Relay> = {
+            let fleet = self.fleet.borrow();
+            let others = fleet.hosts.values().filter(|record| record.host != self.settings.host);
+            let relay = |record: &HostRecord| Relay {
+                addr: record.peers,
+                is_near: record.region == self.settings.region,
+            };
+            others.map(relay).collect()
+        };
+        self.relay_client.call(self.status.paths(), &relays, upstream, (req, true), timeout).await
+    }
+
     /// Suspends a holder after a failed call, except a time-out. Its renewals resume when the registry shows a later
     /// heartbeat of the same incarnation.
     fn on_call_failure(&self, service: &ServiceName, holder: &Holder, failure: &Failure) {
         let timed_out = match failure {
             Failure::TimedOut => true,
-            Failure::NotSent(e) => e.kind() == std::io::ErrorKind::TimedOut,
+            Failure::NotSent(e) => e.kind() == ErrorKind::TimedOut,
             Failure::Broken(_) | Failure::Malformed => false,
         };
         log::debug!(upstream:% = holder.id, error:% = failure; "owners: call to an upstream failed");
@@ -214,8 +272,8 @@
             let list = if is_unreachable { &mut unreachable } else { &mut candidates };
             list.push(Candidate { holder, capacity });
         }
-        if unreachable.len() > candidates.len() {
-            // More likely this host has lost its connections than most upstreams have.
+        if unreachable.len() > candidates.len() || self.status.paths().lock().is_cut_off() {
+            // More likely this host has lost its paths than the upstreams have ended.
             candidates.append(&mut unreachable);
         }
         candidates.sort_by(|a, b| a.holder.id.cmp(&b.holder.id));
@@ -248,7 +306,7 @@
                     }
                     renewals.on_grant_sent(&grant, clock::now());
                 }
-                let end = self.send_grant(&service, &grant).await;
+                let end = self.send_grant(&service, &grant, true).await;
                 log::info!(service:% = service, first = grant.first, last = grant.last, upstream:% = grant.holder.id, fence:% = grant.fence, end:? = end; "owners: granted");
                 if let Some(leader) = self.owners.borrow_mut().leaders.get_mut(&service) {
                     leader.on_granted(&grant, end, clock::now());
@@ -327,9 +385,15 @@
 
     /// Sends a release over a separate connection, as the answer comes only when the work on the keys has ended.
     pub(super) async fn send_release(&self, release: &Release) -> Result<Option<String>, CallEnd> {
-        let mut caller = ControlClient::new(release.holder.addr);
+        let addr = release.holder.addr;
         let req = (self.protocol.build_release)(release);
-        let done: Result<Reply, Failure> = caller.call(&req, RELEASE_TIMEOUT).await;
+        let is_direct = self.status.paths().lock().is_direct(addr);
+        let done: Result<Reply, Failure> = if is_direct {
+            ControlClient::new(addr).call(&req, RELEASE_TIMEOUT).await
+        } else {
+            let not_sent = |e: RelayError| Err(Failure::NotSent(e.into()));
+            self.call_over_relay(addr, &req, RELEASE_TIMEOUT).await.unwrap_or_else(not_sent)
+        };
         match done {
             Ok(reply) => {
                 let end = (self.protocol.parse_release_reply)(&reply);
@@ -379,6 +443,15 @@
     }
 }
 
+/// Returns whether a failed call may be due to the path: no connection could be opened, or it is silent.
+fn is_path_failure(failure: &Failure) -> bool {
+    match failure {
+        Failure::TimedOut => true,
+        Failure::NotSent(e) => e.kind() != ErrorKind::ConnectionReset,
+        Failure::Broken(_) | Failure::Malformed => false,
+    }
+}
+
 /// Returns the service time to assume for an upstream without a known one: the mean of the other upstreams of its
 /// service.
 fn assumed_service_ms(fleet: &FleetState, service: &ServiceName) -> f32 {
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -5,6 +5,7 @@
 use crate::client::{ControlClient, Failure, Outgoing};
 use crate::clock;
 use crate::net;
+use crate::relay::RELAY_PATH;
 use crate::serve::{self, Answer, AnswerFuture, Incoming, ListenerState};
 use crate::traffic::Sample;
 use async_lock::Mutex;
@@ -60,6 +61,13 @@
                 Ok(release) => Ok(encode(&self.send_release(&release).await)),
                 Err(e) => Err(e),
             },
+            RELAY_PATH => match self.relay_for_peer(&req.body).await {
+                Ok(body) => return Answer { status: 200, headers: Headers::default(), body },
+                Err(e) => {
+                    log::warn!(path = RELAY_PATH, error:% = e; "peers: can't decode a call");
+                    return Answer::empty(400);
+                }
+            },
             UPDATES_PATH => match serde_json::from_slice(&req.body) {
                 Ok(request) => match self.on_update_request(request).await {
                     Some(response) => Ok(encode(&response)),
@@ -79,6 +87,15 @@
         }
     }
 
+    /// Sends a call of another host to an upstream.
+    async fn relay_for_peer(&self, body: &[u8]) -> Result<Vec<u8>, postcard::Error> {
+        let is_listed = |addr: SocketAddr| {
+            let fleet = self.fleet.borrow();
+            fleet.registry.listed().any(|listed| listed.entry.addr == addr)
+        };
+        self.relay_server.on_call(self.status.paths(), body, is_listed).await
+    }
+
     fn on_sample(&self, sample: HostSample) -> Option<Vec<u8>> {
         let now = clock::now();
         self.fleet.borrow_mut().last_sample_at.insert(sample.host, now);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 pub mod net;
 pub mod pool;
+pub mod relay;
 pub mod relays;
 pub mod serve;
 pub mod settings;
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -1,5 +1,6 @@
 //! Readiness, shutdown state and age of the configuration, shared by the threads of a host.
 
+use crate::relay::SharedPaths;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
@@ -10,9 +11,15 @@
     is_leaving: AtomicBool,
     /// In milliseconds, see [`HostTime`].
     config_proof_at: AtomicU64,
+    paths: SharedPaths,
 }
 
 impl Status {
+    /// Returns the paths to the upstreams.
+    pub const fn paths(&self) -> &SharedPaths {
+        &self.paths
+    }
+
     /// Returns whether the host has the state that it needs to serve callers.
     pub fn is_ready(&self) -> bool {
         self.is_ready.load(Ordering::Relaxed)
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -3,6 +3,7 @@
 use super::Traffic;
 use crate::client::{Conn, Failure, Outgoing, Reply};
 use crate::clock;
+use crate::relay::CONNECT_TIMEOUT;
 use crate::upstreams::ReplyKind;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -14,10 +15,6 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
-/// Longest time to open a connection. A round trip between regions takes some tens of milliseconds, and TCP resends a
-/// lost SYN only after a second.
-const CONNECT_TIMEOUT: Millis = Millis(300);
-
 /// Result of an attempt.
 #[derive(Debug)]
 pub(super) enum AttemptResult {
@@ -158,16 +155,41 @@
         }
     }
 
-    /// Sends the request on a pooled connection, or on a new one if there is none or nothing could be sent on it.
+    /// Sends the request on a pooled connection, on a new one if there is none or nothing could be sent on it, or over
+    /// another host if this one has no path to the upstream.
     ///
     /// # Errors
     ///
-    /// Fails if no connection can be opened.
+    /// Fails if nothing could be sent.
     async fn exchange_pooled(
         &self,
         addr: SocketAddr,
         attempt: &Attempt<'_>,
         build: impl Fn(Millis) -> Outgoing,
+    ) -> io::Result<Result<Reply, Failure>> {
+        let deadline = attempt.deadline;
+        let mut direct = None;
+        if self.status.paths().lock().is_direct(addr) {
+            match self.exchange_direct(addr, attempt, &build).await {
+                Ok(result) => return Ok(result),
+                Err(e) => {
+                    log::debug!("traffic: can't connect to {addr}: {e}");
+                    self.pool.borrow_mut().close_all(addr);
+                    self.status.paths().on_failure(addr, &e);
+                    direct = Some(e);
+                }
+            }
+        }
+        let remaining = deadline.since(clock::now());
+        let req = build(remaining);
+        self.exchange_relayed(addr, &req, attempt.is_once, remaining, direct).await
+    }
+
+    async fn exchange_direct(
+        &self,
+        addr: SocketAddr,
+        attempt: &Attempt<'_>,
+        build: &impl Fn(Millis) -> Outgoing,
     ) -> io::Result<Result<Reply, Failure>> {
         let deadline = attempt.deadline;
         let pooled = self.pool.borrow_mut().take(addr, attempt.is_once);
@@ -182,17 +204,9 @@
             }
         }
         let remaining = deadline.since(clock::now());
-        match Conn::open(addr, CONNECT_TIMEOUT.min(remaining)).await {
-            Ok(conn) => {
-                let req = build(deadline.since(clock::now()));
-                Ok(self.exchange(addr, conn, &req, attempt).await)
-            }
-            Err(e) => {
-                log::debug!("traffic: can't connect to {addr}: {e}");
-                self.pool.borrow_mut().close_all(addr);
-                Err(e)
-            }
-        }
+        let conn = Conn::open(addr, CONNECT_TIMEOUT.min(remaining)).await?;
+        let req = build(deadline.since(clock::now()));
+        Ok(self.exchange(addr, conn, &req, attempt).await)
     }
 
     async fn exchange(
@@ -207,6 +221,7 @@
             Err(Failure::TimedOut)
         };
         let (reply, reusable) = conn.exchange(req).or(timed_out).await?;
+        self.status.paths().on_success(addr);
         if reusable {
             let max_idle = self.services.borrow().get(attempt.service).map_or(1, |s| s.max_idle);
             self.pool.borrow_mut().put(addr, conn, max_idle);
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod crash_reports;
+mod detours;
 mod history;
 mod permits;
 mod race;
@@ -11,6 +12,7 @@
 
 use crate::clock;
 use crate::pool::{self, Pool};
+use crate::relay::RelayClient;
 use crate::serve::{Answer, AnswerFuture, Incoming, ListenerState};
 use crate::settings::Settings;
 use crate::status::Status;
@@ -27,9 +29,9 @@
 use skylarkdock_dispatch::upstream::{Distance, UpstreamInfo};
 use skylarkdock_units::collections::{FastMap, FastSet};
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
-use skylarkdock_units::times::Millis;
+use skylarkdock_units::times::{HostTime, Millis};
 use std::cell::{Cell, RefCell};
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -62,7 +64,7 @@
     view: RefCell<Arc<View>>,
     services: RefCell<FastMap<ServiceName, ServiceState>>,
     known_upstreams: RefCell<FastMap<UpstreamId, ListedUpstream>>,
-    pool: RefCell<Pool>,
+    pool: Rc<RefCell<Pool>>,
     waiters: RefCell<FastMap<u64, Sender<RoutingDecision>>>,
     /// Notified when a request starts to wait.
     has_waiting: Event,
@@ -72,6 +74,9 @@
     route_counts: RefCell<FastMap<Arc<str>, u64>>,
     reports: RefCell<reports::Reports>,
     pools: RefCell<permits::Pools>,
+    relay_client: RelayClient,
+    /// When the path to an upstream was last checked because an answer was late.
+    path_checked_at: RefCell<FastMap<SocketAddr, HostTime>>,
     /// Socket for load reports and permits, unless it could not be opened.
     datagrams: RefCell<Option<Rc<Async<UdpSocket>>>>,
     /// Number that tells this process from others of the same host.
@@ -109,7 +114,7 @@
             view: RefCell::default(),
             services: RefCell::default(),
             known_upstreams: RefCell::default(),
-            pool: RefCell::default(),
+            pool: Rc::default(),
             waiters: RefCell::default(),
             has_waiting: Event::new(),
             crash_tracker: RefCell::default(),
@@ -117,6 +122,8 @@
             route_counts: RefCell::default(),
             reports: RefCell::default(),
             pools: RefCell::default(),
+            relay_client: RelayClient::default(),
+            path_checked_at: RefCell::default(),
             datagrams: RefCell::default(),
             run: fastrand::u32(..),
             sample: RefCell::default(),
@@ -127,6 +134,7 @@
         ex.spawn(Rc::clone(&traffic).send_samples(samples)).detach();
         reports::start(&traffic);
         ex.spawn(Rc::clone(&traffic).keep_memberships()).detach();
+        ex.spawn(Rc::clone(&traffic).probe_failed_paths()).detach();
         traffic
     }
 
@@ -197,6 +205,7 @@
         });
         drop((services, known_upstreams));
         self.pool.borrow_mut().close_expired();
+        self.forget_paths(&view);
         *self.view.borrow_mut() = view;
     }
 
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -253,14 +253,17 @@
             services.get(&req.service).and_then(|state| state.service.hedge_at(id, clock::now()))
         };
         let first = self.attempt(req.attempt(id), |remaining| self.outgoing(req, id, remaining));
-        let Some(hedge_at) = hedge_at.filter(|_| !is_once) else { return first.await };
+        let Some(hedge_at) = hedge_at else { return first.await };
         let mut first = pin!(first);
         let timer = async {
             Timer::at(clock::instant(hedge_at)).await;
         };
         match either(first.as_mut(), pin!(timer)).await {
             Either::First(outcome) => return outcome,
-            Either::Second(()) => {}
+            Either::Second(()) => self.check_path(id),
+        }
+        if is_once {
+            return first.await;
         }
         let Some(other) = self.choose_hedge(req, id, history) else { return first.await };
         history.steps.push(format!("{id}:late@{}ms", clock::now().since(req.arrived).0));
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -81,6 +81,8 @@
     pub size: HostSize,
     /// Its UDP address for load reports.
     pub reports: SocketAddr,
+    /// Its address for calls of other hosts.
+    pub calls: SocketAddr,
 }
 
 /// Snapshot of the state known to the host.
--- /dev/null
+++ b/crates/edge/tests/relay.rs
@@ -0,0 +1,204 @@
+//! Calls to upstreams over another host.
+
+#![allow(clippy::unwrap_used)]
+
+use async_io::block_on;
+use rstest::rstest;
+use skylarkdock_dispatch::paths::Relay;
+use skylarkdock_edge::client::{Failure, Outgoing};
+use skylarkdock_edge::relay::{RelayClient, RelayError, RelayServer, SharedPaths};
+use skylarkdock_http1::body::{Decoder, Framing};
+use skylarkdock_http1::head::{Headers, RequestHead};
+use skylarkdock_units::times::Millis;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+const TIMEOUT: Millis = Millis(5_000);
+
+/// Starts a server that answers each request with the bytes that `answer` returns, and closes the connection if there
+/// are none.
+fn serve(answer: impl Fn(RequestHead, Vec<u8>) -> Vec<u8> + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let answer = Arc::new(answer);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let answer = Arc::clone(&answer);
+            thread::spawn(move || serve_connection(stream, &*answer));
+        }
+    });
+    addr
+}
+
+fn serve_connection(mut stream: TcpStream, answer: &dyn Fn(RequestHead, Vec<u8>) -> Vec<u8>) {
+    let (mut buf, mut chunk) = (Vec::new(), [0; 4096]);
+    loop {
+        let head = loop {
+            if let Some((head, len)) = RequestHead::parse(&buf).unwrap() {
+                buf.drain(..len);
+                break head;
+            }
+            match stream.read(&mut chunk) {
+                Ok(len) if len > 0 => buf.extend_from_slice(&chunk[..len]),
+                _ => return,
+            }
+        };
+        let (mut decoder, mut body) = (Decoder::new(head.framing), Vec::new());
+        loop {
+            let used = decoder.decode(&buf, &mut body).unwrap();
+            buf.drain(..used);
+            if decoder.is_done() {
+                break;
+            }
+            let len = stream.read(&mut chunk).unwrap();
+            buf.extend_from_slice(&chunk[..len]);
+        }
+        assert!(matches!(head.framing, Framing::Length(_)));
+        let answer = answer(head, body);
+        if answer.is_empty() || stream.write_all(&answer).is_err() {
+            return;
+        }
+    }
+}
+
+/// Starts a relay that knows the given upstreams.
+fn start_relay(listed: Vec<SocketAddr>) -> SocketAddr {
+    let server = thread_local_server();
+    serve(move |head, body| {
+        assert_eq!(head.path(), "/relay");
+        let is_listed = |addr| listed.contains(&addr);
+        let paths = SharedPaths::default();
+        let body = server(&paths, &body, &is_listed);
+        let mut answer =
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+        answer.extend_from_slice(&body);
+        answer
+    })
+}
+
+type Serve = dyn Fn(&SharedPaths, &[u8], &dyn Fn(SocketAddr) -> bool) -> Vec<u8> + Send + Sync;
+
+/// Returns a relay that stays on a thread of its own, as a host's does.
+fn thread_local_server() -> Box<Serve> {
+    let server = std::sync::Mutex::new(RelayServer::new("X-Id"));
+    Box::new(move |paths, body, is_listed| {
+        block_on(server.lock().unwrap().on_call(paths, body, is_listed)).unwrap()
+    })
+}
+
+fn upstream(count: &Arc<AtomicUsize>) -> SocketAddr {
+    let count = Arc::clone(count);
+    serve(move |head, body| {
+        count.fetch_add(1, Ordering::Relaxed);
+        if head.path() == "/close" {
+            return Vec::new();
+        }
+        let id = head.headers.get_str("x-id").unwrap();
+        let rest = format!("X-Id: {id}\r\nX-Extra: 7\r\nContent-Length: {}\r\n\r\n", body.len());
+        let mut answer = format!("HTTP/1.1 201 X\r\n{rest}").into_bytes();
+        answer.extend_from_slice(&body);
+        answer
+    })
+}
+
+fn request(path: &str, body: &[u8]) -> Outgoing {
+    let mut headers = Headers::default();
+    headers.push("X-Id", "a1");
+    let mut req = Outgoing::new("POST", path, &headers, body);
+    req.id = Some(("X-Id", "a1".to_owned()));
+    req
+}
+
+fn near(addr: SocketAddr) -> Relay {
+    Relay { addr, is_near: true }
+}
+
+/// Returns an address at which nothing listens.
+fn closed_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+#[test]
+fn the_upstreams_answer_comes_back_whole() {
+    let count = Arc::default();
+    let upstream = upstream(&count);
+    let relays = [near(start_relay(vec![upstream]))];
+    let (client, paths) = (RelayClient::default(), SharedPaths::default());
+    for body in [&b"first"[..], &[7; 40_000]] {
+        let req = request("/x", body);
+        let call = client.call(&paths, &relays, upstream, (&req, true), TIMEOUT);
+        let reply = block_on(call).unwrap().unwrap();
+        assert_eq!((reply.head.status, reply.is_matched), (201, true));
+        assert_eq!(reply.head.headers.get_str("x-extra"), Some("7"));
+        assert_eq!(reply.body, body);
+    }
+    assert_eq!(count.load(Ordering::Relaxed), 2);
+}
+
+#[test]
+fn another_relay_is_used_if_the_first_does_not_answer() {
+    let count = Arc::default();
+    let upstream = upstream(&count);
+    let relays = [near(closed_port()), near(start_relay(vec![upstream]))];
+    let (client, paths) = (RelayClient::default(), SharedPaths::default());
+    for _ in 0..8 {
+        let req = request("/x", b"");
+        let call = client.call(&paths, &relays, upstream, (&req, true), TIMEOUT);
+        assert_eq!(block_on(call).unwrap().unwrap().head.status, 201);
+    }
+    assert_eq!(count.load(Ordering::Relaxed), 8);
+}
+
+/// A request that may have run must not look as if it had not been sent.
+#[test]
+fn a_connection_that_breaks_behind_the_relay_is_reported() {
+    let count = Arc::default();
+    let upstream = upstream(&count);
+    let relays = [near(start_relay(vec![upstream]))];
+    let (client, paths) = (RelayClient::default(), SharedPaths::default());
+    let req = request("/close", b"");
+    let call = client.call(&paths, &relays, upstream, (&req, true), TIMEOUT);
+    assert!(matches!(block_on(call), Ok(Err(Failure::Broken(_)))));
+    assert_eq!(count.load(Ordering::Relaxed), 1);
+}
+
+#[rstest]
+#[case::refused(true, RelayError::Refused)]
+#[case::not_listed(false, RelayError::NoRelay)]
+fn an_upstream_without_a_path_is_reported(#[case] is_listed: bool, #[case] expected: RelayError) {
+    let upstream = closed_port();
+    let relays = [near(start_relay(if is_listed { vec![upstream] } else { Vec::new() }))];
+    let (client, paths) = (RelayClient::default(), SharedPaths::default());
+    let req = request("/x", b"");
+    let call = client.call(&paths, &relays, upstream, (&req, true), TIMEOUT);
+    assert_eq!(block_on(call).unwrap_err(), expected);
+}
+
+/// A call that is delayed on its way must not reach the upstream after its caller has given it up.
+#[test]
+fn a_call_that_comes_too_late_is_not_sent() {
+    let count = Arc::default();
+    let upstream = upstream(&count);
+    let server = thread_local_server();
+    let relay = serve(move |_, body| {
+        thread::sleep(Millis(600).duration());
+        let body = server(&SharedPaths::default(), &body, &|_| true);
+        let mut answer =
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+        answer.extend_from_slice(&body);
+        answer
+    });
+    let (client, paths) = (RelayClient::default(), SharedPaths::default());
+    // The first call learns the relay's clock, the second one is held up for longer than it may take.
+    for timeout in [Millis(1_000), Millis(300)] {
+        let req = request("/x", b"");
+        let relays = [near(relay)];
+        let call = client.call(&paths, &relays, upstream, (&req, true), timeout);
+        assert!(!matches!(block_on(call), Ok(Ok(_))));
+        thread::sleep(Millis(1_500).duration());
+    }
+    assert_eq!(count.load(Ordering::Relaxed), 0);
+}
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -6,6 +6,7 @@
 use crate::stats::RunStats;
 use crate::upstream::{Admission, Job, UpstreamModel};
 use skylarkdock_dispatch::key_owners::KeyMap;
+use skylarkdock_dispatch::paths::{Paths, Relay};
 use skylarkdock_dispatch::retry_after;
 use skylarkdock_dispatch::retry_budget::{RetryBudget, RetryLimits};
 use skylarkdock_dispatch::routes::Idempotency;
@@ -17,6 +18,7 @@
 use skylarkdock_units::times::{HostTime, Millis};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::net::SocketAddr;
 
 /// Virtual time at which a simulation starts. Not 0, which means never to the policies.
 const START_MS: u64 = 10_000;
@@ -34,6 +36,10 @@
 const HOST_LATENCY_MS: u64 = 8;
 /// Time-out of opening a connection, the same as on real hosts.
 const CONNECT_TIMEOUT_MS: u64 = 300;
+/// Interval at which hosts send due probes, the same as on real hosts.
+const PROBE_CHECK_INTERVAL_MS: u64 = 100;
+/// Number of relays that an attempt is tried on, the same as on real hosts.
+const MAX_RELAYS: u32 = 3;
 /// Time after which hosts should have found another way to the upstreams.
 const DETOUR_TIME_MS: u64 = 3_000;
 /// Largest number of attempts that one host makes for a request.
@@ -52,6 +58,10 @@
     HostArrival { request: usize },
     /// An attempt to open a connection to an upstream fails.
     ConnectFailed { attempt: usize },
+    /// A relay that did not reach the upstream answers.
+    RelayFailed { attempt: usize, relay: usize, tried: u32 },
+    /// Hosts probe the paths that failed.
+    Probes,
     /// The answer of an upstream reaches the host.
     JobFinished { upstream: usize, attempt: usize },
     /// Hosts decide on their waiting requests.
@@ -109,6 +119,8 @@
     attempts: Vec<Attempt>,
     stats: RunStats,
     limits: Limits,
+    /// Paths of each host.
+    paths: Vec<Paths>,
     messages: Vec<Envelope>,
 }
 
@@ -153,6 +165,7 @@
                 .map(|_| RetryBudget::new(RETRY_LIMITS, shape.hosts))
                 .collect(),
             limits: Limits::new(shape.hosts, &ids),
+            paths: (0..shape.hosts).map(|_| Paths::default()).collect(),
             messages: Vec::new(),
             upstreams,
             ids,
@@ -173,6 +186,9 @@
             self.schedule(PERMIT_INTERVAL_MS, Event::PermitRequests);
             self.schedule(ANNOUNCEMENT_INTERVAL_MS, Event::Announcements);
         }
+        if !self.shape.cut_off.is_empty() {
+            self.schedule(PROBE_CHECK_INTERVAL_MS, Event::Probes);
+        }
         let longest_deadline_ms =
             self.shape.kinds.iter().map(|kind| kind.deadline_ms).max().unwrap_or(0);
         let end_ms = START_MS + self.shape.length_ms + longest_deadline_ms;
@@ -185,8 +201,22 @@
                 Event::NewRequest { kind } => self.create_request(kind),
                 Event::HostArrival { request } => self.arrive_at_host(request),
                 Event::ConnectFailed { attempt } => {
-                    let request = self.end_attempt(attempt, AttemptOutcome::Unreachable);
-                    self.retry_or_refuse(request);
+                    let Attempt { request, upstream, .. } = self.attempts[attempt];
+                    let (host, now) = (self.requests[request].host, self.now());
+                    self.paths[host].on_failure(upstream_addr(upstream), now);
+                    self.detour(attempt, 0);
+                }
+                Event::RelayFailed { attempt, relay, tried } => {
+                    let Attempt { request, upstream, .. } = self.attempts[attempt];
+                    let (host, now) = (self.requests[request].host, self.now());
+                    let is_relay_cut_off = self.paths[relay].is_cut_off();
+                    let failed = (!is_relay_cut_off).then(|| upstream_addr(upstream));
+                    self.paths[host].on_relay_failure(host_addr(relay), failed, now);
+                    self.detour(attempt, tried + 1);
+                }
+                Event::Probes => {
+                    self.probe_paths();
+                    self.schedule(PROBE_CHECK_INTERVAL_MS, Event::Probes);
                 }
                 Event::JobFinished { upstream, attempt } => self.finish_job(upstream, attempt),
                 Event::PermitRequests => {
@@ -426,18 +456,62 @@
         state.tried.push(id.clone());
         self.hosts[state.host].on_start(id, now);
         let host = state.host;
-        if self.is_cut_off(host) {
-            let attempt = self.attempts.len();
-            self.attempts.push(Attempt { request, upstream, started: now });
+        let attempt = self.attempts.len();
+        self.attempts.push(Attempt { request, upstream, started: now });
+        if !self.paths[host].is_direct(upstream_addr(upstream)) {
+            self.detour(attempt, 0);
+        } else if self.is_cut_off(host) {
             self.schedule(CONNECT_TIMEOUT_MS, Event::ConnectFailed { attempt });
+        } else {
+            self.paths[host].on_success(upstream_addr(upstream));
+            self.offer(attempt);
+        }
+    }
+
+    /// Sends a request over another host.
+    fn detour(&mut self, attempt: usize, tried: u32) {
+        let Attempt { request, upstream, .. } = self.attempts[attempt];
+        let (host, now) = (self.requests[request].host, self.now());
+        let others = (0..self.hosts.len()).filter(|other| *other != host);
+        let relays: Vec<Relay> =
+            others.map(|other| Relay { addr: host_addr(other), is_near: true }).collect();
+        let seed = self.rng.u64(..);
+        let picked = self.paths[host].pick_relay(upstream_addr(upstream), &relays, seed, now);
+        let Some(relay) = picked.filter(|_| tried < MAX_RELAYS) else {
+            let request = self.end_attempt(attempt, AttemptOutcome::Unreachable);
+            self.retry_or_refuse(request);
+            return;
+        };
+        let relay = host_index(relay);
+        if !self.is_cut_off(relay) {
+            self.offer(attempt);
             return;
         }
+        let is_known = !self.paths[relay].is_direct(upstream_addr(upstream));
+        self.paths[relay].on_failure(upstream_addr(upstream), now);
+        let delay_ms = if is_known { 0 } else { CONNECT_TIMEOUT_MS };
+        self.schedule(delay_ms + 2 * HOST_LATENCY_MS, Event::RelayFailed { attempt, relay, tried });
+    }
+
+    fn probe_paths(&mut self) {
+        let now = self.now();
+        for host in 0..self.hosts.len() {
+            let is_cut_off = self.is_cut_off(host);
+            for upstream in self.paths[host].take_due_probes(now) {
+                if !is_cut_off {
+                    self.paths[host].on_success(upstream);
+                }
+            }
+        }
+    }
+
+    /// Hands the request of an attempt to the upstream.
+    fn offer(&mut self, attempt: usize) {
+        let Attempt { request, upstream, .. } = self.attempts[attempt];
         self.stats.sends += 1;
         self.limits.on_arrival(upstream, self.now_ms);
         let state = &self.requests[request];
-        let attempt = self.attempts.len();
         let deadline_at_ms = state.created_ms + self.shape.kinds[state.kind].deadline_ms;
-        self.attempts.push(Attempt { request, upstream, started: now });
         let job = Job { attempt, work_ms: state.work_ms, deadline_at_ms };
         match self.upstreams[upstream].offer(job, self.now_ms) {
             Admission::Started(duration_ms) => self.schedule(
@@ -571,6 +645,20 @@
     }
 }
 
+/// Returns an address that stands for an upstream.
+fn upstream_addr(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], u16::try_from(index).unwrap_or(u16::MAX)))
+}
+
+/// Returns an address that stands for a host.
+fn host_addr(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], u16::try_from(index).unwrap_or(u16::MAX)))
+}
+
+fn host_index(addr: SocketAddr) -> usize {
+    usize::from(addr.port())
+}
+
 /// Returns the number of hosts in a share of all hosts.
 #[expect(clippy::cast_precision_loss, reason = "a count of hosts")]
 fn share(fraction: f64, hosts: usize) -> usize {
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -263,6 +263,11 @@
         }
     }
 
+    /// Returns whether a holder answered lately, so that it can't have been replaced by a later incarnation unnoticed.
+    pub fn has_recent_answer(&self, holder: &Holder, now: HostTime) -> bool {
+        self.holders.get(holder).is_some_and(|state| now.since(state.answered_at) <= MAX_ANSWER_AGE)
+    }
+
     /// Returns the suspended holders and when each was suspended.
     pub fn suspended(&self) -> Vec<(Holder, HostTime)> {
         let holders = self.holders.iter();
