Choose keepers that reach upstreams

With all keepers of a region cut off from the upstreams, the grants of that region expired although other hosts reached them, and the hosts with paths refused requests for key_unowned, too.

A host tells the leader with its samples whether it seems to reach no upstream. A zone then gets a keeper that does, beside the leader if that is the cut-off one: it stays a keeper, as later leaders ask keepers for the grants that they sent.

Tests: ownership_changes, a_zone_has_a_keeper_that_reaches_upstreams; the fuzz of spans cuts hosts off from all upstreams and relays grants and renewals.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -34,7 +34,7 @@
 use skylarkdock_spans::renewal::Renewals;
 use skylarkdock_spans::table::{Keeper, Table};
 use skylarkdock_spans::timing::Timing;
-use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::collections::{FastMap, FastSet};
 use skylarkdock_units::ids::{HostId, Region, ServiceName, UpstreamId, Zone};
 use skylarkdock_units::measures::HostSize;
 use skylarkdock_units::times::{HostTime, Millis};
@@ -119,6 +119,8 @@
     known_records: known_records::KnownRecords,
     /// When each host last sent this one a sample.
     last_sample_at: FastMap<HostId, HostTime>,
+    /// Hosts that said in their last sample that they reach no upstream.
+    cut_off: FastSet<HostId>,
     /// Smoothed service time of each upstream, in milliseconds.
     service_ms: FastMap<UpstreamId, f32>,
 }
@@ -132,6 +134,7 @@
             fleet_end: 0,
             known_records: known_records::KnownRecords::default(),
             last_sample_at: FastMap::default(),
+            cut_off: FastSet::default(),
             service_ms: FastMap::default(),
         }
     }
@@ -281,6 +284,13 @@
         }
     }
 
+    /// Returns the hosts, possibly including this one, that seem to reach no upstream.
+    fn cut_off_hosts(&self) -> Vec<HostId> {
+        let fleet = self.fleet.borrow();
+        let own = self.status.paths().lock().is_cut_off().then(|| self.settings.host.clone());
+        fleet.cut_off.iter().cloned().chain(own).collect()
+    }
+
     /// Returns the available hosts, which are the candidates for keepers: this one first, then the others from the
     /// largest down.
     fn available_hosts(&self, now: HostTime) -> Vec<Keeper> {
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -289,6 +289,7 @@
             candidates,
             rates,
             hosts: self.available_hosts(now),
+            cut_off: self.cut_off_hosts(),
             dead,
             is_leaving: self.is_handing_over.get(),
         }
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -33,6 +33,9 @@
     keys: Vec<(ServiceName, Vec<u16>)>,
     /// Service times of upstreams as estimated by the host, in milliseconds.
     service_ms: Vec<(UpstreamId, f32)>,
+    /// Whether the host seems to reach no upstream.
+    #[serde(default)]
+    is_cut_off: bool,
 }
 
 /// Starts the server for calls of other hosts.
@@ -98,7 +101,15 @@
 
     fn on_sample(&self, sample: HostSample) -> Option<Vec<u8>> {
         let now = clock::now();
-        self.fleet.borrow_mut().last_sample_at.insert(sample.host, now);
+        {
+            let mut fleet = self.fleet.borrow_mut();
+            if sample.is_cut_off {
+                fleet.cut_off.insert(sample.host.clone());
+            } else {
+                fleet.cut_off.remove(&sample.host);
+            }
+            fleet.last_sample_at.insert(sample.host, now);
+        }
         self.update_service_times(&sample.service_ms);
         self.count_keys(&sample.keys, now);
         None
@@ -134,7 +145,9 @@
             caller
         };
         let Sample { keys, service_ms } = sample;
-        let sample = HostSample { host: self.settings.host.clone(), keys, service_ms };
+        let is_cut_off = self.status.paths().lock().is_cut_off();
+        let host = self.settings.host.clone();
+        let sample = HostSample { host, keys, service_ms, is_cut_off };
         let mut caller = caller.lock().await;
         if let Err(e) = call(&mut caller, LOAD_PATH, &sample, PEER_TIMEOUT).await {
             log::debug!("peers: can't send a sample to the leader: {e}");
--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -66,6 +66,8 @@
     pub rates: Rates,
     /// Available hosts including this one, the preferred keepers first.
     pub hosts: Vec<Keeper>,
+    /// Hosts that seem to reach no upstream.
+    pub cut_off: Vec<HostId>,
     /// Incarnations of upstreams that have certainly ended.
     pub dead: Vec<Holder>,
     /// Whether the leader is about to hand over. It finishes pending moves and plans no further ones.
@@ -467,13 +469,21 @@
         }
     }
 
-    /// Chooses the keepers: this host and one available host of each other availability zone.
+    /// Chooses the keepers: this host and one available host of each other availability zone. A host that reaches no
+    /// upstream can't renew grants; beside it, a zone has another keeper if one of its hosts does.
     fn choose_keepers(&mut self, table: &mut Table, inputs: &Inputs, now: HostTime) {
         table.leader = self.own_host.clone();
         let is_available = |host: &HostId| inputs.hosts.iter().any(|keeper| keeper.host == *host);
         let mut keepers: Vec<Keeper> = Vec::new();
+        let is_cut_off = |keeper: &Keeper| inputs.cut_off.contains(&keeper.host);
         let mut add = |keeper: &Keeper| {
-            if keepers.iter().all(|other| other.zone != keeper.zone) {
+            let mut neighbours = keepers.iter().filter(|other| other.zone == keeper.zone);
+            let is_needed = if is_cut_off(keeper) {
+                neighbours.next().is_none()
+            } else {
+                neighbours.all(is_cut_off)
+            };
+            if is_needed {
                 keepers.push(keeper.clone());
             }
         };
@@ -484,6 +494,8 @@
         };
         let stays = |keeper: &&Keeper| is_available(&keeper.host) && !is_outranked(keeper);
         inputs.hosts.iter().filter(|k| k.host == self.own_host).for_each(&mut add);
+        table.keepers.iter().filter(stays).filter(|k| !is_cut_off(k)).for_each(&mut add);
+        inputs.hosts.iter().filter(|k| !is_cut_off(k)).for_each(&mut add);
         table.keepers.iter().filter(stays).for_each(&mut add);
         inputs.hosts.iter().for_each(&mut add);
         keepers.sort_by(|a, b| a.host.cmp(&b.host));
--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -55,6 +55,8 @@
                 sum.steps_with_several_leaders += fault_counts.steps_with_several_leaders;
                 sum.moves += fault_counts.moves;
                 sum.lost_releases += fault_counts.lost_releases;
+                sum.cut_offs += fault_counts.cut_offs;
+                sum.relayed += fault_counts.relayed;
             }
             Err(violation) => panic!("seed {seed}: {violation}"),
         }
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -289,3 +289,35 @@
     let large = [keeper("large", 500), keeper("small", 100)];
     assert_eq!(keepers(&mut fixture, &large), ["h", "large"]);
 }
+
+/// A keeper without paths to upstreams renews nothing, so that the grants of its region would expire.
+#[test]
+fn a_zone_has_a_keeper_that_reaches_upstreams() {
+    let mut fixture = Fixture::new();
+    let keeper = |host: &str, zone: &str| Keeper {
+        host: host.parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        region: "r".parse().unwrap(),
+        size: HostSize(200),
+    };
+    let hosts = [keeper("h", "z"), keeper("h2", "z"), keeper("x1", "x"), keeper("x2", "x")];
+    let mut keepers = |cut_off: &[&str]| {
+        for _ in 0..200 {
+            let mut inputs = inputs(&["a", "b"]);
+            inputs.hosts = hosts.to_vec();
+            inputs.cut_off = cut_off.iter().map(|host| host.parse().unwrap()).collect();
+            fixture.now = fixture.now + Millis(50);
+            for action in fixture.leader.tick(&inputs, fixture.now) {
+                fixture.carry_out(action);
+            }
+        }
+        let table = fixture.leader.table().unwrap();
+        let hosts = table.keepers.iter().map(|keeper| keeper.host.to_string());
+        hosts.collect::<Vec<String>>()
+    };
+    assert_eq!(keepers(&[]), ["h", "x1"]);
+    assert_eq!(keepers(&["x1"]), ["h", "x2"]);
+    assert_eq!(keepers(&["h", "x1"]), ["h", "h2", "x2"]);
+    assert_eq!(keepers(&["h", "h2", "x1", "x2"]).len(), 2);
+    assert_eq!(keepers(&[]).len(), 2);
+}
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -66,6 +66,10 @@
     pub steps_with_several_leaders: u64,
     pub moves: u64,
     pub lost_releases: u64,
+    /// Hosts that lost their paths to all upstreams.
+    pub cut_offs: u64,
+    /// Grants and renewals that went over another host.
+    pub relayed: u64,
 }
 
 pub struct Simulation {
@@ -167,6 +171,12 @@
             self.hosts[index].reachable_upstreams[upstream] =
                 !self.hosts[index].reachable_upstreams[upstream];
         }
+        if self.rng.u32(..600) == 0 {
+            let index = self.rng.usize(..HOSTS);
+            let is_cut_off = self.rng.bool();
+            self.fault_counts.cut_offs += u64::from(is_cut_off);
+            self.hosts[index].reachable_upstreams = vec![!is_cut_off; UPSTREAMS];
+        }
         if self.rng.u32(..1_500) == 0 {
             let index = self.rng.usize(..HOSTS);
             self.hosts[index].frozen_until = now + self.rng.u64(500..9_000);
@@ -290,7 +300,9 @@
                 hosts.push(keeper(&self.hosts[other]));
             }
         }
-        Inputs { candidates, rates, hosts, dead, is_leaving: false }
+        let has_no_path = |host: &&Host| host.reachable_upstreams.iter().all(|reaches| !reaches);
+        let cut_off = self.hosts.iter().filter(has_no_path).map(|host| host.id.clone()).collect();
+        Inputs { candidates, rates, hosts, cut_off, dead, is_leaving: false }
     }
 
     fn carry_out(&mut self, index: usize, action: Action) {
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -70,7 +70,14 @@
     fn handle_message(&mut self, message: Message) -> Result<(), String> {
         match message {
             Message::Grant { from, by_leader, grant, arrives_at, carried_out_at, answered } => {
-                let reached = self.reachable_upstream(from, &grant.holder);
+                let may_relay = by_leader
+                    || self.hosts[from]
+                        .renewals
+                        .has_recent_answer(&grant.holder, HostTime(self.now));
+                let direct = self.reachable_upstream(from, &grant.holder);
+                let relayed = || self.reachable_over_other_host(from, &grant.holder);
+                let reached = direct.or_else(|| relayed().filter(|_| may_relay));
+                self.fault_counts.relayed += u64::from(direct.is_none() && reached.is_some());
                 let mut end = CallEnd::Unknown;
                 if let Some(index) = reached {
                     let has_fencing = self.safeguards.has_fencing;
@@ -134,6 +141,15 @@
         Ok(())
     }
 
+    /// Returns the index of the holder if a running host other than `from` reaches it.
+    fn reachable_over_other_host(&self, from: usize, holder: &Holder) -> Option<usize> {
+        let running = (0..self.hosts.len()).filter(|other| {
+            let host = &self.hosts[*other];
+            *other != from && self.now >= host.frozen_until && self.now >= host.down_until
+        });
+        running.into_iter().find_map(|other| self.reachable_upstream(other, holder))
+    }
+
     /// Returns the upstream that a host's call to a holder reaches.
     fn reachable_upstream(&self, from: usize, holder: &Holder) -> Option<usize> {
         let index = self.upstreams.iter().position(|u| u.holder().id == holder.id)?;
