Bound the memory of answers that never end

An upstream in trouble may send bytes without end, in a head, a body, interim answers, trailers or answers to other requests. One head and one body were bounded; interim answers and trailers went on until the deadline of the request, and several bodies of 16 MiB at once could exhaust the memory of a host.

The bytes of an answer are counted over all its parts and bounded; beyond 256 KiB they are charged to 32 MiB that all answers share. The connection is closed, and the request ends as one whose answer is invalid.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -9,6 +9,7 @@
 use skylarkdock_units::times::Millis;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
@@ -17,8 +18,16 @@
 const READ_SIZE: usize = 16 * 1024;
 /// Size of the largest accepted head of an answer.
 const MAX_HEAD_SIZE: usize = 64 * 1024;
-/// Size of the largest accepted body of an answer. Several larger bodies at once could exhaust the host's memory.
+/// Size of the largest accepted body of an answer.
 const MAX_BODY_SIZE: usize = 16 * 1024 * 1024;
+/// Number of bytes after which an answer is given up, with what is not part of its body: chunk sizes, trailers, interim
+/// answers and answers to other requests.
+const MAX_ANSWER_SIZE: usize = 2 * MAX_BODY_SIZE;
+/// Number of bytes of an answer that are not charged to `MAX_BUFFERED`.
+const FREE_ANSWER_SIZE: usize = 256 * 1024;
+/// Number of further bytes that all answers which are being received may have together, a fifth of the smallest host's
+/// memory.
+pub const MAX_BUFFERED: usize = 32 * 1024 * 1024;
 /// Number of answers to other requests that may be skipped before the answer to this one.
 const MAX_SKIPPED: u32 = 4;
 
@@ -31,8 +40,8 @@
     /// The connection broke after some or all of the request was sent.
     #[error("connection broke")]
     Broken(#[source] io::Error),
-    /// The peer sent an invalid answer, one to another request, or one with a body above `MAX_BODY_SIZE`. For calls
-    /// between hosts, also an answer with a status of 300 or more.
+    /// The peer sent an invalid answer, one to another request, or one that is too large. For calls between hosts, also
+    /// an answer with a status of 300 or more.
     #[error("invalid answer")]
     Malformed,
     /// The timeout passed before the request was sent and a complete answer arrived. Some or all of the request may
@@ -179,6 +188,46 @@
     }
 }
 
+/// Bytes charged to `MAX_BUFFERED`.
+static BUFFERED: AtomicUsize = AtomicUsize::new(0);
+
+/// Returns the number of bytes of large answers that are being received.
+pub fn buffered() -> usize {
+    BUFFERED.load(Ordering::Relaxed)
+}
+
+/// Counts the bytes of an answer that is being received.
+#[derive(Default)]
+struct AnswerSize {
+    received: usize,
+    charged: usize,
+}
+
+impl AnswerSize {
+    /// Adds received bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer, or all answers together, become too large.
+    fn add(&mut self, count: usize) -> Result<(), Failure> {
+        self.received += count;
+        let due = self.received.saturating_sub(FREE_ANSWER_SIZE) - self.charged;
+        let total = BUFFERED.fetch_add(due, Ordering::Relaxed) + due;
+        self.charged += due;
+        if self.received <= MAX_ANSWER_SIZE && total <= MAX_BUFFERED {
+            return Ok(());
+        }
+        log::warn!(bytes = self.received, buffered = total; "client: an answer is too large");
+        Err(Failure::Malformed)
+    }
+}
+
+impl Drop for AnswerSize {
+    fn drop(&mut self) {
+        BUFFERED.fetch_sub(self.charged, Ordering::Relaxed);
+    }
+}
+
 /// Reads the answer to a request, and skips answers to other requests before it.
 async fn receive(
     stream: &Async<TcpStream>,
@@ -186,8 +235,9 @@
     req: &Outgoing,
 ) -> Result<(Reply, bool), Failure> {
     let mut skipped = 0;
+    let mut size = AnswerSize::default();
     loop {
-        let (reply, reusable) = receive_next(stream, buf, req.is_head).await?;
+        let (reply, reusable) = receive_next(stream, buf, req.is_head, &mut size).await?;
         if reply.head.is_interim() {
             continue;
         }
@@ -207,6 +257,7 @@
     stream: &Async<TcpStream>,
     buf: &mut Vec<u8>,
     is_head: bool,
+    size: &mut AnswerSize,
 ) -> Result<(Reply, bool), Failure> {
     let (head, len) = loop {
         match ResponseHead::parse(buf, is_head) {
@@ -214,7 +265,7 @@
             Ok(None) if buf.len() < MAX_HEAD_SIZE => {}
             Ok(None) | Err(_) => return Err(Failure::Malformed),
         }
-        if fill(stream, buf).await? == 0 {
+        if fill(stream, buf, size).await? == 0 {
             return Err(Failure::Broken(io::ErrorKind::UnexpectedEof.into()));
         }
     };
@@ -230,7 +281,7 @@
         if body.len() > MAX_BODY_SIZE {
             return Err(Failure::Malformed);
         }
-        if fill(stream, buf).await? == 0 {
+        if fill(stream, buf, size).await? == 0 {
             if decoder.is_complete_at_close() {
                 break;
             }
@@ -241,9 +292,14 @@
     Ok((Reply { head, body, is_matched: false }, reusable))
 }
 
-async fn fill(mut stream: &Async<TcpStream>, buf: &mut Vec<u8>) -> Result<usize, Failure> {
+async fn fill(
+    mut stream: &Async<TcpStream>,
+    buf: &mut Vec<u8>,
+    size: &mut AnswerSize,
+) -> Result<usize, Failure> {
     let mut chunk = [0; READ_SIZE];
     let count = stream.read(&mut chunk).await.map_err(Failure::Broken)?;
+    size.add(count)?;
     buf.extend_from_slice(&chunk[..count]);
     Ok(count)
 }
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -9,7 +9,7 @@
 mod store_sync;
 mod updates;
 
-use crate::client::ControlClient;
+use crate::client::{self, ControlClient};
 use crate::clock;
 use crate::relay::{RelayClient, RelayServer};
 use crate::relays::Rank;
@@ -230,6 +230,7 @@
             let age = now.since(fleet.known_records.proof_at(topic)).duration().as_secs_f64();
             gauge!("skylarkdock_belief_age_seconds", "topic" => name).set(age);
         }
+        gauge!("skylarkdock_answers_buffered_bytes").set(client::buffered() as f64);
         gauge!("skylarkdock_upstreams_listed").set(fleet.registry.listed().count() as f64);
         gauge!("skylarkdock_upstreams_kept").set(fleet.registry.kept(now).count() as f64);
         gauge!("skylarkdock_hosts_known").set(fleet.hosts.len() as f64);
