Let a host that is cut off probe all upstreams, not only those that failed

Read, not seen: three upstreams that end one after the other, while a host sends to no others, make it seem cut off. It then sent everything over other hosts and probed only the three, so it stayed so for as long as they were gone. A host that is cut off now probes some of all listed upstreams in turn. Test: dispatch paths, a_cut_off_host_also_probes_upstreams_that_did_not_fail; the emulator's cases of cut-off hosts pass as before.

--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -36,11 +36,14 @@
 /// Paths from one host.
 #[derive(Debug, Default)]
 pub struct Paths {
+    /// Addresses of the listed upstreams.
+    upstreams: Vec<SocketAddr>,
     failed: FastMap<SocketAddr, FailedPath>,
     /// Number of paths that failed since one last worked.
     failures_in_a_row: usize,
-    /// When a host that is cut off probes next.
+    /// When a host that is cut off probes next, and the index of the next upstream.
     next_probe_at: HostTime,
+    next_probe: usize,
     /// Relays that don't reach an upstream, or any if there is none, and until when that counts.
     avoided: FastMap<(SocketAddr, Option<SocketAddr>), HostTime>,
 }
@@ -75,31 +78,34 @@
         was_direct
     }
 
-    /// Returns the paths to probe now.
+    /// Returns the paths to probe now. A host that is cut off probes some of all upstreams in turn, as those that failed
+    /// may have ended.
     pub fn take_due_probes(&mut self, now: HostTime) -> Vec<SocketAddr> {
-        let failed = self.failed.iter().filter(|(_, path)| now >= path.next_probe_at);
-        let mut due: Vec<(HostTime, SocketAddr)> =
-            failed.map(|(upstream, path)| (path.next_probe_at, *upstream)).collect();
-        due.sort();
-        if self.is_cut_off() {
+        if self.is_cut_off() && !self.upstreams.is_empty() {
             if now < self.next_probe_at {
                 return Vec::new();
             }
             self.next_probe_at = now + PROBE_INTERVAL;
-            due.truncate(CUT_OFF_PROBES);
+            let count = CUT_OFF_PROBES.min(self.upstreams.len());
+            let start = self.next_probe;
+            self.next_probe = start + count;
+            let indices = (start..start + count).map(|index| index % self.upstreams.len());
+            return indices.map(|index| self.upstreams[index]).collect();
         }
-        let due: Vec<SocketAddr> = due.into_iter().map(|(_, upstream)| upstream).collect();
-        for upstream in &due {
-            // Those that were left out now come first the next time.
-            let next_probe_at = now + PROBE_INTERVAL;
-            self.failed.insert(*upstream, FailedPath { next_probe_at });
+        let mut due = Vec::new();
+        for (upstream, path) in &mut self.failed {
+            if now >= path.next_probe_at {
+                path.next_probe_at = now + PROBE_INTERVAL;
+                due.push(*upstream);
+            }
         }
         due
     }
 
-    /// Forgets the paths to upstreams that are no longer listed.
-    pub fn retain(&mut self, is_listed: impl Fn(SocketAddr) -> bool) {
-        self.failed.retain(|upstream, _| is_listed(*upstream));
+    /// Sets the addresses of the listed upstreams, and forgets the paths to others.
+    pub fn set_upstreams(&mut self, upstreams: Vec<SocketAddr>) {
+        self.failed.retain(|upstream, _| upstreams.contains(upstream));
+        self.upstreams = upstreams;
     }
 
     /// Returns the relay for a request to an upstream, `None` if there is none left that may reach it. Relays of this
--- a/crates/dispatch/tests/paths.rs
+++ b/crates/dispatch/tests/paths.rs
@@ -51,6 +51,7 @@
 #[test]
 fn a_cut_off_host_probes_few_paths_at_a_time() {
     let mut paths = Paths::default();
+    paths.set_upstreams((1..=40).map(upstream).collect());
     for number in 1..=40 {
         paths.on_failure(upstream(number), START);
     }
@@ -84,3 +85,32 @@
         assert_eq!(paths.pick_relay(upstream(1), &relays, seed, START), Some(expected.addr));
     }
 }
+
+/// Otherwise a host would stay cut off for as long as the upstreams that ended.
+#[test]
+fn a_cut_off_host_also_probes_upstreams_that_did_not_fail() {
+    let mut paths = Paths::default();
+    paths.set_upstreams((1..=8).map(upstream).collect());
+    for number in 1..=3 {
+        paths.on_failure(upstream(number), START);
+    }
+    let mut now = START;
+    while paths.is_cut_off() {
+        now = now + Millis(100);
+        assert!(now.since(START) < Millis(3_000));
+        for probed in paths.take_due_probes(now) {
+            if probed.port() > 3 {
+                paths.on_success(probed);
+            }
+        }
+    }
+    assert!(paths.is_direct(upstream(8)) && !paths.is_direct(upstream(1)));
+}
+
+#[test]
+fn paths_to_upstreams_that_are_gone_are_forgotten() {
+    let mut paths = Paths::default();
+    paths.on_failure(upstream(1), START);
+    paths.set_upstreams(vec![upstream(2)]);
+    assert!(paths.is_direct(upstream(1)));
+}
--- a/crates/edge/src/traffic/detours.rs
+++ b/crates/edge/src/traffic/detours.rs
@@ -8,7 +8,6 @@
 use async_io::Timer;
 use metrics::{counter, gauge};
 use skylarkdock_dispatch::paths::Relay;
-use skylarkdock_units::collections::FastSet;
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::Millis;
 use std::io;
@@ -106,11 +105,12 @@
         }
     }
 
-    /// Forgets the paths to upstreams that a view no longer lists.
-    pub(super) fn forget_paths(&self, view: &View) {
-        let listed: FastSet<SocketAddr> =
+    /// Sets the upstreams that a view lists, and forgets the paths to others.
+    pub(super) fn set_listed_paths(&self, view: &View) {
+        let mut listed: Vec<SocketAddr> =
             view.upstreams.iter().map(|listed| listed.entry.addr).collect();
-        self.status.paths().lock().retain(|addr| listed.contains(&addr));
-        self.path_checked_at.borrow_mut().retain(|addr, _| listed.contains(addr));
+        listed.sort();
+        self.path_checked_at.borrow_mut().retain(|addr, _| listed.binary_search(addr).is_ok());
+        self.status.paths().lock().set_upstreams(listed);
     }
 }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -205,7 +205,7 @@
         });
         drop((services, known_upstreams));
         self.pool.borrow_mut().close_expired();
-        self.forget_paths(&view);
+        self.set_listed_paths(&view);
         *self.view.borrow_mut() = view;
     }
 
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -165,7 +165,7 @@
                 .map(|_| RetryBudget::new(RETRY_LIMITS, shape.hosts))
                 .collect(),
             limits: Limits::new(shape.hosts, &ids),
-            paths: (0..shape.hosts).map(|_| Paths::default()).collect(),
+            paths: (0..shape.hosts).map(|_| paths_to(upstreams.len())).collect(),
             messages: Vec::new(),
             upstreams,
             ids,
@@ -645,6 +645,13 @@
     }
 }
 
+/// Returns paths to as many upstreams.
+fn paths_to(upstreams: usize) -> Paths {
+    let mut paths = Paths::default();
+    paths.set_upstreams((0..upstreams).map(upstream_addr).collect());
+    paths
+}
+
 /// Returns an address that stands for an upstream.
 fn upstream_addr(index: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], u16::try_from(index).unwrap_or(u16::MAX)))
