Send a limited upstream a request now and then even if it takes none

Read, not seen: an upstream that names a limit of 0 would get no request again, and only an answer shows that a limit has ended. A pool refills at a quarter of a request a second at least, one in 4 s of the five that are allowed beside any limit. Test: dispatch permits, an_upstream_that_takes_nothing_gets_a_request_now_and_then.

--- a/crates/dispatch/src/permits.rs
+++ b/crates/dispatch/src/permits.rs
@@ -39,6 +39,8 @@
 const LONE_PERMIT_TIME: Millis = Millis(500);
 /// Smallest part of a permit that a refused member is told to wait for, as another may get the next one before it.
 const MIN_MISSING: f32 = 0.2;
+/// Smallest rate, in requests per second, at which a pool of all hosts refills: only answers show that a limit has ended.
+const PROBE_RATE: f32 = 0.25;
 /// Time for which a request for permits shows that its rank has demand.
 const DEMAND_TIME: Millis = Millis(1_000);
 /// Largest number of permits in one request.
@@ -368,7 +370,7 @@
         let members = self.members.values().filter(|member| !member.is_leaving).count();
         let members = as_f32(u32::try_from(members).unwrap_or(u32::MAX));
         let share = (members / as_f32(hosts.max(1))).min(1.0);
-        self.limit.rate.map_or(0.0, |rate| rate.0 / 1_000.0 * share)
+        self.limit.rate.map_or(0.0, |rate| rate.0.max(PROBE_RATE) / 1_000.0 * share)
     }
 
     fn refill(&mut self, hosts: u32, now: HostTime) {
--- a/crates/dispatch/tests/permits.rs
+++ b/crates/dispatch/tests/permits.rs
@@ -269,3 +269,19 @@
     // A twelfth of 6 requests a second, for 50 s.
     assert!((20..=26).contains(&granted), "{granted}");
 }
+
+/// Without any request a host would never see that the limit has ended.
+#[test]
+fn an_upstream_that_takes_nothing_gets_a_request_now_and_then() {
+    let mut pool = PermitPool::new(START);
+    let limit = Limit { rate: Some(RequestRate(0.0)), seen_at: START };
+    let mut granted = Vec::new();
+    for step in 0..400_u32 {
+        let now = START + Millis(u64::from(step) * 50);
+        let request = PermitRequest { limit, ..request(step + 1, wants(8), now) };
+        let reply = pool.on_request(1 << 32, &request, 1, now).unwrap();
+        granted.extend((0..reply.granted).map(|_| now));
+    }
+    // In 20 s; 5 in 4 s are allowed beside the limit.
+    assert!((2..=6).contains(&granted.len()), "{granted:?}");
+}
