Stop at the first relay that is not cut off and does not reach the upstream

Read, not seen: a call to an upstream that has ended silently tried three relays, each of which waits 300 ms for a connection; a caller would have waited 1.2 s for a refusal. Two hosts that don't reach an upstream are enough; relays that are cut off themselves answer at once, so six of them may be tried. A host that is told to stop relays nothing more, as a call under way at its end has an unknown result.

--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -94,7 +94,9 @@
     async fn relay_for_peer(&self, body: &[u8]) -> Result<Vec<u8>, postcard::Error> {
         let is_listed = |addr: SocketAddr| {
             let fleet = self.fleet.borrow();
-            fleet.registry.listed().any(|listed| listed.entry.addr == addr)
+            // A call that is under way when this host ends would have an unknown result.
+            !self.status.is_leaving()
+                && fleet.registry.listed().any(|listed| listed.entry.addr == addr)
         };
         self.relay_server.on_call(self.status.paths(), body, is_listed).await
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -26,8 +26,8 @@
 /// Longest time to open a connection to an upstream or to a relay. A round trip between regions takes some tens of
 /// milliseconds, and TCP resends a lost SYN only after a second.
 pub const CONNECT_TIMEOUT: Millis = Millis(300);
-/// Number of relays that one call is tried on.
-const MAX_RELAYS: u32 = 3;
+/// Number of relays that one call is tried on. Those that are cut off themselves say so at once.
+const MAX_RELAYS: u32 = 6;
 /// Time that a relay may take beyond the timeout of the call, for its own work.
 const RELAY_MARGIN: Millis = Millis(30);
 /// Idle connections to each relay, and from a relay to each upstream.
@@ -143,11 +143,10 @@
         timeout: Millis,
     ) -> Result<Result<Reply, Failure>, RelayError> {
         let give_up_at = clock::now() + timeout;
-        let mut error = RelayError::NoRelay;
         for _ in 0..MAX_RELAYS {
             let now = clock::now();
             let picked = paths.lock().pick_relay(upstream, relays, fastrand::u64(..), now);
-            let (Some(relay), true) = (picked, now < give_up_at) else { return Err(error) };
+            let (Some(relay), true) = (picked, now < give_up_at) else { break };
             match self.call_relay(relay, upstream, (req, is_once), give_up_at).await {
                 Ok(RelayEnd::Answered { status, headers, body, is_matched }) => {
                     return Ok(Ok(reply(status, headers, body, is_matched)));
@@ -162,7 +161,11 @@
                     let failed = if is_cut_off { None } else { Some(upstream) };
                     paths.lock().on_relay_failure(relay, failed, clock::now());
                     if is_refused {
-                        error = RelayError::Refused;
+                        return Err(RelayError::Refused);
+                    }
+                    if !is_cut_off {
+                        // Two hosts did not reach it, so it has probably ended.
+                        return Err(RelayError::NoRelay);
                     }
                 }
                 Err(Failure::NotSent(e)) => {
@@ -175,7 +178,7 @@
                 }
             }
         }
-        Err(error)
+        Err(RelayError::NoRelay)
     }
 
     /// Makes a call over a relay. The first one to a process of a relay asks for its clock.
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -39,7 +39,7 @@
 /// Interval at which hosts send due probes, the same as on real hosts.
 const PROBE_CHECK_INTERVAL_MS: u64 = 100;
 /// Number of relays that an attempt is tried on, the same as on real hosts.
-const MAX_RELAYS: u32 = 3;
+const MAX_RELAYS: u32 = 6;
 /// Time after which hosts should have found another way to the upstreams.
 const DETOUR_TIME_MS: u64 = 3_000;
 /// Largest number of attempts that one host makes for a request.
@@ -212,7 +212,8 @@
                     let is_relay_cut_off = self.paths[relay].is_cut_off();
                     let failed = (!is_relay_cut_off).then(|| upstream_addr(upstream));
                     self.paths[host].on_relay_failure(host_addr(relay), failed, now);
-                    self.detour(attempt, tried + 1);
+                    let next = if is_relay_cut_off { tried + 1 } else { MAX_RELAYS };
+                    self.detour(attempt, next);
                 }
                 Event::Probes => {
                     self.probe_paths();
