Call a host that calls go over an intermediary, and the way over it a detour

Relays were already the hosts that pass on updates and load reports in an availability zone, so one name stood for two things. Names and comments change, with the path of the call and the name of the counter, which no released host knows; the tests of detours, paths and the emulator's cut-off hosts pass as before.

--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -1,7 +1,7 @@
 //! Paths from one host to the upstreams: direct ones, and detours over other hosts.
 //!
 //! Load pattern: some hosts, up to all of an availability zone, can't open connections to upstreams for seconds, while
-//! callers, the store and the other hosts reach them. Their requests are relayed by hosts that reach the upstream.
+//! callers, the store and the other hosts reach them. Their requests are forwarded by hosts that reach the upstream.
 //! Only connections show which paths work: the result of each one is recorded here, and a failed path is probed until
 //! it works again.
 
@@ -16,12 +16,12 @@
 const CUT_OFF_FAILURES: usize = 3;
 /// Number of paths that a host which is cut off probes in a probe interval.
 const CUT_OFF_PROBES: usize = 3;
-/// Time for which a relay that does not reach an upstream is not asked for it again.
-const RELAY_AVOID_TIME: Millis = Millis(2_000);
+/// Time for which an intermediary that does not reach an upstream is not asked for it again.
+const DETOUR_AVOID_TIME: Millis = Millis(2_000);
 
-/// Another host that can relay.
+/// Another host that calls may go over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Relay {
+pub struct Intermediary {
     /// Its address for calls of other hosts.
     pub addr: SocketAddr,
     /// Whether it is in this host's region.
@@ -44,7 +44,7 @@
     /// When a host that is cut off probes next, and the index of the next upstream.
     next_probe_at: HostTime,
     next_probe: usize,
-    /// Relays that don't reach an upstream, or any if there is none, and until when that counts.
+    /// Intermediaries that don't reach an upstream, or any if there is none, and until when that counts.
     avoided: FastMap<(SocketAddr, Option<SocketAddr>), HostTime>,
 }
 
@@ -78,8 +78,8 @@
         was_direct
     }
 
-    /// Returns the paths to probe now. A host that is cut off probes some of all upstreams in turn, as those that failed
-    /// may have ended.
+    /// Returns the paths to probe now. A host that is cut off probes some of all upstreams in turn, as those that
+    /// failed may have ended.
     pub fn take_due_probes(&mut self, now: HostTime) -> Vec<SocketAddr> {
         if self.is_cut_off() && !self.upstreams.is_empty() {
             if now < self.next_probe_at {
@@ -108,37 +108,44 @@
         self.upstreams = upstreams;
     }
 
-    /// Returns the relay for a request to an upstream, `None` if there is none left that may reach it. Relays of this
-    /// region come first; `seed` selects among them, so that their load is even.
-    pub fn pick_relay(
+    /// Returns the intermediary for a request to an upstream, `None` if there is none left that may reach it.
+    /// Intermediaries of this region come first; `seed` selects among them, so that their load is even.
+    pub fn pick_detour(
         &self,
         upstream: SocketAddr,
-        relays: &[Relay],
+        intermediaries: &[Intermediary],
         seed: u64,
         now: HostTime,
     ) -> Option<SocketAddr> {
         let is_avoided = |key: (SocketAddr, Option<SocketAddr>)| {
             self.avoided.get(&key).is_some_and(|until| now < *until)
         };
-        let usable = |relay: &&Relay| {
-            !is_avoided((relay.addr, None)) && !is_avoided((relay.addr, Some(upstream)))
+        let usable = |intermediary: &&Intermediary| {
+            !is_avoided((intermediary.addr, None))
+                && !is_avoided((intermediary.addr, Some(upstream)))
         };
-        let near: Vec<&Relay> =
-            relays.iter().filter(usable).filter(|relay| relay.is_near).collect();
+        let near: Vec<&Intermediary> = intermediaries
+            .iter()
+            .filter(usable)
+            .filter(|intermediary| intermediary.is_near)
+            .collect();
         let candidates =
-            if near.is_empty() { relays.iter().filter(usable).collect() } else { near };
+            if near.is_empty() { intermediaries.iter().filter(usable).collect() } else { near };
         let index = seed.checked_rem(candidates.len() as u64)?;
-        candidates.get(usize::try_from(index).unwrap_or_default()).map(|relay| relay.addr)
+        candidates
+            .get(usize::try_from(index).unwrap_or_default())
+            .map(|intermediary| intermediary.addr)
     }
 
-    /// Records that a relay did not reach an upstream; with `None`, that it reaches none or could not be reached itself.
-    pub fn on_relay_failure(
+    /// Records that an intermediary did not reach an upstream; with `None`, that it reaches none or could not be
+    /// reached itself.
+    pub fn on_detour_failure(
         &mut self,
-        relay: SocketAddr,
+        intermediary: SocketAddr,
         upstream: Option<SocketAddr>,
         now: HostTime,
     ) {
         self.avoided.retain(|_, until| now < *until);
-        self.avoided.insert((relay, upstream), now + RELAY_AVOID_TIME);
+        self.avoided.insert((intermediary, upstream), now + DETOUR_AVOID_TIME);
     }
 }
--- a/crates/dispatch/src/permits.rs
+++ b/crates/dispatch/src/permits.rs
@@ -39,7 +39,8 @@
 const LONE_PERMIT_TIME: Millis = Millis(500);
 /// Smallest part of a permit that a refused member is told to wait for, as another may get the next one before it.
 const MIN_MISSING: f32 = 0.2;
-/// Smallest rate, in requests per second, at which a pool of all hosts refills: only answers show that a limit has ended.
+/// Smallest rate, in requests per second, at which a pool of all hosts refills: only answers show that a limit has
+/// ended.
 const PROBE_RATE: f32 = 0.25;
 /// Time for which a request for permits shows that its rank has demand.
 const DEMAND_TIME: Millis = Millis(1_000);
@@ -338,8 +339,8 @@
         self.limit.merge(limit);
     }
 
-    /// Answers a request for permits of a process in a fleet of `hosts` hosts, including this one. Returns `None` if the
-    /// request was overtaken by a later one.
+    /// Answers a request for permits of a process in a fleet of `hosts` hosts, including this one. Returns `None` if
+    /// the request was overtaken by a later one.
     pub fn on_request(
         &mut self,
         process: u64,
--- a/crates/dispatch/tests/paths.rs
+++ b/crates/dispatch/tests/paths.rs
@@ -1,6 +1,6 @@
-//! Paths to upstreams: failures, probes and relays.
+//! Paths to upstreams: failures, probes and intermediaries.
 
-use skylarkdock_dispatch::paths::{Paths, Relay};
+use skylarkdock_dispatch::paths::{Intermediary, Paths};
 use skylarkdock_units::times::{HostTime, Millis};
 use std::net::SocketAddr;
 
@@ -10,8 +10,8 @@
     SocketAddr::from(([127, 0, 0, 1], number))
 }
 
-fn relay(number: u16, is_near: bool) -> Relay {
-    Relay { addr: SocketAddr::from(([127, 0, 0, 2], number)), is_near }
+fn intermediary(number: u16, is_near: bool) -> Intermediary {
+    Intermediary { addr: SocketAddr::from(([127, 0, 0, 2], number)), is_near }
 }
 
 #[test]
@@ -62,27 +62,30 @@
 }
 
 #[test]
-fn relays_of_the_region_come_first_and_failed_ones_are_avoided() {
+fn intermediaries_of_the_region_come_first_and_failed_ones_are_avoided() {
     let mut paths = Paths::default();
-    let (near, far) = (relay(1, true), relay(2, false));
+    let (near, far) = (intermediary(1, true), intermediary(2, false));
     let pick =
-        |paths: &Paths, number, now| paths.pick_relay(upstream(number), &[far, near], 7, now);
+        |paths: &Paths, number, now| paths.pick_detour(upstream(number), &[far, near], 7, now);
     assert_eq!(pick(&paths, 1, START), Some(near.addr));
-    paths.on_relay_failure(near.addr, Some(upstream(1)), START);
+    paths.on_detour_failure(near.addr, Some(upstream(1)), START);
     assert_eq!(pick(&paths, 1, START), Some(far.addr));
     assert_eq!(pick(&paths, 2, START), Some(near.addr));
-    paths.on_relay_failure(far.addr, None, START);
+    paths.on_detour_failure(far.addr, None, START);
     assert_eq!(pick(&paths, 1, START), None);
     assert_eq!(pick(&paths, 1, START + Millis(2_000)), Some(near.addr));
-    assert_eq!(paths.pick_relay(upstream(1), &[], 0, START), None);
+    assert_eq!(paths.pick_detour(upstream(1), &[], 0, START), None);
 }
 
 #[test]
-fn load_is_spread_over_relays() {
+fn load_is_spread_over_intermediaries() {
     let paths = Paths::default();
-    let relays = [relay(1, true), relay(2, true), relay(3, true)];
-    for (seed, expected) in (0..3).zip(relays) {
-        assert_eq!(paths.pick_relay(upstream(1), &relays, seed, START), Some(expected.addr));
+    let intermediaries = [intermediary(1, true), intermediary(2, true), intermediary(3, true)];
+    for (seed, expected) in (0..3).zip(intermediaries) {
+        assert_eq!(
+            paths.pick_detour(upstream(1), &intermediaries, seed, START),
+            Some(expected.addr)
+        );
     }
 }
 
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::client::{self, ControlClient};
 use crate::clock;
-use crate::relay::{RelayClient, RelayServer};
+use crate::detour::{DetourClient, DetourServer};
 use crate::relays::Rank;
 use crate::serve::ListenerState;
 use crate::settings::Settings;
@@ -103,8 +103,8 @@
     leader_since: Cell<HostTime>,
     /// When this host last handed leadership over or began to stop; zero if it did neither.
     resigned_at: Cell<HostTime>,
-    relay_client: RelayClient,
-    relay_server: RelayServer,
+    detour_client: DetourClient,
+    detour_server: DetourServer,
     /// Address of the leader and the connection over which samples are sent to it.
     leader_connection: RefCell<Option<(SocketAddr, Rc<Mutex<ControlClient>>)>>,
 }
@@ -199,8 +199,8 @@
             is_handing_over: Cell::new(false),
             leader_since: Cell::default(),
             resigned_at: Cell::default(),
-            relay_client: RelayClient::default(),
-            relay_server: RelayServer::new(protocol.names.request_id),
+            detour_client: DetourClient::default(),
+            detour_server: DetourServer::new(protocol.names.request_id),
             leader_connection: RefCell::default(),
         });
         store_sync::start(&control);
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -3,12 +3,12 @@
 use super::{Control, FleetState, HostRecord};
 use crate::client::{ControlClient, Failure, Outgoing, Reply};
 use crate::clock;
-use crate::relay::RelayError;
+use crate::detour::DetourError;
 use crate::traffic::Sample;
 use async_channel::Receiver;
 use async_io::Timer;
 use async_lock::Mutex;
-use skylarkdock_dispatch::paths::Relay;
+use skylarkdock_dispatch::paths::Intermediary;
 use skylarkdock_spans::leader::{Action, Inputs};
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::plan::Candidate;
@@ -91,12 +91,12 @@
 
     async fn send_renewal(self: Rc<Self>, service: ServiceName, grant: Grant) {
         // Another host opens a new connection, which a later incarnation may have accepted.
-        let may_relay = {
+        let may_detour = {
             let owners = self.owners.borrow();
             let renewals = owners.renewals.get(&service);
             renewals.is_some_and(|renewals| renewals.has_recent_answer(&grant.holder, clock::now()))
         };
-        let end = self.send_grant(&service, &grant, may_relay).await;
+        let end = self.send_grant(&service, &grant, may_detour).await;
         if let Some(renewals) = self.owners.borrow_mut().renewals.get_mut(&service) {
             let was_suspended = renewals.suspended_at(&grant.holder).is_some();
             renewals.on_renewal_end(&grant, end, clock::now());
@@ -112,8 +112,8 @@
         Rc::clone(callers.entry(holder.clone()).or_insert_with(new))
     }
 
-    /// Sends a grant, over another host if this one has no path to the upstream and `may_relay` is set.
-    async fn send_grant(&self, service: &ServiceName, grant: &Grant, may_relay: bool) -> CallEnd {
+    /// Sends a grant, over another host if this one has no path to the upstream and `may_detour` is set.
+    async fn send_grant(&self, service: &ServiceName, grant: &Grant, may_detour: bool) -> CallEnd {
         let addr = grant.holder.addr;
         let paths = self.status.paths();
         let req = (self.protocol.build_grant)(grant, self.timing.hold);
@@ -136,42 +136,44 @@
                 return CallEnd::Unknown;
             }
         }
-        if !may_relay {
+        if !may_detour {
             return CallEnd::Unknown;
         }
         let remaining = self.timing.call_timeout.saturating_sub(clock::now().since(started));
-        match self.call_over_relay(addr, &req, remaining).await {
+        match self.call_over_detour(addr, &req, remaining).await {
             Ok(Ok(reply)) => (self.protocol.parse_grant_reply)(&reply),
             Ok(Err(failure)) => {
                 self.on_call_failure(service, &grant.holder, &failure);
                 CallEnd::Unknown
             }
-            Err(RelayError::Refused) => {
+            Err(DetourError::Refused) => {
                 let refused = Failure::NotSent(ErrorKind::ConnectionRefused.into());
                 self.on_call_failure(service, &grant.holder, &refused);
                 CallEnd::Unknown
             }
-            Err(RelayError::NoRelay) => CallEnd::Unknown,
+            Err(DetourError::NoDetour) => CallEnd::Unknown,
         }
     }
 
     /// Makes a call to an upstream over another host.
-    async fn call_over_relay(
+    async fn call_over_detour(
         &self,
         upstream: SocketAddr,
         req: &Outgoing,
         timeout: Millis,
-    ) -> Result<Result<Reply, Failure>, RelayError> {
-        let relays: Vec<Relay> = {
+    ) -> Result<Result<Reply, Failure>, DetourError> {
+        let intermediaries: Vec<Intermediary> = {
             let fleet = self.fleet.borrow();
             let others = fleet.hosts.values().filter(|record| record.host != self.settings.host);
-            let relay = |record: &HostRecord| Relay {
+            let intermediary = |record: &HostRecord| Intermediary {
                 addr: record.peers,
                 is_near: record.region == self.settings.region,
             };
-            others.map(relay).collect()
+            others.map(intermediary).collect()
         };
-        self.relay_client.call(self.status.paths(), &relays, upstream, (req, true), timeout).await
+        self.detour_client
+            .call(self.status.paths(), &intermediaries, upstream, (req, true), timeout)
+            .await
     }
 
     /// Suspends a holder after a failed call, except a time-out. Its renewals resume when the registry shows a later
@@ -392,8 +394,8 @@
         let done: Result<Reply, Failure> = if is_direct {
             ControlClient::new(addr).call(&req, RELEASE_TIMEOUT).await
         } else {
-            let not_sent = |e: RelayError| Err(Failure::NotSent(e.into()));
-            self.call_over_relay(addr, &req, RELEASE_TIMEOUT).await.unwrap_or_else(not_sent)
+            let not_sent = |e: DetourError| Err(Failure::NotSent(e.into()));
+            self.call_over_detour(addr, &req, RELEASE_TIMEOUT).await.unwrap_or_else(not_sent)
         };
         match done {
             Ok(reply) => {
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -4,8 +4,8 @@
 use super::owners::RELEASE_TIMEOUT;
 use crate::client::{ControlClient, Failure, Outgoing};
 use crate::clock;
+use crate::detour::DETOUR_PATH;
 use crate::net;
-use crate::relay::RELAY_PATH;
 use crate::serve::{self, Answer, AnswerFuture, Incoming, ListenerState};
 use crate::traffic::Sample;
 use async_lock::Mutex;
@@ -64,10 +64,10 @@
                 Ok(release) => Ok(encode(&self.send_release(&release).await)),
                 Err(e) => Err(e),
             },
-            RELAY_PATH => match self.relay_for_peer(&req.body).await {
+            DETOUR_PATH => match self.call_for_peer(&req.body).await {
                 Ok(body) => return Answer { status: 200, headers: Headers::default(), body },
                 Err(e) => {
-                    log::warn!(path = RELAY_PATH, error:% = e; "peers: can't decode a call");
+                    log::warn!(path = DETOUR_PATH, error:% = e; "peers: can't decode a call");
                     return Answer::empty(400);
                 }
             },
@@ -91,14 +91,14 @@
     }
 
     /// Sends a call of another host to an upstream.
-    async fn relay_for_peer(&self, body: &[u8]) -> Result<Vec<u8>, postcard::Error> {
+    async fn call_for_peer(&self, body: &[u8]) -> Result<Vec<u8>, postcard::Error> {
         let is_listed = |addr: SocketAddr| {
             let fleet = self.fleet.borrow();
             // A call that is under way when this host ends would have an unknown result.
             !self.status.is_leaving()
                 && fleet.registry.listed().any(|listed| listed.entry.addr == addr)
         };
-        self.relay_server.on_call(self.status.paths(), body, is_listed).await
+        self.detour_server.on_call(self.status.paths(), body, is_listed).await
     }
 
     fn on_sample(&self, sample: HostSample) -> Option<Vec<u8>> {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/detour.rs
@@ -1,9 +1,9 @@
 //! Calls to upstreams over another host, for hosts that can't reach an upstream themselves.
 //!
-//! The caller of a relay gets the upstream's answer, or learns whether anything was sent. A call states until when it
-//! may be sent, by the relay's clock: one that is delayed on its way must not arrive at the upstream after its caller
-//! has given it up, as a late renewal would extend a grant that counts as expired. The caller knows the relay's clock
-//! from its last answer; the first call only asks for it.
+//! The caller of an intermediary gets the upstream's answer, or learns whether anything was sent. A call states until
+//! when it may be sent, by the intermediary's clock: one that is delayed on its way must not arrive at the upstream
+//! after its caller has given it up, as a late renewal would extend a grant that counts as expired. The caller knows
+//! the intermediary's clock from its last answer; the first call only asks for it.
 
 use crate::client::{Conn, Failure, Outgoing, Reply, exchange_within};
 use crate::clock;
@@ -11,7 +11,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
-use skylarkdock_dispatch::paths::{Paths, Relay};
+use skylarkdock_dispatch::paths::{Intermediary, Paths};
 use skylarkdock_http1::body::Framing;
 use skylarkdock_http1::head::{Header, Headers, ResponseHead};
 use skylarkdock_units::collections::FastMap;
@@ -21,16 +21,16 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// Path of the call to a relay.
-pub const RELAY_PATH: &str = "/relay";
-/// Longest time to open a connection to an upstream or to a relay. A round trip between regions takes some tens of
-/// milliseconds, and TCP resends a lost SYN only after a second.
+/// Path of the call to an intermediary.
+pub const DETOUR_PATH: &str = "/detour";
+/// Longest time to open a connection to an upstream or to an intermediary. A round trip between regions takes some tens
+/// of milliseconds, and TCP resends a lost SYN only after a second.
 pub const CONNECT_TIMEOUT: Millis = Millis(300);
-/// Number of relays that one call is tried on. Those that are cut off themselves say so at once.
-const MAX_RELAYS: u32 = 6;
-/// Time that a relay may take beyond the timeout of the call, for its own work.
-const RELAY_MARGIN: Millis = Millis(30);
-/// Idle connections to each relay, and from a relay to each upstream.
+/// Number of intermediaries that one call is tried on. Those that are cut off themselves say so at once.
+const MAX_DETOURS: u32 = 6;
+/// Time that an intermediary may take beyond the timeout of the call, for its own work.
+const DETOUR_MARGIN: Millis = Millis(30);
+/// Idle connections to each intermediary, and from an intermediary to each upstream.
 const MAX_IDLE: usize = 8;
 
 /// Paths to upstreams, shared by the threads of a host.
@@ -66,13 +66,13 @@
     }
 }
 
-/// Call to a relay.
+/// Call to an intermediary.
 #[derive(Debug, Serialize, Deserialize)]
-struct RelayCall {
+struct DetourCall {
     upstream: SocketAddr,
-    /// Process of the relay whose clock `send_by` refers to; another one does not send the call.
+    /// Process of the intermediary whose clock `send_by` refers to; another one does not send the call.
     run: u64,
-    /// Time by the relay's clock until which the call may be sent, in milliseconds.
+    /// Time by the intermediary's clock until which the call may be sent, in milliseconds.
     send_by: u64,
     timeout_ms: u64,
     is_once: bool,
@@ -81,24 +81,24 @@
     bytes: Vec<u8>,
 }
 
-/// Answer of a relay.
+/// Answer of an intermediary.
 #[derive(Debug, Serialize, Deserialize)]
-struct RelayAnswer {
-    /// The relay's process.
+struct DetourAnswer {
+    /// The intermediary's process.
     run: u64,
-    /// The relay's clock, in milliseconds.
+    /// The intermediary's clock, in milliseconds.
     clock: u64,
-    end: RelayEnd,
+    end: DetourEnd,
 }
 
-/// How a relayed call ended.
+/// How a call over an intermediary ended.
 #[derive(Debug, Serialize, Deserialize)]
-enum RelayEnd {
+enum DetourEnd {
     /// The upstream answered.
     Answered { status: u16, headers: Vec<(String, Vec<u8>)>, body: Vec<u8>, is_matched: bool },
     /// The call came too late, or for an earlier process. Nothing was sent.
     Expired,
-    /// The relay has no path to the upstream. Nothing was sent.
+    /// The intermediary has no path to the upstream. Nothing was sent.
     NoPath { is_cut_off: bool, is_refused: bool },
     /// The connection to the upstream broke.
     Broken,
@@ -108,97 +108,97 @@
     TimedOut,
 }
 
-/// Why a call could not be relayed. Nothing was sent to the upstream.
+/// Why a call could not be made over another host. Nothing was sent to the upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum RelayError {
+pub enum DetourError {
     /// No other host reaches the upstream, or none is known.
     #[error("no other host reaches the upstream")]
-    NoRelay,
+    NoDetour,
     /// The upstream refused a connection of another host, too.
     #[error("the upstream refuses connections of other hosts")]
     Refused,
 }
 
-/// Caller of relays.
+/// Caller of intermediaries.
 #[derive(Default)]
-pub struct RelayClient {
+pub struct DetourClient {
     pool: RefCell<Pool>,
-    /// Process and clock of each relay, and when its answer arrived.
+    /// Process and clock of each intermediary, and when its answer arrived.
     clocks: RefCell<FastMap<SocketAddr, (u64, u64, HostTime)>>,
 }
 
-impl RelayClient {
-    /// Makes a call to an upstream over one of `relays`. Returns as [`Conn::exchange`] does if anything may have been
-    /// sent.
+impl DetourClient {
+    /// Makes a call to an upstream over one of `intermediaries`. Returns as [`Conn::exchange`] does if anything may
+    /// have been sent.
     ///
     /// # Errors
     ///
-    /// Fails if no relay has sent the call.
+    /// Fails if no intermediary has sent the call.
     pub async fn call(
         &self,
         paths: &SharedPaths,
-        relays: &[Relay],
+        intermediaries: &[Intermediary],
         upstream: SocketAddr,
         (req, is_once): (&Outgoing, bool),
         timeout: Millis,
-    ) -> Result<Result<Reply, Failure>, RelayError> {
+    ) -> Result<Result<Reply, Failure>, DetourError> {
         let give_up_at = clock::now() + timeout;
-        for _ in 0..MAX_RELAYS {
+        for _ in 0..MAX_DETOURS {
             let now = clock::now();
-            let picked = paths.lock().pick_relay(upstream, relays, fastrand::u64(..), now);
-            let (Some(relay), true) = (picked, now < give_up_at) else { break };
-            match self.call_relay(relay, upstream, (req, is_once), give_up_at).await {
-                Ok(RelayEnd::Answered { status, headers, body, is_matched }) => {
+            let picked = paths.lock().pick_detour(upstream, intermediaries, fastrand::u64(..), now);
+            let (Some(intermediary), true) = (picked, now < give_up_at) else { break };
+            match self.call_over(intermediary, upstream, (req, is_once), give_up_at).await {
+                Ok(DetourEnd::Answered { status, headers, body, is_matched }) => {
                     return Ok(Ok(reply(status, headers, body, is_matched)));
                 }
-                Ok(RelayEnd::Broken) => {
+                Ok(DetourEnd::Broken) => {
                     return Ok(Err(Failure::Broken(ErrorKind::ConnectionReset.into())));
                 }
-                Ok(RelayEnd::Malformed) => return Ok(Err(Failure::Malformed)),
-                Ok(RelayEnd::TimedOut) => return Ok(Err(Failure::TimedOut)),
-                Ok(RelayEnd::Expired) => {}
-                Ok(RelayEnd::NoPath { is_cut_off, is_refused }) => {
+                Ok(DetourEnd::Malformed) => return Ok(Err(Failure::Malformed)),
+                Ok(DetourEnd::TimedOut) => return Ok(Err(Failure::TimedOut)),
+                Ok(DetourEnd::Expired) => {}
+                Ok(DetourEnd::NoPath { is_cut_off, is_refused }) => {
                     let failed = if is_cut_off { None } else { Some(upstream) };
-                    paths.lock().on_relay_failure(relay, failed, clock::now());
+                    paths.lock().on_detour_failure(intermediary, failed, clock::now());
                     if is_refused {
-                        return Err(RelayError::Refused);
+                        return Err(DetourError::Refused);
                     }
                     if !is_cut_off {
                         // Two hosts did not reach it, so it has probably ended.
-                        return Err(RelayError::NoRelay);
+                        return Err(DetourError::NoDetour);
                     }
                 }
                 Err(Failure::NotSent(e)) => {
-                    log::debug!("relay: can't reach {relay}: {e}");
-                    paths.lock().on_relay_failure(relay, None, clock::now());
+                    log::debug!("detour: can't reach {intermediary}: {e}");
+                    paths.lock().on_detour_failure(intermediary, None, clock::now());
                 }
                 Err(failure) => {
-                    paths.lock().on_relay_failure(relay, None, clock::now());
+                    paths.lock().on_detour_failure(intermediary, None, clock::now());
                     return Ok(Err(failure));
                 }
             }
         }
-        Err(RelayError::NoRelay)
+        Err(DetourError::NoDetour)
     }
 
-    /// Makes a call over a relay. The first one to a process of a relay asks for its clock.
-    async fn call_relay(
+    /// Makes a call over an intermediary. The first one to a process of an intermediary asks for its clock.
+    async fn call_over(
         &self,
-        relay: SocketAddr,
+        intermediary: SocketAddr,
         upstream: SocketAddr,
         (req, is_once): (&Outgoing, bool),
         give_up_at: HostTime,
-    ) -> Result<RelayEnd, Failure> {
+    ) -> Result<DetourEnd, Failure> {
         let mut expired = false;
         loop {
             let now = clock::now();
             let timeout = give_up_at.since(now);
-            let known = self.clocks.borrow().get(&relay).copied();
-            // The relay's clock shows at least what it showed with its answer and the time since that arrived.
+            let known = self.clocks.borrow().get(&intermediary).copied();
+            // The intermediary's clock shows at least what it showed with its answer and the time since that arrived.
             let (run, send_by) = known.map_or((0, 0), |(run, clock, received_at)| {
                 (run, clock + now.since(received_at).0 + timeout.0)
             });
-            let call = RelayCall {
+            let call = DetourCall {
                 upstream,
                 run,
                 send_by,
@@ -208,9 +208,9 @@
                 id: req.id.as_ref().map(|(_, id)| id.clone()),
                 bytes: if known.is_some() { req.bytes.clone() } else { Vec::new() },
             };
-            let answer = self.send(relay, &call, timeout + RELAY_MARGIN).await?;
-            self.clocks.borrow_mut().insert(relay, (answer.run, answer.clock, clock::now()));
-            let is_first = matches!(answer.end, RelayEnd::Expired) && !expired;
+            let answer = self.send(intermediary, &call, timeout + DETOUR_MARGIN).await?;
+            self.clocks.borrow_mut().insert(intermediary, (answer.run, answer.clock, clock::now()));
+            let is_first = matches!(answer.end, DetourEnd::Expired) && !expired;
             if !is_first || clock::now() >= give_up_at {
                 return Ok(answer.end);
             }
@@ -220,50 +220,50 @@
 
     async fn send(
         &self,
-        relay: SocketAddr,
-        call: &RelayCall,
+        intermediary: SocketAddr,
+        call: &DetourCall,
         timeout: Millis,
-    ) -> Result<RelayAnswer, Failure> {
+    ) -> Result<DetourAnswer, Failure> {
         let body = postcard::to_stdvec(call).map_err(|e| {
-            log::error!("relay: can't encode a call: {e}");
+            log::error!("detour: can't encode a call: {e}");
             Failure::NotSent(ErrorKind::InvalidData.into())
         })?;
         let mut headers = Headers::default();
-        headers.push("Host", relay.to_string());
-        let outgoing = Outgoing::new("POST", RELAY_PATH, &headers, &body);
-        let pooled = self.pool.borrow_mut().take(relay, true);
+        headers.push("Host", intermediary.to_string());
+        let outgoing = Outgoing::new("POST", DETOUR_PATH, &headers, &body);
+        let pooled = self.pool.borrow_mut().take(intermediary, true);
         let conn = match pooled {
             Some(conn) => conn,
-            None => {
-                Conn::open(relay, CONNECT_TIMEOUT.min(timeout)).await.map_err(Failure::NotSent)?
-            }
+            None => Conn::open(intermediary, CONNECT_TIMEOUT.min(timeout))
+                .await
+                .map_err(Failure::NotSent)?,
         };
         let mut conn = ResetOnDrop(Some(conn));
         let Some(open) = conn.0.as_mut() else { return Err(Failure::Malformed) };
         let (reply, reusable) = exchange_within(open, &outgoing, timeout).await?;
         if let Some(conn) = conn.0.take().filter(|_| reusable) {
-            self.pool.borrow_mut().put(relay, conn, MAX_IDLE);
+            self.pool.borrow_mut().put(intermediary, conn, MAX_IDLE);
         }
         if reply.head.status == 404 {
-            // An earlier version, which does not relay.
+            // An earlier version, which knows no detours.
             return Err(Failure::NotSent(ErrorKind::Unsupported.into()));
         }
         postcard::from_bytes(&reply.body).map_err(|e| {
-            log::warn!(peer:% = relay, error:% = e; "relay: can't decode an answer");
+            log::warn!(peer:% = intermediary, error:% = e; "detour: can't decode an answer");
             Failure::Malformed
         })
     }
 }
 
-/// Relay for other hosts.
-pub struct RelayServer {
+/// The part of an intermediary: makes calls for other hosts.
+pub struct DetourServer {
     pool: RefCell<Pool>,
     run: u64,
     id_header: &'static str,
 }
 
-impl RelayServer {
-    /// Creates a relay of a new process. `id_header` is the name of the header with a request's id.
+impl DetourServer {
+    /// Creates the state of a new process. `id_header` is the name of the header with a request's id.
     pub fn new(id_header: &'static str) -> Self {
         Self { pool: RefCell::default(), run: fastrand::u64(1..), id_header }
     }
@@ -279,22 +279,22 @@
         body: &[u8],
         is_listed: impl Fn(SocketAddr) -> bool,
     ) -> Result<Vec<u8>, postcard::Error> {
-        let call: RelayCall = postcard::from_bytes(body)?;
+        let call: DetourCall = postcard::from_bytes(body)?;
         let end = if call.run != self.run || clock::now().0 > call.send_by {
-            RelayEnd::Expired
+            DetourEnd::Expired
         } else if is_listed(call.upstream) {
-            self.relay(paths, call).await
+            self.forward(paths, call).await
         } else {
-            RelayEnd::NoPath { is_cut_off: false, is_refused: false }
+            DetourEnd::NoPath { is_cut_off: false, is_refused: false }
         };
-        postcard::to_stdvec(&RelayAnswer { run: self.run, clock: clock::now().0, end })
+        postcard::to_stdvec(&DetourAnswer { run: self.run, clock: clock::now().0, end })
     }
 
-    async fn relay(&self, paths: &SharedPaths, call: RelayCall) -> RelayEnd {
+    async fn forward(&self, paths: &SharedPaths, call: DetourCall) -> DetourEnd {
         let upstream = call.upstream;
         let no_path = |is_refused| {
             let is_cut_off = paths.lock().is_cut_off();
-            RelayEnd::NoPath { is_cut_off, is_refused }
+            DetourEnd::NoPath { is_cut_off, is_refused }
         };
         if !paths.lock().is_direct(upstream) {
             return no_path(false);
@@ -315,14 +315,14 @@
         };
         let mut conn = ResetOnDrop(Some(conn));
         if clock::now().0 > call.send_by {
-            return RelayEnd::Expired;
+            return DetourEnd::Expired;
         }
         let outgoing = Outgoing {
             bytes: call.bytes,
             is_head: call.is_head,
             id: call.id.map(|id| (self.id_header, id)),
         };
-        let Some(open) = conn.0.as_mut() else { return RelayEnd::Broken };
+        let Some(open) = conn.0.as_mut() else { return DetourEnd::Broken };
         let timed_out = async {
             Timer::at(clock::instant(give_up_at)).await;
             Err(Failure::TimedOut)
@@ -334,7 +334,7 @@
                     self.pool.borrow_mut().put(upstream, conn, MAX_IDLE);
                 }
                 let headers = reply.head.headers.0.into_iter();
-                RelayEnd::Answered {
+                DetourEnd::Answered {
                     status: reply.head.status,
                     headers: headers.map(|header| (header.name, header.value)).collect(),
                     body: reply.body,
@@ -342,9 +342,9 @@
                 }
             }
             Err(Failure::NotSent(_)) => no_path(false),
-            Err(Failure::Broken(_)) => RelayEnd::Broken,
-            Err(Failure::Malformed) => RelayEnd::Malformed,
-            Err(Failure::TimedOut) => RelayEnd::TimedOut,
+            Err(Failure::Broken(_)) => DetourEnd::Broken,
+            Err(Failure::Malformed) => DetourEnd::Malformed,
+            Err(Failure::TimedOut) => DetourEnd::TimedOut,
         }
     }
 }
@@ -385,11 +385,11 @@
     Reply { head, body, is_matched }
 }
 
-impl From<RelayError> for io::Error {
-    fn from(error: RelayError) -> Self {
+impl From<DetourError> for io::Error {
+    fn from(error: DetourError) -> Self {
         let kind = match error {
-            RelayError::NoRelay => ErrorKind::NotConnected,
-            RelayError::Refused => ErrorKind::ConnectionRefused,
+            DetourError::NoDetour => ErrorKind::NotConnected,
+            DetourError::Refused => ErrorKind::ConnectionRefused,
         };
         Self::new(kind, error)
     }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -1,6 +1,6 @@
 //! Readiness, shutdown state and age of the configuration, shared by the threads of a host.
 
-use crate::relay::SharedPaths;
+use crate::detour::SharedPaths;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -3,7 +3,7 @@
 use super::Traffic;
 use crate::client::{Conn, Failure, Outgoing, Reply};
 use crate::clock;
-use crate::relay::CONNECT_TIMEOUT;
+use crate::detour::CONNECT_TIMEOUT;
 use crate::upstreams::ReplyKind;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -182,7 +182,7 @@
         }
         let remaining = deadline.since(clock::now());
         let req = build(remaining);
-        self.exchange_relayed(addr, &req, attempt.is_once, remaining, direct).await
+        self.exchange_over_detour(addr, &req, attempt.is_once, remaining, direct).await
     }
 
     async fn exchange_direct(
--- a/crates/edge/src/traffic/detours.rs
+++ b/crates/edge/src/traffic/detours.rs
@@ -3,11 +3,11 @@
 use super::Traffic;
 use crate::client::{Failure, Outgoing, Reply};
 use crate::clock;
-use crate::relay::{self, RelayError};
+use crate::detour::{self, DetourError};
 use crate::view::{PeerInfo, View};
 use async_io::Timer;
 use metrics::{counter, gauge};
-use skylarkdock_dispatch::paths::Relay;
+use skylarkdock_dispatch::paths::Intermediary;
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::Millis;
 use std::io;
@@ -27,7 +27,7 @@
     ///
     /// Fails if no other host reaches the upstream either, with [`io::ErrorKind::ConnectionRefused`] only if the
     /// upstream refuses connections from everywhere.
-    pub(super) async fn exchange_relayed(
+    pub(super) async fn exchange_over_detour(
         &self,
         addr: SocketAddr,
         req: &Outgoing,
@@ -35,31 +35,32 @@
         timeout: Millis,
         direct: Option<io::Error>,
     ) -> io::Result<Result<Reply, Failure>> {
-        let relays = self.relays();
+        let intermediaries = self.intermediaries();
         let paths = self.status.paths();
-        let relayed = self.relay_client.call(paths, &relays, addr, (req, is_once), timeout).await;
-        let result = match &relayed {
+        let forwarded =
+            self.detour_client.call(paths, &intermediaries, addr, (req, is_once), timeout).await;
+        let result = match &forwarded {
             Ok(Ok(_)) => "answered",
             Ok(Err(_)) => "unknown",
             Err(_) => "no_path",
         };
-        counter!("skylarkdock_relayed_total", "result" => result).increment(1);
-        match (relayed, direct) {
+        counter!("skylarkdock_detours_total", "result" => result).increment(1);
+        match (forwarded, direct) {
             (Ok(result), _) => Ok(result),
-            (Err(_), Some(direct)) if relays.is_empty() => Err(direct),
-            (Err(error @ RelayError::Refused), _) => Err(error.into()),
-            (Err(error @ RelayError::NoRelay), _) => Err(error.into()),
+            (Err(_), Some(direct)) if intermediaries.is_empty() => Err(direct),
+            (Err(error @ DetourError::Refused), _) => Err(error.into()),
+            (Err(error @ DetourError::NoDetour), _) => Err(error.into()),
         }
     }
 
-    /// Returns the hosts that can relay.
-    fn relays(&self) -> Vec<Relay> {
+    /// Returns the hosts that calls may go over.
+    fn intermediaries(&self) -> Vec<Intermediary> {
         let view = self.view.borrow();
-        let relay = |peer: &PeerInfo| Relay {
+        let intermediary = |peer: &PeerInfo| Intermediary {
             addr: peer.calls,
             is_near: peer.region == self.settings.region,
         };
-        view.peers.iter().flatten().map(relay).collect()
+        view.peers.iter().flatten().map(intermediary).collect()
     }
 
     /// Checks the path to an upstream whose answer is late: a connection that lives on may have gone silent.
@@ -76,7 +77,7 @@
         checked_at.insert(addr, now);
         let (status, pool) = (std::sync::Arc::clone(&self.status), Rc::clone(&self.pool));
         let probe = async move {
-            match relay::probe(status.paths(), addr).await {
+            match detour::probe(status.paths(), addr).await {
                 Some(conn) => pool.borrow_mut().put(addr, conn, 1),
                 None => pool.borrow_mut().close_all(addr),
             }
@@ -96,7 +97,7 @@
             for addr in due {
                 let traffic = Rc::clone(&self);
                 let probe = async move {
-                    if let Some(conn) = relay::probe(traffic.status.paths(), addr).await {
+                    if let Some(conn) = detour::probe(traffic.status.paths(), addr).await {
                         traffic.pool.borrow_mut().put(addr, conn, 1);
                     }
                 };
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -11,8 +11,8 @@
 mod waiting;
 
 use crate::clock;
+use crate::detour::DetourClient;
 use crate::pool::{self, Pool};
-use crate::relay::RelayClient;
 use crate::serve::{Answer, AnswerFuture, Incoming, ListenerState};
 use crate::settings::Settings;
 use crate::status::Status;
@@ -74,7 +74,7 @@
     route_counts: RefCell<FastMap<Arc<str>, u64>>,
     reports: RefCell<reports::Reports>,
     pools: RefCell<permits::Pools>,
-    relay_client: RelayClient,
+    detour_client: DetourClient,
     /// When the path to an upstream was last checked because an answer was late.
     path_checked_at: RefCell<FastMap<SocketAddr, HostTime>>,
     /// Socket for load reports and permits, unless it could not be opened.
@@ -122,7 +122,7 @@
             route_counts: RefCell::default(),
             reports: RefCell::default(),
             pools: RefCell::default(),
-            relay_client: RelayClient::default(),
+            detour_client: DetourClient::default(),
             path_checked_at: RefCell::default(),
             datagrams: RefCell::default(),
             run: fastrand::u32(..),
--- a/crates/edge/tests/relay.rs
+++ b/crates/edge/tests/detour.rs
@@ -4,9 +4,9 @@
 
 use async_io::block_on;
 use rstest::rstest;
-use skylarkdock_dispatch::paths::Relay;
+use skylarkdock_dispatch::paths::Intermediary;
 use skylarkdock_edge::client::{Failure, Outgoing};
-use skylarkdock_edge::relay::{RelayClient, RelayError, RelayServer, SharedPaths};
+use skylarkdock_edge::detour::{DetourClient, DetourError, DetourServer, SharedPaths};
 use skylarkdock_http1::body::{Decoder, Framing};
 use skylarkdock_http1::head::{Headers, RequestHead};
 use skylarkdock_units::times::Millis;
@@ -64,11 +64,11 @@
     }
 }
 
-/// Starts a relay that knows the given upstreams.
-fn start_relay(listed: Vec<SocketAddr>) -> SocketAddr {
+/// Starts an intermediary that knows the given upstreams.
+fn start_intermediary(listed: Vec<SocketAddr>) -> SocketAddr {
     let server = thread_local_server();
     serve(move |head, body| {
-        assert_eq!(head.path(), "/relay");
+        assert_eq!(head.path(), "/detour");
         let is_listed = |addr| listed.contains(&addr);
         let paths = SharedPaths::default();
         let body = server(&paths, &body, &is_listed);
@@ -81,9 +81,9 @@
 
 type Serve = dyn Fn(&SharedPaths, &[u8], &dyn Fn(SocketAddr) -> bool) -> Vec<u8> + Send + Sync;
 
-/// Returns a relay that stays on a thread of its own, as a host's does.
+/// Returns an intermediary that stays on a thread of its own, as a host's does.
 fn thread_local_server() -> Box<Serve> {
-    let server = std::sync::Mutex::new(RelayServer::new("X-Id"));
+    let server = std::sync::Mutex::new(DetourServer::new("X-Id"));
     Box::new(move |paths, body, is_listed| {
         block_on(server.lock().unwrap().on_call(paths, body, is_listed)).unwrap()
     })
@@ -112,8 +112,8 @@
     req
 }
 
-fn near(addr: SocketAddr) -> Relay {
-    Relay { addr, is_near: true }
+fn near(addr: SocketAddr) -> Intermediary {
+    Intermediary { addr, is_near: true }
 }
 
 /// Returns an address at which nothing listens.
@@ -125,11 +125,11 @@
 fn the_upstreams_answer_comes_back_whole() {
     let count = Arc::default();
     let upstream = upstream(&count);
-    let relays = [near(start_relay(vec![upstream]))];
-    let (client, paths) = (RelayClient::default(), SharedPaths::default());
+    let intermediaries = [near(start_intermediary(vec![upstream]))];
+    let (client, paths) = (DetourClient::default(), SharedPaths::default());
     for body in [&b"first"[..], &[7; 40_000]] {
         let req = request("/x", body);
-        let call = client.call(&paths, &relays, upstream, (&req, true), TIMEOUT);
+        let call = client.call(&paths, &intermediaries, upstream, (&req, true), TIMEOUT);
         let reply = block_on(call).unwrap().unwrap();
         assert_eq!((reply.head.status, reply.is_matched), (201, true));
         assert_eq!(reply.head.headers.get_str("x-extra"), Some("7"));
@@ -139,14 +139,14 @@
 }
 
 #[test]
-fn another_relay_is_used_if_the_first_does_not_answer() {
+fn another_intermediary_is_used_if_the_first_does_not_answer() {
     let count = Arc::default();
     let upstream = upstream(&count);
-    let relays = [near(closed_port()), near(start_relay(vec![upstream]))];
-    let (client, paths) = (RelayClient::default(), SharedPaths::default());
+    let intermediaries = [near(closed_port()), near(start_intermediary(vec![upstream]))];
+    let (client, paths) = (DetourClient::default(), SharedPaths::default());
     for _ in 0..8 {
         let req = request("/x", b"");
-        let call = client.call(&paths, &relays, upstream, (&req, true), TIMEOUT);
+        let call = client.call(&paths, &intermediaries, upstream, (&req, true), TIMEOUT);
         assert_eq!(block_on(call).unwrap().unwrap().head.status, 201);
     }
     assert_eq!(count.load(Ordering::Relaxed), 8);
@@ -154,26 +154,27 @@
 
 /// A request that may have run must not look as if it had not been sent.
 #[test]
-fn a_connection_that_breaks_behind_the_relay_is_reported() {
+fn a_connection_that_breaks_behind_the_intermediary_is_reported() {
     let count = Arc::default();
     let upstream = upstream(&count);
-    let relays = [near(start_relay(vec![upstream]))];
-    let (client, paths) = (RelayClient::default(), SharedPaths::default());
+    let intermediaries = [near(start_intermediary(vec![upstream]))];
+    let (client, paths) = (DetourClient::default(), SharedPaths::default());
     let req = request("/close", b"");
-    let call = client.call(&paths, &relays, upstream, (&req, true), TIMEOUT);
+    let call = client.call(&paths, &intermediaries, upstream, (&req, true), TIMEOUT);
     assert!(matches!(block_on(call), Ok(Err(Failure::Broken(_)))));
     assert_eq!(count.load(Ordering::Relaxed), 1);
 }
 
 #[rstest]
-#[case::refused(true, RelayError::Refused)]
-#[case::not_listed(false, RelayError::NoRelay)]
-fn an_upstream_without_a_path_is_reported(#[case] is_listed: bool, #[case] expected: RelayError) {
+#[case::refused(true, DetourError::Refused)]
+#[case::not_listed(false, DetourError::NoDetour)]
+fn an_upstream_without_a_path_is_reported(#[case] is_listed: bool, #[case] expected: DetourError) {
     let upstream = closed_port();
-    let relays = [near(start_relay(if is_listed { vec![upstream] } else { Vec::new() }))];
-    let (client, paths) = (RelayClient::default(), SharedPaths::default());
+    let intermediaries =
+        [near(start_intermediary(if is_listed { vec![upstream] } else { Vec::new() }))];
+    let (client, paths) = (DetourClient::default(), SharedPaths::default());
     let req = request("/x", b"");
-    let call = client.call(&paths, &relays, upstream, (&req, true), TIMEOUT);
+    let call = client.call(&paths, &intermediaries, upstream, (&req, true), TIMEOUT);
     assert_eq!(block_on(call).unwrap_err(), expected);
 }
 
@@ -183,7 +184,7 @@
     let count = Arc::default();
     let upstream = upstream(&count);
     let server = thread_local_server();
-    let relay = serve(move |_, body| {
+    let intermediary = serve(move |_, body| {
         thread::sleep(Millis(600).duration());
         let body = server(&SharedPaths::default(), &body, &|_| true);
         let mut answer =
@@ -191,12 +192,12 @@
         answer.extend_from_slice(&body);
         answer
     });
-    let (client, paths) = (RelayClient::default(), SharedPaths::default());
-    // The first call learns the relay's clock, the second one is held up for longer than it may take.
+    let (client, paths) = (DetourClient::default(), SharedPaths::default());
+    // The first call learns the intermediary's clock, the second one is held up for longer than it may take.
     for timeout in [Millis(1_000), Millis(300)] {
         let req = request("/x", b"");
-        let relays = [near(relay)];
-        let call = client.call(&paths, &relays, upstream, (&req, true), timeout);
+        let intermediaries = [near(intermediary)];
+        let call = client.call(&paths, &intermediaries, upstream, (&req, true), timeout);
         assert!(!matches!(block_on(call), Ok(Ok(_))));
         thread::sleep(Millis(1_500).duration());
     }
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -6,7 +6,7 @@
 use crate::stats::RunStats;
 use crate::upstream::{Admission, Job, UpstreamModel};
 use skylarkdock_dispatch::key_owners::KeyMap;
-use skylarkdock_dispatch::paths::{Paths, Relay};
+use skylarkdock_dispatch::paths::{Intermediary, Paths};
 use skylarkdock_dispatch::retry_after;
 use skylarkdock_dispatch::retry_budget::{RetryBudget, RetryLimits};
 use skylarkdock_dispatch::routes::Idempotency;
@@ -38,8 +38,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// Interval at which hosts send due probes, the same as on real hosts.
 const PROBE_CHECK_INTERVAL_MS: u64 = 100;
-/// Number of relays that an attempt is tried on, the same as on real hosts.
-const MAX_RELAYS: u32 = 6;
+/// Number of intermediaries that an attempt is tried on, the same as on real hosts.
+const MAX_DETOURS: u32 = 6;
 /// Time after which hosts should have found another way to the upstreams.
 const DETOUR_TIME_MS: u64 = 3_000;
 /// Largest number of attempts that one host makes for a request.
@@ -58,8 +58,8 @@
     HostArrival { request: usize },
     /// An attempt to open a connection to an upstream fails.
     ConnectFailed { attempt: usize },
-    /// A relay that did not reach the upstream answers.
-    RelayFailed { attempt: usize, relay: usize, tried: u32 },
+    /// An intermediary that did not reach the upstream answers.
+    DetourFailed { attempt: usize, intermediary: usize, tried: u32 },
     /// Hosts probe the paths that failed.
     Probes,
     /// The answer of an upstream reaches the host.
@@ -206,13 +206,13 @@
                     self.paths[host].on_failure(upstream_addr(upstream), now);
                     self.detour(attempt, 0);
                 }
-                Event::RelayFailed { attempt, relay, tried } => {
+                Event::DetourFailed { attempt, intermediary, tried } => {
                     let Attempt { request, upstream, .. } = self.attempts[attempt];
                     let (host, now) = (self.requests[request].host, self.now());
-                    let is_relay_cut_off = self.paths[relay].is_cut_off();
-                    let failed = (!is_relay_cut_off).then(|| upstream_addr(upstream));
-                    self.paths[host].on_relay_failure(host_addr(relay), failed, now);
-                    let next = if is_relay_cut_off { tried + 1 } else { MAX_RELAYS };
+                    let is_other_cut_off = self.paths[intermediary].is_cut_off();
+                    let failed = (!is_other_cut_off).then(|| upstream_addr(upstream));
+                    self.paths[host].on_detour_failure(host_addr(intermediary), failed, now);
+                    let next = if is_other_cut_off { tried + 1 } else { MAX_DETOURS };
                     self.detour(attempt, next);
                 }
                 Event::Probes => {
@@ -474,24 +474,28 @@
         let Attempt { request, upstream, .. } = self.attempts[attempt];
         let (host, now) = (self.requests[request].host, self.now());
         let others = (0..self.hosts.len()).filter(|other| *other != host);
-        let relays: Vec<Relay> =
-            others.map(|other| Relay { addr: host_addr(other), is_near: true }).collect();
+        let intermediaries: Vec<Intermediary> =
+            others.map(|other| Intermediary { addr: host_addr(other), is_near: true }).collect();
         let seed = self.rng.u64(..);
-        let picked = self.paths[host].pick_relay(upstream_addr(upstream), &relays, seed, now);
-        let Some(relay) = picked.filter(|_| tried < MAX_RELAYS) else {
+        let picked =
+            self.paths[host].pick_detour(upstream_addr(upstream), &intermediaries, seed, now);
+        let Some(intermediary) = picked.filter(|_| tried < MAX_DETOURS) else {
             let request = self.end_attempt(attempt, AttemptOutcome::Unreachable);
             self.retry_or_refuse(request);
             return;
         };
-        let relay = host_index(relay);
-        if !self.is_cut_off(relay) {
+        let intermediary = host_index(intermediary);
+        if !self.is_cut_off(intermediary) {
             self.offer(attempt);
             return;
         }
-        let is_known = !self.paths[relay].is_direct(upstream_addr(upstream));
-        self.paths[relay].on_failure(upstream_addr(upstream), now);
+        let is_known = !self.paths[intermediary].is_direct(upstream_addr(upstream));
+        self.paths[intermediary].on_failure(upstream_addr(upstream), now);
         let delay_ms = if is_known { 0 } else { CONNECT_TIMEOUT_MS };
-        self.schedule(delay_ms + 2 * HOST_LATENCY_MS, Event::RelayFailed { attempt, relay, tried });
+        self.schedule(
+            delay_ms + 2 * HOST_LATENCY_MS,
+            Event::DetourFailed { attempt, intermediary, tried },
+        );
     }
 
     fn probe_paths(&mut self) {
--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -56,7 +56,7 @@
                 sum.moves += fault_counts.moves;
                 sum.lost_releases += fault_counts.lost_releases;
                 sum.cut_offs += fault_counts.cut_offs;
-                sum.relayed += fault_counts.relayed;
+                sum.detours += fault_counts.detours;
             }
             Err(violation) => panic!("seed {seed}: {violation}"),
         }
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -69,7 +69,7 @@
     /// Hosts that lost their paths to all upstreams.
     pub cut_offs: u64,
     /// Grants and renewals that went over another host.
-    pub relayed: u64,
+    pub detours: u64,
 }
 
 pub struct Simulation {
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -70,14 +70,14 @@
     fn handle_message(&mut self, message: Message) -> Result<(), String> {
         match message {
             Message::Grant { from, by_leader, grant, arrives_at, carried_out_at, answered } => {
-                let may_relay = by_leader
+                let may_detour = by_leader
                     || self.hosts[from]
                         .renewals
                         .has_recent_answer(&grant.holder, HostTime(self.now));
                 let direct = self.reachable_upstream(from, &grant.holder);
-                let relayed = || self.reachable_over_other_host(from, &grant.holder);
-                let reached = direct.or_else(|| relayed().filter(|_| may_relay));
-                self.fault_counts.relayed += u64::from(direct.is_none() && reached.is_some());
+                let forwarded = || self.reachable_over_other_host(from, &grant.holder);
+                let reached = direct.or_else(|| forwarded().filter(|_| may_detour));
+                self.fault_counts.detours += u64::from(direct.is_none() && reached.is_some());
                 let mut end = CallEnd::Unknown;
                 if let Some(index) = reached {
                     let has_fencing = self.safeguards.has_fencing;
