--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -176,8 +176,8 @@
             .await
     }
 
-    /// Suspends a holder after a failed call, except a time-out. Its renewals resume when the registry shows a later
-    /// heartbeat of the same incarnation.
+    /// Suspends a holder after a failed call, except a time-out. Its renewals resume when the registry shows that the
+    /// same incarnation still runs.
     fn on_call_failure(&self, service: &ServiceName, holder: &Holder, failure: &Failure) {
         let timed_out = match failure {
             Failure::TimedOut => true,
--- a/crates/hostlog/src/explanation.rs
+++ b/crates/hostlog/src/explanation.rs
@@ -119,6 +119,7 @@
     match reason {
         "overload" => "too many requests were queued before it to answer it in time",
         "no_upstream" => "no upstream of the service could be reached",
+        "limited" => "the owner of its key limits its rate, and other requests used all of it",
         "key_unowned" => "no upstream owned its key; see the ownership changes below",
         "expired" => "its deadline passed while it waited",
         "budget_spent" => "it had to be retried, and the retry budget was used up",
