Start the permit pools of hosts at different phases

Found by a mutation: unused permits of hosts that issue to themselves may be kept without any test turning red. The test that was missing, many isolated hosts that all need permits after a pause, showed more: pools that start at the same moment have their first permits at the same moment, so 79 hosts without any connection to each other could send 79 requests in a window that allows 41. Read and reasoned, the new test was not run on the code before.

A pool starts with a random part of a permit missing. Test: 12, 79 and 300 isolated hosts, in any 4 s within 1.5 times the limit and five; red for 79 and 300 if unused permits stay.

--- a/crates/dispatch/src/permits.rs
+++ b/crates/dispatch/src/permits.rs
@@ -306,12 +306,13 @@
 }
 
 impl PermitPool {
-    /// Creates an empty pool without members.
-    pub fn new(now: HostTime) -> Self {
+    /// Creates an empty pool without members. `phase`, from 0 to 1, should differ between hosts: pools that are created at
+    /// the same moment by hosts without any other members then have their permits at different times.
+    pub fn new(phase: f32, now: HostTime) -> Self {
         Self {
             limit: Limit::default(),
             members: FastMap::default(),
-            tokens: 0.0,
+            tokens: -phase.clamp(0.0, 1.0),
             refilled_at: now,
             full_since: None,
             demand_at: FastMap::default(),
--- a/crates/dispatch/tests/permits.rs
+++ b/crates/dispatch/tests/permits.rs
@@ -23,6 +23,10 @@
     format!("h{index}").parse().unwrap()
 }
 
+fn phase(host: usize) -> f32 {
+    (host as f32 * 0.618).fract()
+}
+
 fn limited(now: HostTime) -> Permits {
     let mut permits = Permits::default();
     permits.on_answer(Some(LIMIT), now, now);
@@ -58,7 +62,7 @@
     fn new(hosts: usize, seed: u64) -> Self {
         Self {
             permits: (0..hosts).map(|_| limited(START)).collect(),
-            pools: (0..hosts).map(|_| PermitPool::new(START)).collect(),
+            pools: (0..hosts).map(|host| PermitPool::new(phase(host), START)).collect(),
             runs: vec![0; hosts],
             sent: Vec::new(),
             rng: fastrand::Rng::with_seed(seed),
@@ -127,7 +131,7 @@
                 let host = self.rng.usize(..hosts);
                 self.runs[host] += 1;
                 self.permits[host] = limited(now);
-                self.pools[host] = PermitPool::new(now);
+                self.pools[host] = PermitPool::new(phase(host), now);
             }
         }
     }
@@ -174,6 +178,33 @@
     assert!((0.8..=1.1).contains(&used), "{used}");
 }
 
+/// Each of many hosts that reach no other issues its own share. Unused permits must not add up until all need them.
+#[rstest]
+#[case(12)]
+#[case(79)]
+#[case(300)]
+fn isolated_hosts_together_keep_to_the_limit_after_a_pause(#[case] hosts: usize) {
+    let mut pools: Vec<PermitPool> =
+        (0..hosts).map(|host| PermitPool::new(phase(host), START)).collect();
+    let mut sent = Vec::new();
+    for step in 0..8_000_u32 {
+        let now = START + Millis(u64::from(step) * 25);
+        // For 180 s hosts only keep their membership, then all need permits.
+        let demand = if step < 7_200 { wants(0) } else { wants(8) };
+        let is_due = step >= 7_200 || step % 20 == 0;
+        for pool in pools.iter_mut().filter(|_| is_due) {
+            let request = request(step + 1, demand, now);
+            let reply = pool.on_request(1 << 32, &request, hosts as u32, now).unwrap();
+            sent.extend((0..reply.granted).map(|_| now));
+        }
+    }
+    let in_window = |start: &HostTime| {
+        sent.iter().filter(|at| **at >= *start && at.since(*start) < WINDOW).count()
+    };
+    let most = sent.iter().map(in_window).max().unwrap_or(0);
+    assert!(most <= ALLOWED, "{most} permits in a window, allowed {ALLOWED}");
+}
+
 #[test]
 fn a_permit_is_used_once_and_expires() {
     let mut permits = limited(START);
@@ -237,7 +268,7 @@
 
 #[test]
 fn a_rank_leaves_a_permit_to_higher_ranks() {
-    let mut pool = PermitPool::new(START);
+    let mut pool = PermitPool::new(0.0, START);
     let join = |pool: &mut PermitPool, seq, demand, now| {
         pool.on_request(1 << 32, &request(seq, demand, now), 1, now).unwrap().granted
     };
@@ -250,7 +281,7 @@
 
 #[test]
 fn an_overtaken_request_is_ignored() {
-    let mut pool = PermitPool::new(START);
+    let mut pool = PermitPool::new(0.0, START);
     assert!(pool.on_request(1 << 32, &request(5, wants(0), START), 1, START).is_some());
     assert!(pool.on_request(1 << 32, &request(4, wants(1), START), 1, START).is_none());
     assert!(pool.on_request(1 << 32, &request(5, wants(1), START), 1, START).is_none());
@@ -258,7 +289,7 @@
 
 #[test]
 fn a_pool_refills_at_the_share_of_its_members() {
-    let mut pool = PermitPool::new(START);
+    let mut pool = PermitPool::new(0.0, START);
     let mut granted = 0;
     for step in 0..1_000_u32 {
         let now = START + Millis(u64::from(step) * 50);
@@ -273,7 +304,7 @@
 /// Without any request a host would never see that the limit has ended.
 #[test]
 fn an_upstream_that_takes_nothing_gets_a_request_now_and_then() {
-    let mut pool = PermitPool::new(START);
+    let mut pool = PermitPool::new(0.0, START);
     let limit = Limit { rate: Some(RequestRate(0.0)), seen_at: START };
     let mut granted = Vec::new();
     for step in 0..400_u32 {
--- a/crates/edge/src/traffic/permits.rs
+++ b/crates/edge/src/traffic/permits.rs
@@ -210,7 +210,7 @@
     ) -> Option<PermitReply> {
         let (hosts, _) = self.count_hosts(&self.view.borrow());
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.entry(upstream).or_insert_with(|| PermitPool::new(now));
+        let pool = pools.entry(upstream).or_insert_with(|| PermitPool::new(fastrand::f32(), now));
         let reply = pool.on_request(process, request, hosts, now)?;
         counter!("skylarkdock_permits_total", "result" => "issued").increment(reply.granted.into());
         let refused = request.demand.count.saturating_sub(reply.granted);
--- a/crates/emulator/src/limits.rs
+++ b/crates/emulator/src/limits.rs
@@ -14,6 +14,8 @@
 const ALLOWED_FACTOR: f64 = 1.5;
 /// Arrivals that are allowed in a window besides that.
 const ALLOWED_CONSTANT: f64 = 5.0;
+/// Multiples of it modulo 1 are spread evenly.
+const GOLDEN_RATIO: f32 = 0.618_034;
 /// Time after which hosts have to keep to a limit that is new.
 const SETTLING_MS: u64 = 3_000;
 
@@ -133,7 +135,9 @@
         now: HostTime,
     ) -> Option<PermitReply> {
         let hosts = u32::try_from(self.host_ids.len()).unwrap_or(u32::MAX);
-        let pool = self.pools[issuer].entry(upstream).or_insert_with(|| PermitPool::new(now));
+        let pool = self.pools[issuer]
+            .entry(upstream)
+            .or_insert_with(|| PermitPool::new(phase(issuer), now));
         pool.on_request((host as u64) << 32, request, hosts, now)
     }
 
@@ -194,3 +198,9 @@
     }
     most
 }
+
+/// Returns a number from 0 to 1 that differs between hosts.
+#[expect(clippy::cast_precision_loss, reason = "a count of hosts")]
+fn phase(host: usize) -> f32 {
+    (host as f32 * GOLDEN_RATIO).fract()
+}
