--- a/crates/dispatch/src/permits.rs
+++ b/crates/dispatch/src/permits.rs
@@ -69,7 +69,7 @@
 /// Permits that a host needs now.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Demand {
-    /// Number of permits.
+    /// Number of permits, at most [`MAX_WANTED`] in a request.
     pub count: u8,
     /// Highest rank, which is the smallest number, among the requests.
     pub rank: u8,
@@ -91,7 +91,7 @@
 /// Answer to a [`PermitRequest`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PermitReply {
-    /// The request's number.
+    /// Number of the request that this answers.
     pub seq: u32,
     /// What the issuer knows of the limit.
     pub limit: Limit,
@@ -306,8 +306,8 @@
 }
 
 impl PermitPool {
-    /// Creates an empty pool without members. `phase`, from 0 to 1, should differ between hosts: pools that are created at
-    /// the same moment by hosts without any other members then have their permits at different times.
+    /// Creates an empty pool without members. `phase`, from 0 to 1, should differ between hosts: pools that are created
+    /// at the same moment by hosts without any other members then have their permits at different times.
     pub fn new(phase: f32, now: HostTime) -> Self {
         Self {
             limit: Limit::default(),
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -5,9 +5,10 @@
 //! that can't be served in time is refused immediately with a retry delay, so that its caller does not wait in vain or
 //! take a place in the queue.
 
+mod limits;
+
 use crate::arrivals::ArrivalRates;
 use crate::key_owners::{KeyMap, KeyOwners};
-use crate::permits::{Demand, MAX_WANTED};
 use crate::retry_after;
 use crate::routing::{RefusalReason, RoutingDecision, RoutingRequest};
 use crate::upstream::{AttemptOutcome, Distance, Upstream, UpstreamInfo, as_f32};
@@ -257,67 +258,6 @@
         Some(id)
     }
 
-    /// Uses a permit for an upstream that is chosen. It is used at the decision, so that no other request is sent with
-    /// it before this one has started.
-    fn take_permit(&mut self, id: &UpstreamId, now: HostTime) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.permits_mut().take(now);
-        }
-    }
-
-    /// Records that a request can't be sent to limited upstreams for want of a permit, although it is for them. In a
-    /// sharded service that shows from the queue.
-    fn record_demand(
-        &mut self,
-        request: &RoutingRequest,
-        chosen: Option<&UpstreamId>,
-        now: HostTime,
-    ) {
-        if let Some(keys) = &self.keys {
-            let owner = request.key.and_then(|key| keys.owner(key)).cloned();
-            if chosen.is_none()
-                && let Some(owner) = owner.and_then(|id| self.upstreams.get_mut(&id))
-                && !owner.permits().is_available(now)
-            {
-                owner.record_demand(request.rank);
-            }
-            return;
-        }
-        let lacking = self.upstreams.values_mut().filter(|upstream| {
-            upstream.permits().rate().is_some()
-                && upstream.is_usable(now)
-                && upstream.info().distance != Distance::Far
-                && !upstream.permits().is_available(now)
-        });
-        lacking.for_each(|upstream| upstream.record_demand(request.rank));
-    }
-
-    /// Returns the permits that this host needs for each limited upstream: for the requests that lacked one since the
-    /// last call and, in a sharded service, for those that wait.
-    pub fn take_demands(&mut self) -> Vec<(UpstreamId, Demand)> {
-        let mut demands = Vec::new();
-        for (id, upstream) in &mut self.upstreams {
-            if upstream.permits().limit() == Default::default() {
-                continue;
-            }
-            let mut demand = upstream.take_demand().unwrap_or_default();
-            if let Some(keys) = &self.keys {
-                let waiting = self
-                    .waiting
-                    .iter()
-                    .filter(|request| request.key.and_then(|key| keys.owner(key)) == Some(id));
-                let ranks: Vec<u8> = waiting.map(|request| request.rank).collect();
-                if let Some(rank) = ranks.iter().min() {
-                    let waiting = u8::try_from(ranks.len()).unwrap_or(MAX_WANTED).min(MAX_WANTED);
-                    let rank = if demand.count == 0 { *rank } else { demand.rank.min(*rank) };
-                    demand = Demand { count: demand.count.max(waiting), rank };
-                }
-            }
-            demands.push((id.clone(), demand));
-        }
-        demands
-    }
-
     /// Decides on the waiting requests. Returns those that are sent or refused now, and removes them from the queue.
     /// [`Self::on_start`] must be called for those to send before the next call, as it adds them to the load.
     pub fn decide_waiting(&mut self, now: HostTime) -> Vec<(RoutingRequest, RoutingDecision)> {
@@ -576,20 +516,6 @@
         }
     }
 
-    /// Refuses a waiting request whose owner issues no permit in time.
-    fn refuse_limited(&self, request: &RoutingRequest, now: HostTime) -> Option<RoutingDecision> {
-        let owner = self.available_owner(request.key?, now)?;
-        let permits = owner.permits();
-        if permits.is_available(now) {
-            return None;
-        }
-        let service_time = to_millis(owner.service_ms().unwrap_or(self.mean_service_ms()));
-        let wait = permits.expected_wait(request.rank, now);
-        let decision =
-            self.admit_if_wait_fits(request, RefusalReason::Limited, wait, service_time, now);
-        (decision != RoutingDecision::Wait).then_some(decision)
-    }
-
     /// Counts the waiting requests that are served before `request` and satisfy `is_counted`.
     fn count_ahead(
         &self,
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -1,12 +1,16 @@
 //! Discrete-event simulation of callers, hosts and upstreams in virtual time.
 
+mod detours;
+mod permits;
+
 use crate::limits::{Envelope, Limits};
 use crate::policy::{HostRouter, Policy, upstream_info};
 use crate::shape::{Burst, RequestKind, Shape};
 use crate::stats::RunStats;
 use crate::upstream::{Admission, Job, UpstreamModel};
+use detours::{CONNECT_TIMEOUT_MS, MAX_DETOURS, host_addr, paths_to, upstream_addr};
 use skylarkdock_dispatch::key_owners::KeyMap;
-use skylarkdock_dispatch::paths::{Intermediary, Paths};
+use skylarkdock_dispatch::paths::Paths;
 use skylarkdock_dispatch::retry_after;
 use skylarkdock_dispatch::retry_budget::{RetryBudget, RetryLimits};
 use skylarkdock_dispatch::routes::Idempotency;
@@ -18,7 +22,6 @@
 use skylarkdock_units::times::{HostTime, Millis};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 
 /// Virtual time at which a simulation starts. Not 0, which means never to the policies.
 const START_MS: u64 = 10_000;
@@ -34,14 +37,8 @@
 const ANNOUNCEMENT_INTERVAL_MS: u64 = 500;
 /// One-way network latency between hosts, which may be in different regions.
 const HOST_LATENCY_MS: u64 = 8;
-/// Time-out of opening a connection, the same as on real hosts.
-const CONNECT_TIMEOUT_MS: u64 = 300;
 /// Interval at which hosts send due probes, the same as on real hosts.
 const PROBE_CHECK_INTERVAL_MS: u64 = 100;
-/// Number of intermediaries that an attempt is tried on, the same as on real hosts.
-const MAX_DETOURS: u32 = 6;
-/// Time after which hosts should have found another way to the upstreams.
-const DETOUR_TIME_MS: u64 = 3_000;
 /// Largest number of attempts that one host makes for a request.
 const MAX_ATTEMPTS: usize = 3;
 /// Expected time until capacity is available for a shed request.
@@ -300,44 +297,6 @@
         self.shape.suspended.iter().any(is_in)
     }
 
-    /// Returns whether a host exchanges no messages with others.
-    fn is_isolated(&self, host: usize) -> bool {
-        let elapsed_ms = self.now_ms - START_MS;
-        let is_in = |period: &Burst| {
-            period.contains(elapsed_ms)
-                && host >= self.hosts.len() - share(period.x, self.hosts.len())
-        };
-        self.shape.isolated.iter().any(is_in)
-    }
-
-    /// Returns whether a host can't open connections to upstreams.
-    fn is_cut_off(&self, host: usize) -> bool {
-        let elapsed_ms = self.now_ms - START_MS;
-        let is_in = |period: &Burst| {
-            period.contains(elapsed_ms) && host < share(period.x, self.hosts.len())
-        };
-        self.shape.cut_off.iter().any(is_in)
-    }
-
-    /// Returns whether hosts are cut off, for long enough that they should have found another way.
-    fn is_detour_time(&self) -> bool {
-        let elapsed_ms = self.now_ms - START_MS;
-        let mut periods = self.shape.cut_off.iter();
-        periods.any(|period| {
-            period.contains(elapsed_ms) && elapsed_ms >= period.at_ms + DETOUR_TIME_MS
-        })
-    }
-
-    /// Counts the first attempt of a caller that the host ends.
-    fn end_first_attempt(&mut self, request: usize, is_served: bool) {
-        let Some(FirstAttempt { is_cut_off }) = self.requests[request].first_attempt.take() else {
-            return;
-        };
-        let group = if is_cut_off { &mut self.stats.at_cut_off } else { &mut self.stats.at_others };
-        group.asked += 1;
-        group.served += u64::from(is_served);
-    }
-
     /// Returns the host that a request reaches, which is not suspended.
     fn pick_host(&mut self) -> usize {
         loop {
@@ -393,55 +352,6 @@
         self.request_permits(host);
     }
 
-    /// Sends a host's requests for permits.
-    fn request_permits(&mut self, host: usize) {
-        if self.is_suspended(host) {
-            return;
-        }
-        let now = self.now();
-        for envelope in self.limits.requests(host, &mut self.hosts[host], now) {
-            self.send_message(envelope);
-        }
-    }
-
-    fn send_message(&mut self, envelope: Envelope) {
-        if self.is_isolated(envelope.from) || self.is_isolated(envelope.to) {
-            return;
-        }
-        self.messages.push(envelope);
-        let index = self.messages.len() - 1;
-        self.schedule(HOST_LATENCY_MS, Event::PermitMessage { index });
-    }
-
-    fn on_permit_message(&mut self, index: usize) {
-        let envelope = self.messages[index];
-        if self.is_suspended(envelope.to) {
-            return;
-        }
-        let now = self.now();
-        if let Some(reply) = self.limits.on_message(envelope, &mut self.hosts[envelope.to], now) {
-            self.send_message(reply);
-        } else {
-            self.process_queue(envelope.to);
-        }
-    }
-
-    /// Announces limits to all hosts.
-    fn announce_limits(&mut self) {
-        for host in 0..self.hosts.len() {
-            if self.is_suspended(host) || self.is_isolated(host) {
-                continue;
-            }
-            for (upstream, limit) in self.limits.announcements(host) {
-                for to in 0..self.hosts.len() {
-                    if !self.is_suspended(to) && !self.is_isolated(to) {
-                        self.limits.on_announcement(&mut self.hosts[to], host, upstream, limit);
-                    }
-                }
-            }
-        }
-    }
-
     fn apply_decision(&mut self, request: usize, decision: RoutingDecision) {
         match decision {
             RoutingDecision::Send(id) => self.send(request, &id),
@@ -469,47 +379,6 @@
         }
     }
 
-    /// Sends a request over another host.
-    fn detour(&mut self, attempt: usize, tried: u32) {
-        let Attempt { request, upstream, .. } = self.attempts[attempt];
-        let (host, now) = (self.requests[request].host, self.now());
-        let others = (0..self.hosts.len()).filter(|other| *other != host);
-        let intermediaries: Vec<Intermediary> =
-            others.map(|other| Intermediary { addr: host_addr(other), is_near: true }).collect();
-        let seed = self.rng.u64(..);
-        let picked =
-            self.paths[host].pick_detour(upstream_addr(upstream), &intermediaries, seed, now);
-        let Some(intermediary) = picked.filter(|_| tried < MAX_DETOURS) else {
-            let request = self.end_attempt(attempt, AttemptOutcome::Unreachable);
-            self.retry_or_refuse(request);
-            return;
-        };
-        let intermediary = host_index(intermediary);
-        if !self.is_cut_off(intermediary) {
-            self.offer(attempt);
-            return;
-        }
-        let is_known = !self.paths[intermediary].is_direct(upstream_addr(upstream));
-        self.paths[intermediary].on_failure(upstream_addr(upstream), now);
-        let delay_ms = if is_known { 0 } else { CONNECT_TIMEOUT_MS };
-        self.schedule(
-            delay_ms + 2 * HOST_LATENCY_MS,
-            Event::DetourFailed { attempt, intermediary, tried },
-        );
-    }
-
-    fn probe_paths(&mut self) {
-        let now = self.now();
-        for host in 0..self.hosts.len() {
-            let is_cut_off = self.is_cut_off(host);
-            for upstream in self.paths[host].take_due_probes(now) {
-                if !is_cut_off {
-                    self.paths[host].on_success(upstream);
-                }
-            }
-        }
-    }
-
     /// Hands the request of an attempt to the upstream.
     fn offer(&mut self, attempt: usize) {
         let Attempt { request, upstream, .. } = self.attempts[attempt];
@@ -650,27 +519,6 @@
     }
 }
 
-/// Returns paths to as many upstreams.
-fn paths_to(upstreams: usize) -> Paths {
-    let mut paths = Paths::default();
-    paths.set_upstreams((0..upstreams).map(upstream_addr).collect());
-    paths
-}
-
-/// Returns an address that stands for an upstream.
-fn upstream_addr(index: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], u16::try_from(index).unwrap_or(u16::MAX)))
-}
-
-/// Returns an address that stands for a host.
-fn host_addr(index: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 2], u16::try_from(index).unwrap_or(u16::MAX)))
-}
-
-fn host_index(addr: SocketAddr) -> usize {
-    usize::from(addr.port())
-}
-
 /// Returns the number of hosts in a share of all hosts.
 #[expect(clippy::cast_precision_loss, reason = "a count of hosts")]
 fn share(fraction: f64, hosts: usize) -> usize {
