Test that repeated and hedged attempts need a permit, too

That they use permits was read, and shown by no test of its own. The new case issues two permits: a repeat uses one, a hedge the other, and neither gets past that.

--- a/crates/dispatch/tests/service.rs
+++ b/crates/dispatch/tests/service.rs
@@ -2,11 +2,13 @@
 
 use rstest::rstest;
 use skylarkdock_dispatch::key_owners::KeyMap;
+use skylarkdock_dispatch::permits::{Demand, PermitReply};
 use skylarkdock_dispatch::routes::Idempotency;
 use skylarkdock_dispatch::routing::{RefusalReason, RoutingDecision, RoutingRequest};
 use skylarkdock_dispatch::service::Service;
 use skylarkdock_dispatch::upstream::{AttemptOutcome, Distance, UpstreamInfo};
 use skylarkdock_units::ids::UpstreamId;
+use skylarkdock_units::measures::RequestRate;
 use skylarkdock_units::times::{HostTime, Millis};
 
 const START: HostTime = HostTime(100_000);
@@ -324,3 +326,26 @@
     }
     assert!(sent <= 5, "{sent} requests in two seconds");
 }
+
+/// Repeated and hedged attempts are sends like any other for an upstream that limits its rate.
+#[test]
+fn repeated_and_hedged_attempts_need_a_permit_too() {
+    let mut service = Service::default();
+    service.set_upstreams(vec![info("limited", Distance::Zone)]);
+    let upstream = service.upstream_mut(&id("limited")).unwrap_or_else(|| panic!("no upstream"));
+    upstream.on_limit(Some(RequestRate(5.0)), START, START);
+    let issuer = "h".parse().unwrap_or_else(|e| panic!("{e}"));
+    let demand = Demand { count: 2, rank: 1 };
+    let permits = upstream.permits_mut();
+    let Some((issuer, asked)) = permits.next_request(demand, |_| issuer, START) else {
+        panic!("no request for permits")
+    };
+    let reply = PermitReply { seq: asked.seq, limit: asked.limit, granted: 2, next_in: Millis(0) };
+    permits.on_reply(&issuer, &reply, START);
+    let again = RoutingRequest { tried: vec![id("other")], ..request(1, 1, START) };
+    assert_eq!(service.decide(again.clone(), START), RoutingDecision::Send(id("limited")));
+    assert_eq!(service.choose_hedge(&again, START), Some(id("limited")));
+    // Both permits are used, and neither a repeat nor a hedge gets past that.
+    assert_eq!(service.choose_hedge(&again, START), None);
+    assert_ne!(service.decide(again, START), RoutingDecision::Send(id("limited")));
+}
