Add failing tests: grants that waited for a call are sent without another look

Grants to one upstream share a connection and wait for each other. The simulation of spans sent each at the moment of its decision, and let only the incarnation that a grant names accept it, so no fuzz could show what happens to those that wait. Now calls of a host to a holder take turns in it, one without an answer takes its time-out, and a new connection is accepted by whatever incarnation runs.

--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -3,12 +3,13 @@
 mod network;
 mod upstream;
 
-use network::Message;
+use network::{GrantCalls, Message};
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::Renewals;
-use skylarkdock_spans::table::{Keeper, Table};
+use skylarkdock_spans::table::{Holder, Keeper, Table};
 use skylarkdock_spans::timing::Timing;
+use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{HostId, Region, ServiceName};
 use skylarkdock_units::measures::HostSize;
 use skylarkdock_units::times::{HostTime, Millis};
@@ -70,6 +71,10 @@
     pub cut_offs: u64,
     /// Grants and renewals that went over another host.
     pub detours: u64,
+    /// Grants that were decided on, and not sent when their turn came.
+    pub withheld_grants: u64,
+    /// Grants on a connection that a later incarnation than their holder accepted.
+    pub later_incarnations: u64,
 }
 
 pub struct Simulation {
@@ -81,6 +86,7 @@
     log: Vec<Table>,
     log_end: u64,
     messages: Vec<(u64, Message)>,
+    calls: FastMap<(usize, Holder), GrantCalls>,
     pub fault_counts: FaultCounts,
     injects_faults: bool,
     late_share: f64,
@@ -109,6 +115,7 @@
             log: Vec::new(),
             log_end: 0,
             messages: Vec::new(),
+            calls: FastMap::default(),
             fault_counts: FaultCounts::default(),
             injects_faults: true,
             late_share,
@@ -187,6 +194,7 @@
             let down_ms = self.rng.u64(100..4_000);
             self.hosts[index] = new_host(index, &self.safeguards, now + down_ms);
             self.hosts[index].down_until = now + down_ms;
+            self.calls.retain(|(host, _), _| *host != index);
         }
         if self.rng.u32(..700) == 0 {
             let index = self.rng.usize(..UPSTREAMS);
@@ -217,6 +225,7 @@
         for grant in due {
             self.send_grant(index, false, grant);
         }
+        self.start_calls(index);
         if !self.hosts[index].believes_to_lead {
             self.hosts[index].leader = None;
             return;
@@ -231,6 +240,7 @@
         for action in actions {
             self.carry_out(index, action);
         }
+        self.start_calls(index);
     }
 
     fn read_store(&mut self, index: usize) {
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -4,6 +4,29 @@
 use skylarkdock_spans::renewal::{Ack, CallEnd, Grant, Release};
 use skylarkdock_spans::table::Holder;
 use skylarkdock_units::times::HostTime;
+use std::collections::VecDeque;
+
+/// Time-out of a grant, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 400;
+
+/// Grants from one host to one holder. They share a connection and wait for each other.
+#[derive(Default)]
+pub(super) struct GrantCalls {
+    /// Grants that are not sent yet, and whether the leader decided on them.
+    waiting: VecDeque<(bool, Grant)>,
+    is_busy: bool,
+    /// Incarnation that accepted the open connection.
+    connected_to: Option<u64>,
+}
+
+/// What a host learns of a grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum GrantEnd {
+    Answered(CallEnd),
+    /// The connection broke, or was refused.
+    Broken,
+    TimedOut,
+}
 
 /// A call, or its result on the way back to the caller.
 pub(super) enum Message {
@@ -14,6 +37,9 @@
         arrives_at: u64,
         carried_out_at: u64,
         answered: bool,
+        /// Incarnation that accepted the connection.
+        accepted_by: u64,
+        index: usize,
     },
     Release {
         from: usize,
@@ -25,7 +51,7 @@
         to: usize,
         by_leader: bool,
         grant: Grant,
-        end: CallEnd,
+        end: GrantEnd,
     },
     ReleaseResult {
         to: usize,
@@ -40,20 +66,117 @@
 
 impl Simulation {
     pub(super) fn send_grant(&mut self, from: usize, by_leader: bool, grant: Grant) {
-        if self.safeguards.needs_proof && !self.hosts[from].renewals.has_proof(HostTime(self.now)) {
-            let message =
-                Message::GrantResult { to: from, by_leader, grant, end: CallEnd::Unknown };
-            self.messages.push((self.now + 100, message));
-            return;
+        let calls = self.calls.entry((from, grant.holder.clone())).or_default();
+        calls.waiting.push_back((by_leader, grant));
+    }
+
+    /// Starts the next grant to each holder that has no other under way.
+    pub(super) fn start_calls(&mut self, from: usize) {
+        let holders: Vec<Holder> =
+            self.calls.keys().filter(|(host, _)| *host == from).map(|(_, h)| h.clone()).collect();
+        for holder in holders {
+            while let Some((by_leader, grant)) = self.next_call(from, &holder) {
+                if self.may_send(from, by_leader, &grant) {
+                    self.start_call(from, by_leader, grant);
+                } else {
+                    self.fault_counts.withheld_grants += 1;
+                    self.on_grant_end(
+                        from,
+                        by_leader,
+                        &grant,
+                        GrantEnd::Answered(CallEnd::Unknown),
+                    );
+                }
+            }
         }
-        let arrives_at = self.now + self.rng.u64(1..40);
+    }
+
+    fn next_call(&mut self, from: usize, holder: &Holder) -> Option<(bool, Grant)> {
+        let calls = self.calls.get_mut(&(from, holder.clone()))?;
+        if calls.is_busy { None } else { calls.waiting.pop_front() }
+    }
+
+    fn may_send(&self, from: usize, _by_leader: bool, _grant: &Grant) -> bool {
+        !self.safeguards.needs_proof || self.hosts[from].renewals.has_proof(HostTime(self.now))
+    }
+
+    /// Sends a grant over the connection to its holder, over a new one if there is none, or over another host. A new
+    /// connection is accepted by the incarnation that runs then.
+    fn start_call(&mut self, from: usize, by_leader: bool, grant: Grant) {
+        let now = self.now;
+        let arrives_at = now + self.rng.u64(1..40);
         let answered = self.rng.f64() >= self.late_share;
         let delay = if answered { 0 } else { self.rng.u64(2_000..12_000) };
-        self.fault_counts.late_grants += u64::from(!answered);
-        let carried_out_at = arrives_at + delay;
-        let message =
-            Message::Grant { from, by_leader, grant, arrives_at, carried_out_at, answered };
-        self.messages.push((carried_out_at, message));
+        let may_detour =
+            by_leader || self.hosts[from].renewals.has_recent_answer(&grant.holder, HostTime(now));
+        let index = self.index_of(&grant.holder);
+        let is_direct = self.hosts[from].reachable_upstreams[index];
+        let is_reached = is_direct || (may_detour && self.is_reached_over_other_host(from, index));
+        self.fault_counts.detours += u64::from(!is_direct && is_reached);
+        let upstream = &self.upstreams[index];
+        let (is_up, born) = (upstream.is_up(now), upstream.born());
+        let key = (from, grant.holder.clone());
+        let calls = self.calls.entry(key).or_default();
+        calls.is_busy = true;
+        let mut end = None;
+        if !is_reached {
+            end = Some((CALL_TIMEOUT_MS, GrantEnd::TimedOut));
+            self.fault_counts.lost_grants += 1;
+        } else if !is_up || (is_direct && calls.connected_to.is_some_and(|known| known != born)) {
+            end = Some((20, GrantEnd::Broken));
+        }
+        if end.is_some() {
+            calls.connected_to = None;
+        } else if is_direct {
+            self.fault_counts.later_incarnations += u64::from(born != grant.holder.born);
+            calls.connected_to = Some(born);
+        }
+        if end.is_none() && !answered {
+            self.fault_counts.late_grants += 1;
+            calls.connected_to = None;
+            end = Some((CALL_TIMEOUT_MS, GrantEnd::TimedOut));
+        }
+        if is_reached && is_up && !matches!(end, Some((_, GrantEnd::Broken))) {
+            let carried_out_at = arrives_at + delay;
+            let grant = grant.clone();
+            let message = Message::Grant {
+                from,
+                by_leader,
+                grant,
+                arrives_at,
+                carried_out_at,
+                answered,
+                accepted_by: born,
+                index,
+            };
+            self.messages.push((carried_out_at, message));
+        }
+        if let Some((wait, end)) = end {
+            let result = Message::GrantResult { to: from, by_leader, grant, end };
+            self.messages.push((now + wait, result));
+        }
+    }
+
+    fn on_grant_end(&mut self, to: usize, by_leader: bool, grant: &Grant, end: GrantEnd) {
+        let now = HostTime(self.now);
+        let host = &mut self.hosts[to];
+        if end == GrantEnd::Broken {
+            host.renewals.suspend(&grant.holder, now);
+        }
+        let end = match end {
+            GrantEnd::Answered(end) => end,
+            GrantEnd::Broken | GrantEnd::TimedOut => CallEnd::Unknown,
+        };
+        if by_leader {
+            if end == CallEnd::Done {
+                host.renewals.on_granted(grant);
+            }
+            if let Some(leader) = &mut host.leader {
+                leader.on_granted(grant, end, now);
+            }
+        } else {
+            host.renewals.on_renewal_end(grant, end, now);
+        }
     }
 
     pub(super) fn deliver(&mut self) -> Result<(), String> {
@@ -69,36 +192,30 @@
 
     fn handle_message(&mut self, message: Message) -> Result<(), String> {
         match message {
-            Message::Grant { from, by_leader, grant, arrives_at, carried_out_at, answered } => {
-                let may_detour = by_leader
-                    || self.hosts[from]
-                        .renewals
-                        .has_recent_answer(&grant.holder, HostTime(self.now));
-                let direct = self.reachable_upstream(from, &grant.holder);
-                let forwarded = || self.reachable_over_other_host(from, &grant.holder);
-                let reached = direct.or_else(|| forwarded().filter(|_| may_detour));
-                self.fault_counts.detours += u64::from(direct.is_none() && reached.is_some());
-                let mut end = CallEnd::Unknown;
-                if let Some(index) = reached {
+            Message::Grant {
+                from,
+                by_leader,
+                grant,
+                arrives_at,
+                carried_out_at,
+                answered,
+                accepted_by,
+                index,
+            } => {
+                let upstream = &mut self.upstreams[index];
+                // A call in flight at a crash is lost with the connection.
+                let end = if upstream.born() == accepted_by && upstream.started_at <= arrives_at {
                     let has_fencing = self.safeguards.has_fencing;
-                    // A call in flight at a crash is lost with the connection.
-                    if self.upstreams[index].started_at <= arrives_at {
-                        end = self.upstreams[index].grant(
-                            &grant,
-                            arrives_at,
-                            carried_out_at,
-                            has_fencing,
-                        )?;
-                    }
+                    let end = upstream.grant(&grant, arrives_at, carried_out_at, has_fencing)?;
+                    GrantEnd::Answered(end)
                 } else {
-                    self.fault_counts.lost_grants += 1;
-                }
-                if !answered {
-                    end = CallEnd::Unknown;
+                    GrantEnd::Broken
+                };
+                if answered {
+                    let at = self.now.max(arrives_at + 20);
+                    let result = Message::GrantResult { to: from, by_leader, grant, end };
+                    self.messages.push((at, result));
                 }
-                let wait = if end == CallEnd::Unknown { 400 } else { 20 };
-                let at = self.now.max(arrives_at + wait);
-                self.messages.push((at, Message::GrantResult { to: from, by_leader, grant, end }));
             }
             Message::Release { from, release, arrives_at, answered } => {
                 let end = match self.reachable_upstream(from, &release.holder) {
@@ -115,17 +232,13 @@
                 self.messages.push((at, Message::ReleaseResult { to: from, release, end }));
             }
             Message::GrantResult { to, by_leader, grant, end } => {
-                let host = &mut self.hosts[to];
-                if by_leader {
-                    if end == CallEnd::Done {
-                        host.renewals.on_granted(&grant);
-                    }
-                    if let Some(leader) = &mut host.leader {
-                        leader.on_granted(&grant, end, HostTime(self.now));
+                if let Some(calls) = self.calls.get_mut(&(to, grant.holder.clone())) {
+                    calls.is_busy = false;
+                    if end == GrantEnd::Broken {
+                        calls.connected_to = None;
                     }
-                } else {
-                    host.renewals.on_renewal_end(&grant, end, HostTime(self.now));
                 }
+                self.on_grant_end(to, by_leader, &grant, end);
             }
             Message::ReleaseResult { to, release, end } => {
                 if let Some(leader) = &mut self.hosts[to].leader {
@@ -141,24 +254,23 @@
         Ok(())
     }
 
-    /// Returns the index of the holder if a running host other than `from` reaches it.
-    fn reachable_over_other_host(&self, from: usize, holder: &Holder) -> Option<usize> {
-        let running = (0..self.hosts.len()).filter(|other| {
-            let host = &self.hosts[*other];
-            *other != from && self.now >= host.frozen_until && self.now >= host.down_until
-        });
-        running.into_iter().find_map(|other| self.reachable_upstream(other, holder))
+    fn index_of(&self, holder: &Holder) -> usize {
+        self.upstreams.iter().position(|u| u.holder().id == holder.id).unwrap_or_default()
+    }
+
+    /// Returns whether a running host other than `from` reaches an upstream.
+    fn is_reached_over_other_host(&self, from: usize, index: usize) -> bool {
+        (0..self.hosts.len()).any(|other| {
+            let host = &self.hosts[other];
+            let is_running = self.now >= host.frozen_until && self.now >= host.down_until;
+            other != from && is_running && host.reachable_upstreams[index]
+        })
     }
 
-    /// Returns the upstream that a host's call to a holder reaches.
+    /// Returns the index of the upstream at a holder's address if a host reaches it, of whatever incarnation.
     fn reachable_upstream(&self, from: usize, holder: &Holder) -> Option<usize> {
-        let index = self.upstreams.iter().position(|u| u.holder().id == holder.id)?;
-        let upstream = &self.upstreams[index];
-        // Hosts renew to an earlier incarnation only until the registry or a broken connection shows the later one.
-        let is_same_incarnation = upstream.born() == holder.born;
-        (self.hosts[from].reachable_upstreams[index]
-            && upstream.is_up(self.now)
-            && is_same_incarnation)
-            .then_some(index)
+        let index = self.index_of(holder);
+        let is_reached = self.hosts[from].reachable_upstreams[index];
+        (is_reached && self.upstreams[index].is_up(self.now)).then_some(index)
     }
 }
