Check a grant again when its turn to be sent comes

Cause: grants to one upstream wait for each other on a connection, up to 0.4 s for each that gets no answer. Whether one may be sent was decided before the wait, and so was the time from which its expiry counts. A renewal that waited was sent although the table had given its keys to another upstream meanwhile, although its holder was suspended, or after this host had lost its place as keeper; the leader had counted it as expired by then. The class: a decision taken before a wait, carried out after it.

Evidence: with a real host, the next incarnation of an upstream accepted three renewals with the token of the one before, which waited behind the one whose connection broke.

Change: `Renewals::confirm_send` decides when the turn comes, against the newest table and the state of the holder, and records the grant as sent then. The daemon and the simulation call the same function. A grant that is not confirmed is not sent, and counts neither as failed nor as unanswered. Whether a renewal may go over another host is decided then, too.

This works because the acknowledgement of a table by a keeper names the grants that it sent under it: what is sent later is checked against that table or a newer one.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -12,7 +12,7 @@
 use skylarkdock_spans::leader::{Action, Inputs};
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::plan::Candidate;
-use skylarkdock_spans::renewal::{CallEnd, Grant, Release};
+use skylarkdock_spans::renewal::{CallEnd, Grant, Purpose, Release};
 use skylarkdock_spans::table::{Holder, Keeper, Table};
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId};
@@ -90,13 +90,7 @@
     }
 
     async fn send_renewal(self: Rc<Self>, service: ServiceName, grant: Grant) {
-        // Another host opens a new connection, which a later incarnation may have accepted.
-        let may_detour = {
-            let owners = self.owners.borrow();
-            let renewals = owners.renewals.get(&service);
-            renewals.is_some_and(|renewals| renewals.has_recent_answer(&grant.holder, clock::now()))
-        };
-        let end = self.send_grant(&service, &grant, may_detour).await;
+        let Some(end) = self.send_grant(&service, &grant, Purpose::Renewal).await else { return };
         if let Some(renewals) = self.owners.borrow_mut().renewals.get_mut(&service) {
             let was_suspended = renewals.suspended_at(&grant.holder).is_some();
             renewals.on_renewal_end(&grant, end, clock::now());
@@ -112,19 +106,38 @@
         Rc::clone(callers.entry(holder.clone()).or_insert_with(new))
     }
 
-    /// Sends a grant, over another host if this one has no path to the upstream and `may_detour` is set.
-    async fn send_grant(&self, service: &ServiceName, grant: &Grant, may_detour: bool) -> CallEnd {
+    /// Sends a grant once the calls to its holder before it have ended, over another host if this one has no path to the
+    /// upstream. Returns `None` if it may no longer be sent then.
+    async fn send_grant(
+        &self,
+        service: &ServiceName,
+        grant: &Grant,
+        purpose: Purpose,
+    ) -> Option<CallEnd> {
         let addr = grant.holder.addr;
         let paths = self.status.paths();
-        let req = (self.protocol.build_grant)(grant, self.timing.hold);
+        let decided_at = clock::now();
+        let caller = self.caller(&grant.holder);
+        let mut caller = caller.lock().await;
         let started = clock::now();
-        if paths.lock().is_direct(addr) {
-            let caller = self.caller(&grant.holder);
-            let mut caller = caller.lock().await;
+        if !self.confirm_send(service, grant, purpose, started) {
+            let waited = started.since(decided_at);
+            log::debug!(service:% = service, first = grant.first, last = grant.last, upstream:% = grant.holder.id, waited:% = waited; "owners: grant not sent, as it is no longer due");
+            return None;
+        }
+        // Another host opens a new connection, which a later incarnation may have accepted.
+        let may_detour = purpose == Purpose::Move || {
+            let owners = self.owners.borrow();
+            let renewals = owners.renewals.get(service);
+            renewals.is_some_and(|renewals| renewals.has_recent_answer(&grant.holder, started))
+        };
+        let req = (self.protocol.build_grant)(grant, self.timing.hold);
+        let is_direct = paths.lock().is_direct(addr);
+        if is_direct {
             let failure = match caller.call(&req, self.timing.call_timeout).await {
                 Ok(reply) => {
                     paths.on_success(addr);
-                    return (self.protocol.parse_grant_reply)(&reply);
+                    return Some((self.protocol.parse_grant_reply)(&reply));
                 }
                 Err(failure) => failure,
             };
@@ -133,14 +146,15 @@
             }
             if !matches!(&failure, Failure::NotSent(e) if e.kind() != ErrorKind::ConnectionReset) {
                 self.on_call_failure(service, &grant.holder, &failure);
-                return CallEnd::Unknown;
+                return Some(CallEnd::Unknown);
             }
         }
+        drop(caller);
         if !may_detour {
-            return CallEnd::Unknown;
+            return Some(CallEnd::Unknown);
         }
         let remaining = self.timing.call_timeout.saturating_sub(clock::now().since(started));
-        match self.call_over_detour(addr, &req, remaining).await {
+        let end = match self.call_over_detour(addr, &req, remaining).await {
             Ok(Ok(reply)) => (self.protocol.parse_grant_reply)(&reply),
             Ok(Err(failure)) => {
                 self.on_call_failure(service, &grant.holder, &failure);
@@ -152,7 +166,24 @@
                 CallEnd::Unknown
             }
             Err(DetourError::NoDetour) => CallEnd::Unknown,
-        }
+        };
+        Some(end)
+    }
+
+    /// Returns whether a grant may still be sent, and records it as sent if so.
+    fn confirm_send(
+        &self,
+        service: &ServiceName,
+        grant: &Grant,
+        purpose: Purpose,
+        now: HostTime,
+    ) -> bool {
+        let entry_born =
+            self.fleet.borrow().registry.entry(&grant.holder.id).map_or(0, |entry| entry.born);
+        let mut owners = self.owners.borrow_mut();
+        let renewals = owners.renewals.get_mut(service);
+        entry_born <= grant.holder.born
+            && renewals.is_some_and(|renewals| renewals.confirm_send(grant, purpose, now))
     }
 
     /// Makes a call to an upstream over another host.
@@ -303,13 +334,12 @@
             Action::Write(table) => self.replace_table(&service, table).await,
             Action::RequestAck(host) => self.collect_ack(&service, host).await,
             Action::Grant(grant) => {
-                if let Some(renewals) = self.owners.borrow_mut().renewals.get_mut(&service) {
-                    if !renewals.has_proof(clock::now()) {
-                        log::warn!(service:% = service; "owners: no grant without proof that the table is the newest");
+                let Some(end) = self.send_grant(&service, &grant, Purpose::Move).await else {
+                    if let Some(leader) = self.owners.borrow_mut().leaders.get_mut(&service) {
+                        leader.on_withheld(&grant, clock::now());
                     }
-                    renewals.on_grant_sent(&grant, clock::now());
-                }
-                let end = self.send_grant(&service, &grant, true).await;
+                    return;
+                };
                 log::info!(service:% = service, first = grant.first, last = grant.last, upstream:% = grant.holder.id, fence:% = grant.fence, end:? = end; "owners: granted");
                 if let Some(leader) = self.owners.borrow_mut().leaders.get_mut(&service) {
                     leader.on_granted(&grant, end, clock::now());
--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -240,6 +240,13 @@
         }
     }
 
+    /// Handles that a grant was not sent, as it was not confirmed when its turn came.
+    pub fn on_withheld(&mut self, grant: &Grant, now: HostTime) {
+        if let Some(progress) = self.moves.get_mut(&(grant.first, grant.last, grant.fence)) {
+            progress.granting = GrantState::Idle { not_before: now + RETRY_PAUSE };
+        }
+    }
+
     /// Advances pending moves and returns the actions that are due, at most one of them a write.
     pub fn tick(&mut self, inputs: &Inputs, now: HostTime) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -3,7 +3,7 @@
 //! A keeper renews the grants recorded in the newest table that it knows. It stops `proof_lifetime` after its last
 //! proof that no newer table exists, so a leader that can't reach it knows when its renewals have ended.
 
-use crate::table::{FencingToken, Holder, Table};
+use crate::table::{FencingToken, Holder, Span, Table};
 use crate::timing::Timing;
 use serde::{Deserialize, Serialize};
 use skylarkdock_units::collections::{FastMap, FastSet};
@@ -33,6 +33,15 @@
     pub handover: Option<String>,
 }
 
+/// Why a grant is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// A keeper renews a recorded grant.
+    Renewal,
+    /// The leader grants keys to their new owner.
+    Move,
+}
+
 /// A call that makes a holder release keys before they are granted to another.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Release {
@@ -163,22 +172,12 @@
     /// Returns the renewals that are due, and records them as sent.
     pub fn due_renewals(&mut self, now: HostTime) -> Vec<Grant> {
         let Some(table) = &self.table else { return Vec::new() };
-        let is_keeper = table.keepers.iter().any(|keeper| keeper.host == self.own_host);
-        if !is_keeper || !self.has_proof(now) {
+        if !self.is_keeper(table) || !self.has_proof(now) {
             return Vec::new();
         }
         let mut due = Vec::new();
         for span in &table.spans {
-            let is_granted_here = self.granted.contains(&(span.first, span.last, span.fence));
-            // Keepers renew the grants of owners in their own region, and of owners in regions without a keeper.
-            let has_regional_keeper =
-                table.keepers.iter().any(|keeper| keeper.region == span.owner.region);
-            let is_responsible = !has_regional_keeper || span.owner.region == self.region;
-            let is_due = if span.is_granted { is_responsible } else { is_granted_here };
-            if !is_due {
-                continue;
-            }
-            if self.holders.get(&span.owner).is_some_and(|state| state.suspended_at.is_some()) {
+            if !self.renews(table, span) {
                 continue;
             }
             let sent_at = self.renewed_at.entry((span.first, span.last, span.fence)).or_default();
@@ -202,10 +201,39 @@
         due
     }
 
-    /// Records a grant that this host sends as leader.
-    pub fn on_grant_sent(&mut self, grant: &Grant, now: HostTime) {
-        self.record_sent(grant, now);
-        self.renewed_at.insert((grant.first, grant.last, grant.fence), now);
+    fn is_keeper(&self, table: &Table) -> bool {
+        table.keepers.iter().any(|keeper| keeper.host == self.own_host)
+    }
+
+    /// Returns whether this host, as a keeper, renews the grant of a span.
+    fn renews(&self, table: &Table, span: &Span) -> bool {
+        // Keepers renew the grants of owners in their own region, and of owners in regions without a keeper.
+        let has_regional_keeper =
+            table.keepers.iter().any(|keeper| keeper.region == span.owner.region);
+        let is_responsible = !has_regional_keeper || span.owner.region == self.region;
+        let is_granted_here = self.granted.contains(&(span.first, span.last, span.fence));
+        let is_due = if span.is_granted { is_responsible } else { is_granted_here };
+        is_due && self.suspended_at(&span.owner).is_none()
+    }
+
+    /// Returns whether a grant that was decided on earlier may be sent now, and records it as sent if so. While it waited
+    /// for another call to the holder, the keys may have got another owner, or the holder may have been suspended.
+    pub fn confirm_send(&mut self, grant: &Grant, purpose: Purpose, now: HostTime) -> bool {
+        let Some(table) = &self.table else { return false };
+        let may_send =
+            table.span(grant.first).filter(|span| span.matches(grant)).is_some_and(|span| {
+                match purpose {
+                    Purpose::Renewal => {
+                        self.is_keeper(table) && self.has_proof(now) && self.renews(table, span)
+                    }
+                    Purpose::Move => !span.is_granted,
+                }
+            });
+        if may_send {
+            self.record_sent(grant, now);
+            self.renewed_at.insert((grant.first, grant.last, grant.fence), now);
+        }
+        may_send
     }
 
     /// Records that the upstream confirmed a grant which this host sent as leader.
--- a/crates/spans/src/table.rs
+++ b/crates/spans/src/table.rs
@@ -1,5 +1,6 @@
 //! The ownership table of a service, as it is stored: each key's owner, and the grants that a change has to end first.
 
+use crate::renewal::Grant;
 use serde::{Deserialize, Serialize};
 use skylarkdock_units::ids::{HostId, Region, ServiceName, UpstreamId, Zone};
 use skylarkdock_units::measures::HostSize;
@@ -91,6 +92,12 @@
         self.first <= key && key <= self.last
     }
 
+    /// Returns whether a grant is the one that the span records or waits for.
+    pub fn matches(&self, grant: &Grant) -> bool {
+        (self.first, self.last, self.fence) == (grant.first, grant.last, grant.fence)
+            && self.owner == grant.holder
+    }
+
     /// Returns the number of keys in the span.
     pub const fn len(&self) -> u32 {
         self.last as u32 - self.first as u32 + 1
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -4,7 +4,7 @@
 
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
-use skylarkdock_spans::renewal::{CallEnd, Grant, Renewals};
+use skylarkdock_spans::renewal::{CallEnd, Grant, Purpose, Renewals};
 use skylarkdock_spans::table::{Holder, Keeper};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::measures::HostSize;
@@ -74,7 +74,7 @@
                 self.leader.on_written(table, true, self.now);
             }
             Action::Grant(grant) => {
-                self.renewals.on_grant_sent(&grant, self.now);
+                assert!(self.renewals.confirm_send(&grant, Purpose::Move, self.now));
                 self.leader.on_granted(&grant, CallEnd::Done, self.now);
             }
             Action::Release(release) => {
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -357,7 +357,6 @@
                 ));
             }
             Action::Grant(grant) => {
-                self.hosts[index].renewals.on_grant_sent(&grant, now);
                 self.send_grant(index, true, grant);
             }
         }
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -1,7 +1,7 @@
 //! Calls between hosts and upstreams, which may be delayed, lost or carried out without an answer.
 
 use super::Simulation;
-use skylarkdock_spans::renewal::{Ack, CallEnd, Grant, Release};
+use skylarkdock_spans::renewal::{Ack, CallEnd, Grant, Purpose, Release};
 use skylarkdock_spans::table::Holder;
 use skylarkdock_units::times::HostTime;
 use std::collections::VecDeque;
@@ -80,12 +80,7 @@
                     self.start_call(from, by_leader, grant);
                 } else {
                     self.fault_counts.withheld_grants += 1;
-                    self.on_grant_end(
-                        from,
-                        by_leader,
-                        &grant,
-                        GrantEnd::Answered(CallEnd::Unknown),
-                    );
+                    self.on_withheld(from, by_leader, &grant);
                 }
             }
         }
@@ -96,8 +91,18 @@
         if calls.is_busy { None } else { calls.waiting.pop_front() }
     }
 
-    fn may_send(&self, from: usize, _by_leader: bool, _grant: &Grant) -> bool {
-        !self.safeguards.needs_proof || self.hosts[from].renewals.has_proof(HostTime(self.now))
+    fn may_send(&mut self, from: usize, by_leader: bool, grant: &Grant) -> bool {
+        let now = HostTime(self.now);
+        let purpose = if by_leader { Purpose::Move } else { Purpose::Renewal };
+        let renewals = &mut self.hosts[from].renewals;
+        (!self.safeguards.needs_proof || renewals.has_proof(now))
+            && renewals.confirm_send(grant, purpose, now)
+    }
+
+    fn on_withheld(&mut self, from: usize, by_leader: bool, grant: &Grant) {
+        if by_leader && let Some(leader) = &mut self.hosts[from].leader {
+            leader.on_withheld(grant, HostTime(self.now));
+        }
     }
 
     /// Sends a grant over the connection to its holder, over a new one if there is none, or over another host. A new
