Send a leader's grants only with proof that its table is the newest

Callers saw: two upstreams held the same keys (reported; this is one way to it that the code allowed, not shown as the cause).

Cause: a leader without recent proof logged "no grant without proof" and sent the grant all the same. The next leader grants keys to another owner once the proof of the former one must have expired. The simulation dropped such grants in its network, not in the code that it shares with the daemon, so its fuzz could not show the difference.

Evidence: the added test of a leader without recent proof fails without the change.

Change: `Renewals::confirm_send` asks for proof for grants of both kinds, and the simulation has no check of its own. A recorded table is proof itself, as the write was conditional; without this the first grants of a fleet would wait for the next read.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -368,10 +368,15 @@
     }
 
     async fn replace_table(&self, service: &ServiceName, table: Table) {
+        let asked_at = clock::now();
         let is_recorded = self.write_table(&table).await;
         log::info!(service:% = service, version = table.version, spans = table.spans.len(), recorded = is_recorded; "owners: table write ended");
         if is_recorded {
             self.adopt_table(table.clone());
+            // The write was conditional, so no newer table was recorded before it.
+            if let Some(renewals) = self.owners.borrow_mut().renewals.get_mut(service) {
+                renewals.prove(asked_at);
+            }
             self.publish();
         }
         if let Some(leader) = self.owners.borrow_mut().leaders.get_mut(service) {
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -220,14 +220,11 @@
     /// for another call to the holder, the keys may have got another owner, or the holder may have been suspended.
     pub fn confirm_send(&mut self, grant: &Grant, purpose: Purpose, now: HostTime) -> bool {
         let Some(table) = &self.table else { return false };
-        let may_send =
-            table.span(grant.first).filter(|span| span.matches(grant)).is_some_and(|span| {
-                match purpose {
-                    Purpose::Renewal => {
-                        self.is_keeper(table) && self.has_proof(now) && self.renews(table, span)
-                    }
-                    Purpose::Move => !span.is_granted,
-                }
+        let span = table.span(grant.first).filter(|span| span.matches(grant));
+        let may_send = self.has_proof(now)
+            && span.is_some_and(|span| match purpose {
+                Purpose::Renewal => self.is_keeper(table) && self.renews(table, span),
+                Purpose::Move => !span.is_granted,
             });
         if may_send {
             self.record_sent(grant, now);
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -71,6 +71,7 @@
         match action {
             Action::Write(table) => {
                 self.renewals.adopt(table.clone());
+                self.renewals.prove(self.now);
                 self.leader.on_written(table, true, self.now);
             }
             Action::Grant(grant) => {
@@ -185,6 +186,36 @@
     assert!(fixture.renewals.due_renewals(late).is_empty());
 }
 
+/// The next leader counts a grant of a replaced table as expired once the proof of its sender must have expired.
+#[test]
+fn a_leader_without_recent_proof_sends_no_grant() {
+    let mut fixture = Fixture::new();
+    let mut grants = Vec::new();
+    for _ in 0..100 {
+        for action in fixture.tick(&["a"]) {
+            match action {
+                Action::Grant(grant) => grants.push(grant),
+                other => fixture.carry_out(other),
+            }
+        }
+    }
+    let grant = grants.first().unwrap();
+    assert!(fixture.renewals.confirm_send(grant, Purpose::Move, fixture.now));
+    let late = fixture.now + TIMING.proof_lifetime;
+    assert!(!fixture.renewals.confirm_send(grant, Purpose::Move, late));
+}
+
+/// A renewal or grant that waited for another call must not be sent after its keys got another owner.
+#[test]
+fn a_grant_of_a_replaced_table_is_not_sent() {
+    let mut fixture = Fixture::new();
+    let due = fixture.renewals.due_renewals(fixture.now);
+    let grant = due.iter().find(|grant| grant.holder == holder("b")).unwrap();
+    assert!(fixture.renewals.confirm_send(grant, Purpose::Renewal, fixture.now));
+    fixture.first_grant_at(10, true);
+    assert!(!fixture.renewals.confirm_send(grant, Purpose::Renewal, fixture.now));
+}
+
 #[test]
 fn renewals_to_a_suspended_holder_wait_until_it_is_resumed() {
     let mut fixture = Fixture::new();
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -95,8 +95,7 @@
         let now = HostTime(self.now);
         let purpose = if by_leader { Purpose::Move } else { Purpose::Renewal };
         let renewals = &mut self.hosts[from].renewals;
-        (!self.safeguards.needs_proof || renewals.has_proof(now))
-            && renewals.confirm_send(grant, purpose, now)
+        renewals.confirm_send(grant, purpose, now)
     }
 
     fn on_withheld(&mut self, from: usize, by_leader: bool, grant: &Grant) {
