Let only a leader that the recorded table names grant keys

Callers saw: two upstreams held the same keys.

Cause: a new leader resumes the pending moves of the recorded table at once, before it has recorded a table of its own. If it loses the lead before that, the next leader asks only the hosts that the table names for what they sent, and does not learn of the grant. While the upstream can't be reached for a release, it counts the grant as never sent, and grants the keys to another. It takes a leader that is no keeper, so one of several hosts of an availability zone, and two changes of the lead in a row.

Change: a leader grants once the recorded table names it, which its first write does (some milliseconds later), and `Renewals::confirm_send` asks for it as well. Releases go out at once as before, they only end grants. A host that a table names stays among those that later leaders ask.

--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -298,6 +298,8 @@
     /// Sends the releases, grants and requests for acknowledgement that pending moves need next.
     fn advance_moves(&mut self, inputs: &Inputs, now: HostTime, actions: &mut Vec<Action>) {
         let Some(table) = self.table.clone() else { return };
+        // Later leaders ask only the hosts that a table names what they granted.
+        let may_grant = table.leader == self.own_host;
         let mut needs_acks = false;
         for span in table.spans.iter().filter(|span| !span.is_granted) {
             let id = (span.first, span.last, span.fence);
@@ -334,6 +336,7 @@
             needs_acks |= progress.has_failed_release && !all_ended;
             if let GrantState::Idle { not_before } = progress.granting
                 && all_ended
+                && may_grant
                 && now >= not_before
             {
                 progress.granting = GrantState::Sent;
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -224,7 +224,7 @@
         let may_send = self.has_proof(now)
             && span.is_some_and(|span| match purpose {
                 Purpose::Renewal => self.is_keeper(table) && self.renews(table, span),
-                Purpose::Move => !span.is_granted,
+                Purpose::Move => table.leader == self.own_host && !span.is_granted,
             });
         if may_send {
             self.record_sent(grant, now);
