Ask a replaced keeper for its grants until they have expired

Cause: a keeper that another host of its zone replaces stays in the table as retired until it acknowledges a table without it. It renews nothing after that, but what it sent just before is in force for another 3 s. The leader forgot that with the host: it counted the grants to a former owner as expired from the acknowledgements of the hosts that the table still named. If the former owner could be reached for no release, its keys went to another upstream while it held them. The class: the last one who knows of an obligation is dismissed when it stops adding to it, not when the obligation has ended.

Keepers change most when hosts are cut off: one that misses samples for 2.5 s is replaced, and since keepers are chosen by their paths to upstreams also one that lost these, just when its upstreams can't be reached for a release.

Change: a host leaves the retired ones once it has acknowledged the present table and every grant that it sent before, listed or possibly sent by an earlier process, has expired.

--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -398,6 +398,18 @@
         })
     }
 
+    /// Returns whether a host renews no grants any more, as it acknowledged the table that does not name it as a keeper,
+    /// and all grants that it sent before have expired. They must be asked for as long as they have not: its successor as
+    /// keeper does not know of them.
+    fn grants_have_expired(&self, host: &HostId, table: &Table, now: HostTime) -> bool {
+        let expiry = self.timing.grant_expiry();
+        self.acks.get(host).is_some_and(|ack| {
+            ack.version >= table.version
+                && now.since(ack.unlisted_sent_at) >= expiry
+                && ack.sent.iter().all(|(_, sent_at)| now.since(*sent_at) >= expiry)
+        })
+    }
+
     /// Returns the next version of the table with confirmed grants, changed owners and changed keepers, `None` if it
     /// is the same.
     fn next_table(&mut self, inputs: &Inputs, now: HostTime) -> Option<Table> {
@@ -517,9 +529,9 @@
         retired.dedup();
         retired.retain(|host| {
             let since = *self.retired_since.entry(host.clone()).or_insert(now);
-            let has_acked = table.retired.contains(host)
-                && self.acks.get(host).is_some_and(|ack| ack.version >= table.version);
-            !has_acked && now.since(since) < self.timing.expiry_without_acks()
+            let has_ended =
+                table.retired.contains(host) && self.grants_have_expired(host, table, now);
+            !has_ended && now.since(since) < self.timing.expiry_without_acks()
         });
         self.retired_since.retain(|host, _| retired.contains(host));
         table.keepers = keepers;
