Make grants and releases of other hosts on connections of their own

Callers could see two upstreams hold the same keys; read in the code, not seen. Possible since calls go over other hosts.

Cause: an intermediary made grants and releases for other hosts on the pooled connections that requests use, too. Upstreams may send a second, late answer to a request, at the point where the next one is expected. An answer to a request is told by its id; grants and releases have none, so the late answer passed for theirs. A release that the upstream never carried out would count as done, and the keys would be granted to another.

Evidence: the added test got the late answer to a request as the answer to its release.

Change: a call without an id gets a new connection, which is not used again. Direct grants and releases had connections of their own before. The cost is a connection for each such call, while a host has no path to the upstream.

--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -300,7 +300,11 @@
             return no_path(false);
         }
         let give_up_at = clock::now() + Millis(call.timeout_ms);
-        let pooled = self.pool.borrow_mut().take(upstream, call.is_once);
+        // Answers to grants and releases bear no id, so these calls don't share a connection with requests: a late answer
+        // to a request would pass for theirs.
+        let has_id = call.id.is_some();
+        let pooled =
+            if has_id { self.pool.borrow_mut().take(upstream, call.is_once) } else { None };
         let conn = match pooled {
             Some(conn) => conn,
             None => {
@@ -330,7 +334,7 @@
         match open.exchange(&outgoing).or(timed_out).await {
             Ok((reply, reusable)) => {
                 paths.on_success(upstream);
-                if let Some(conn) = conn.0.take().filter(|_| reusable) {
+                if let Some(conn) = conn.0.take().filter(|_| reusable && has_id) {
                     self.pool.borrow_mut().put(upstream, conn, MAX_IDLE);
                 }
                 let headers = reply.head.headers.0.into_iter();
--- a/crates/edge/tests/detour.rs
+++ b/crates/edge/tests/detour.rs
@@ -203,3 +203,40 @@
     }
     assert_eq!(count.load(Ordering::Relaxed), 0);
 }
+
+/// Starts an upstream that sends the answer to a request once more when the next call comes on the same connection, and
+/// answers only calls without an id that come first on theirs.
+fn upstream_with_late_answers() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let (mut chunk, mut is_first) = ([0; 4096], true);
+                while let Ok(len @ 1..) = stream.read(&mut chunk) {
+                    let is_request = chunk[..len].windows(5).any(|part| part == b"X-Id:");
+                    let name = if is_request || !is_first { "X-Id: a1" } else { "X-Released: 1" };
+                    let answer = format!("HTTP/1.1 200 OK\r\n{name}\r\nContent-Length: 0\r\n\r\n");
+                    stream.write_all(answer.as_bytes()).unwrap();
+                    is_first = false;
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// A late answer to a request would pass for the answer to a release, which has no id.
+#[test]
+fn a_release_does_not_take_the_answer_to_a_request() {
+    let upstream = upstream_with_late_answers();
+    let intermediaries = [near(start_intermediary(vec![upstream]))];
+    let (client, paths) = (DetourClient::default(), SharedPaths::default());
+    let req = request("/x", b"");
+    let call = client.call(&paths, &intermediaries, upstream, (&req, true), TIMEOUT);
+    assert!(block_on(call).unwrap().unwrap().is_matched);
+    let release = Outgoing::new("POST", "/release", &Headers::default(), b"");
+    let call = client.call(&paths, &intermediaries, upstream, (&release, true), TIMEOUT);
+    let reply = block_on(call).unwrap().unwrap();
+    assert_eq!(reply.head.headers.get_str("x-released"), Some("1"), "{:?}", reply.head);
+}
