Say why a request is rejected and why an upstream's answer is not passed on

Callers got 400, 404, 413 or 431, and neither the log nor the metrics told the causes apart: a rejection before routing had only its status, which 400 shares among five causes, and framing errors had no counter. An answer that was not passed on left no trace but the step "broken", and one without a signature that was passed on looked like any other.

`request: rejected before routing`, `serve: a request is malformed or too large` and the counter of rejected requests have a reason from a closed set, `request: answered` says whether the answer was signed, and answers that are not passed on are logged and counted by their defect. `skylarkdock explain` words the reason. No decision changes; the cases of `answers_are_classified` now also check the defect.

The new tests drive the traffic thread of a host in the process of the test.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod control;
 pub mod detour;
+mod framing;
 pub mod host;
 pub mod logging;
 pub mod metrics;
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -1,13 +1,14 @@
 //! HTTP server for callers, calls of other hosts, readiness checks and metrics. Pipelined requests of a connection run
 //! concurrently and are answered in order.
 
+use crate::framing::{self, FramingError};
 use crate::net;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use futures_lite::io::AsyncReadExt;
-use skylarkdock_http1::body::{Decoder, Framing};
-use skylarkdock_http1::head::{HeadError, Headers, RequestHead};
+use skylarkdock_http1::body::{ChunkError, Decoder, Framing};
+use skylarkdock_http1::head::{Headers, RequestHead};
 use skylarkdock_units::measures::ByteSize;
 use skylarkdock_units::times::Millis;
 use std::cell::Cell;
@@ -286,13 +287,13 @@
                 Ok(used) => {
                     self.input.drain(..used);
                 }
-                Err(_) => {
-                    self.reject(400);
+                Err(ChunkError) => {
+                    self.reject(FramingError::MalformedChunk);
                     return true;
                 }
             }
             if body.len() as u64 > self.limits.body.0 {
-                self.reject(413);
+                self.reject(FramingError::BodyTooLong);
                 return true;
             }
             if !decoder.is_done() {
@@ -314,15 +315,19 @@
         let leading_newlines = self.input.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
         self.input.drain(..leading_newlines);
         match RequestHead::parse(&self.input) {
-            Ok(None) if self.input.len() as u64 > self.limits.head.0 => self.reject(431),
+            Ok(None) if self.input.len() as u64 > self.limits.head.0 => {
+                self.reject(FramingError::HeadTooLong);
+            }
             Ok(None) => {}
-            Ok(Some((_, len))) if len as u64 > self.limits.head.0 => self.reject(431),
+            Ok(Some((_, len))) if len as u64 > self.limits.head.0 => {
+                self.reject(FramingError::HeadTooLong);
+            }
             Ok(Some((head, len))) => {
                 self.input.drain(..len);
                 let is_too_long =
                     matches!(head.framing, Framing::Length(len) if len > self.limits.body.0);
                 if is_too_long {
-                    self.reject(413);
+                    self.reject(FramingError::BodyTooLong);
                     return false;
                 }
                 if head.headers.contains_token("expect", "100-continue") && self.pending.is_empty()
@@ -333,9 +338,7 @@
                 self.partial = Some((head, decoder, Vec::new()));
                 return true;
             }
-            Err(HeadError::TooManyHeaders) => self.reject(431),
-            Err(HeadError::UnsupportedCoding) => self.reject(501),
-            Err(HeadError::Malformed | HeadError::AmbiguousLength) => self.reject(400),
+            Err(e) => self.reject(FramingError::Head(e)),
         }
         false
     }
@@ -350,8 +353,10 @@
     }
 
     /// Queues an error answer behind those of the previous requests, and stops reading.
-    fn reject(&mut self, status: u16) {
-        log::info!(status = status; "serve: a request is malformed or too large");
+    fn reject(&mut self, error: FramingError) {
+        let (status, reason) = (error.status(), error.as_str());
+        framing::count_rejection(status, reason);
+        log::info!(status = status, reason = reason; "serve: a request is malformed or too large");
         self.partial = None;
         self.input.clear();
         self.is_input_closed = true;
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -97,7 +97,7 @@
         let attempt_result = match self.exchange_pooled(addr, &attempt, build).await {
             Ok(result) => {
                 let limit = result.as_ref().ok().map(|reply| self.protocol.names.limit(reply));
-                let attempt_result = self.classify_result(result);
+                let attempt_result = self.classify_result(id, result);
                 if let Some(limit) = limit {
                     self.on_limit(&attempt, &attempt_result, limit, started);
                 }
@@ -229,13 +229,19 @@
         Ok(reply)
     }
 
-    fn classify_result(&self, result: Result<Reply, Failure>) -> AttemptResult {
+    fn classify_result(&self, id: &UpstreamId, result: Result<Reply, Failure>) -> AttemptResult {
         match result {
             Ok(reply) => match self.protocol.names.classify(&reply) {
                 ReplyKind::Final => AttemptResult::Answered(reply),
                 ReplyKind::Shed => AttemptResult::NotRun(NotRun::Shed),
                 ReplyKind::Misdirected => AttemptResult::NotRun(NotRun::Misdirected),
-                ReplyKind::Unusable => AttemptResult::Unknown(AttemptOutcome::Broken),
+                ReplyKind::Unusable(defect) => {
+                    let reason = defect.as_str();
+                    metrics::counter!("skylarkdock_answers_discarded_total", "reason" => reason)
+                        .increment(1);
+                    log::info!(upstream:% = id, status = reply.head.status, reason = reason; "traffic: an answer is not passed on");
+                    AttemptResult::Unknown(AttemptOutcome::Broken)
+                }
             },
             Err(Failure::NotSent(_)) => AttemptResult::NotRun(NotRun::Unreachable),
             Err(Failure::TimedOut) => AttemptResult::Unknown(AttemptOutcome::TimedOut),
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod history;
 mod permits;
 mod race;
+mod rejection;
 mod reports;
 mod request;
 mod waiting;
--- /dev/null
+++ b/crates/edge/src/traffic/rejection.rs
@@ -0,0 +1,58 @@
+//! Reasons for which a request is rejected before it is routed.
+
+use super::refusal;
+use crate::serve::Answer;
+use skylarkdock_units::times::Millis;
+
+/// `Retry-After` while the configuration, or the service of a request, is not known yet.
+pub(super) const STARTUP_RETRY_AFTER: Millis = Millis(500);
+
+/// Reason for which a request is rejected before it is routed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Rejection {
+    /// No configuration is known yet.
+    NoConfig,
+    /// No route matches, but a newer configuration may have one.
+    StaleConfig,
+    /// The `Host` header is missing or is not valid UTF-8.
+    NoHost,
+    /// No route matches.
+    NoRoute,
+    /// The request id is missing or is not valid UTF-8.
+    NoRequestId,
+    /// The deadline is not a number of milliseconds.
+    InvalidDeadline,
+    /// The service is sharded and the request has no key.
+    NoKey,
+    /// The service is sharded and the key is not a number from 0 to 65535.
+    InvalidKey,
+}
+
+impl Rejection {
+    /// Returns the value of the `reason` label in metrics and field in logs.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoConfig => "no_config",
+            Self::StaleConfig => "stale_config",
+            Self::NoHost => "no_host",
+            Self::NoRoute => "no_route",
+            Self::NoRequestId => "no_request_id",
+            Self::InvalidDeadline => "invalid_deadline",
+            Self::NoKey => "no_key",
+            Self::InvalidKey => "invalid_key",
+        }
+    }
+
+    /// Builds the answer to the caller.
+    pub(super) fn answer(self) -> Answer {
+        match self {
+            Self::NoConfig | Self::StaleConfig => refusal(STARTUP_RETRY_AFTER),
+            Self::NoRoute => Answer::empty(404),
+            Self::NoHost
+            | Self::NoRequestId
+            | Self::InvalidDeadline
+            | Self::NoKey
+            | Self::InvalidKey => Answer::empty(400),
+        }
+    }
+}
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -3,9 +3,11 @@
 use super::attempt::{Attempt, AttemptResult, NotRun};
 use super::history::{History, RequestEnd};
 use super::race::{Either, either};
+use super::rejection::{Rejection, STARTUP_RETRY_AFTER};
 use super::{Traffic, refusal};
 use crate::client::{Outgoing, Reply};
 use crate::clock;
+use crate::framing;
 use crate::serve::{Answer, Incoming};
 use async_io::Timer;
 use metrics::{counter, histogram};
@@ -22,8 +24,6 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3;
 
-/// `Retry-After` while the configuration, or the service of a request, is not known yet.
-const STARTUP_RETRY_AFTER: Millis = Millis(500);
 /// Expected time until the owner of a key holds it; basis of the `Retry-After` of a request that is given up.
 const MISDIRECTED_RETRY_AFTER: Millis = Millis(60);
 /// Expected time until an upstream has capacity again; basis of the `Retry-After` after shed attempts.
@@ -59,11 +59,11 @@
         let id = incoming.head.headers.get_str(self.protocol.names.request_id).map(str::to_owned);
         let req = match self.accept(incoming, arrived) {
             Ok(req) => req,
-            Err(answer) => {
-                counter!("skylarkdock_requests_rejected_total", "status" => answer.status.to_string())
-                    .increment(1);
+            Err(rejection) => {
+                let (answer, reason) = (rejection.answer(), rejection.as_str());
+                framing::count_rejection(answer.status, reason);
                 let version = self.view.borrow().config.as_ref().map_or(0, |config| config.version);
-                log::warn!(request:? = id, status = answer.status, config = version;
+                log::warn!(request:? = id, status = answer.status, reason = reason, config = version;
                     "request: rejected before routing");
                 return answer;
             }
@@ -92,6 +92,7 @@
         histogram!("skylarkdock_request_wait_seconds")
             .record(history.waited.duration().as_secs_f64());
         let version = self.view.borrow().config.as_ref().map_or(0, |config| config.version);
+        let is_signed = answer.headers.get(self.protocol.names.signature).is_some();
         let level = match end {
             RequestEnd::Answered if answer.status < 500 => log::Level::Info,
             _ => log::Level::Warn,
@@ -104,32 +105,32 @@
         };
         log::log!(level, request = req.id.as_str(), route = &*req.route.name, kind = kind,
             service = req.service.as_str(), key:? = req.key, config = version,
-            status = answer.status, reason = reason, sent = history.sent,
+            status = answer.status, reason = reason, signed = is_signed, sent = history.sent,
             waited_ms = history.waited.0, took_ms = took.0, limit_ms = req.deadline.since(req.arrived).0,
             steps = history.steps.join(" "); "{message}");
     }
 
     /// Finds the route of a request and validates its headers.
-    fn accept(&self, incoming: Incoming, arrived: HostTime) -> Result<Request, Answer> {
+    fn accept(&self, incoming: Incoming, arrived: HostTime) -> Result<Request, Rejection> {
         let names = &self.protocol.names;
         let view = Arc::clone(&self.view.borrow());
-        let Some(config) = &view.config else { return Err(refusal(STARTUP_RETRY_AFTER)) };
+        let Some(config) = &view.config else { return Err(Rejection::NoConfig) };
         let Incoming { head, body } = incoming;
-        let Some(host) = head.headers.get_str("host") else { return Err(Answer::empty(400)) };
+        let Some(host) = head.headers.get_str("host") else { return Err(Rejection::NoHost) };
         let Some(route) = config.routes.find(host, head.path()) else {
             if !self.status.is_config_current(self.settings.apply_time, arrived) {
                 // The route may have been added in a newer configuration that should be in force by now.
-                return Err(refusal(STARTUP_RETRY_AFTER));
+                return Err(Rejection::StaleConfig);
             }
-            return Err(Answer::empty(404));
+            return Err(Rejection::NoRoute);
         };
         let route = Arc::clone(route);
         let Some(id) = head.headers.get_str(names.request_id).map(str::to_owned) else {
-            return Err(Answer::empty(400));
+            return Err(Rejection::NoRequestId);
         };
         let deadline = match head.headers.get_str(names.deadline).map(str::parse::<u64>) {
             Some(Ok(ms)) => Millis(ms),
-            Some(Err(_)) => return Err(Answer::empty(400)),
+            Some(Err(_)) => return Err(Rejection::InvalidDeadline),
             None => route.timeout,
         };
         let service = self.pick_service(&route);
@@ -138,7 +139,8 @@
         let key = match (is_sharded, key) {
             (false, _) => None,
             (true, Some(Ok(key))) => Some(key),
-            (true, _) => return Err(Answer::empty(400)),
+            (true, Some(Err(_))) => return Err(Rejection::InvalidKey),
+            (true, None) => return Err(Rejection::NoKey),
         };
         let mut headers = head.headers;
         headers.remove_hop_by_hop();
--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -50,7 +50,35 @@
     /// The upstream did not run the request because it does not hold the key, or is not the expected upstream.
     Misdirected,
     /// The answer must not be forwarded; the request may have run.
-    Unusable,
+    Unusable(Defect),
+}
+
+/// Reason for which an upstream's answer must not be forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Defect {
+    /// It does not repeat the id of the request.
+    Unmatched,
+    /// Its status tells callers that the request did not run, which the upstream has not stated.
+    ImpliesNotRun,
+    /// Its body has a content coding, which no caller asked for.
+    Encoded,
+    /// It has an informational status.
+    Informational,
+    /// It lacks the signature that such an answer must have.
+    Unsigned,
+}
+
+impl Defect {
+    /// Returns the value of the `reason` label in metrics and field in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unmatched => "unmatched",
+            Self::ImpliesNotRun => "implies_not_run",
+            Self::Encoded => "encoded",
+            Self::Informational => "informational",
+            Self::Unsigned => "unsigned",
+        }
+    }
 }
 
 impl HeaderNames {
@@ -75,19 +103,16 @@
             return ReplyKind::Shed;
         }
         if !reply.is_matched {
-            return ReplyKind::Unusable;
+            return ReplyKind::Unusable(Defect::Unmatched);
         }
-        let is_success = (200..300).contains(&status);
-        // Callers take these statuses to mean that the request did not run, which the upstream has not stated.
-        let implies_not_run = matches!(status, 408 | 429 | 503);
-        let is_encoded = headers.get("content-encoding").is_some();
-        if implies_not_run
-            || is_encoded
-            || (100..200).contains(&status)
-            || (is_success && headers.get(self.signature).is_none())
-        {
-            return ReplyKind::Unusable;
+        match status {
+            408 | 429 | 503 => ReplyKind::Unusable(Defect::ImpliesNotRun),
+            100..200 => ReplyKind::Unusable(Defect::Informational),
+            _ if headers.get("content-encoding").is_some() => ReplyKind::Unusable(Defect::Encoded),
+            200..300 if headers.get(self.signature).is_none() => {
+                ReplyKind::Unusable(Defect::Unsigned)
+            }
+            _ => ReplyKind::Final,
         }
-        ReplyKind::Final
     }
 }
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use skylarkdock_edge::client::{Conn, Failure, Outgoing, Reply};
-use skylarkdock_edge::upstreams::{HeaderNames, ReplyKind};
+use skylarkdock_edge::upstreams::{Defect, HeaderNames, ReplyKind};
 use skylarkdock_http1::head::Headers;
 use skylarkdock_units::times::Millis;
 use std::io::{Read, Write};
@@ -61,16 +61,19 @@
 #[case::misdirected(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", ReplyKind::Misdirected)]
 #[case::unavailable_without_not_run(
     b"HTTP/1.1 503 X\r\nId: own\r\nContent-Length: 0\r\n\r\n",
-    ReplyKind::Unusable
+    ReplyKind::Unusable(Defect::ImpliesNotRun)
+)]
+#[case::unsigned(
+    b"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok",
+    ReplyKind::Unusable(Defect::Unsigned)
 )]
-#[case::unsigned(b"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok", ReplyKind::Unusable)]
 #[case::encoded(
     b"HTTP/1.1 200 OK\r\nId: own\r\nSignature: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
-    ReplyKind::Unusable
+    ReplyKind::Unusable(Defect::Encoded)
 )]
 #[case::without_request_id(
     b"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok",
-    ReplyKind::Unusable
+    ReplyKind::Unusable(Defect::Unmatched)
 )]
 #[case::until_close(b"HTTP/1.1 200 OK\r\nId: own\r\nSignature: s\r\n\r\nok", ReplyKind::Final)]
 fn answers_are_classified(#[case] answer: &'static [u8], #[case] kind: ReplyKind) {
--- /dev/null
+++ b/crates/edge/tests/rejections.rs
@@ -0,0 +1,44 @@
+//! Requests that a host rejects before it routes them.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use rstest::rstest;
+use support::LONG;
+
+const HEAD: &str = "GET /read/x HTTP/1.1\r\nHost: h.example\r\n";
+
+/// Guards against rejections whose cause can't be told from the metrics.
+#[rstest]
+#[case::no_host("GET /read/x HTTP/1.1\r\nId: a\r\n", 400, "no_host")]
+#[case::no_route("GET /none/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n", 404, "no_route")]
+#[case::no_request_id(HEAD, 400, "no_request_id")]
+#[case::deadline(&format!("{HEAD}Id: a\r\nKey: 1\r\nDeadline: soon\r\n"), 400, "invalid_deadline")]
+#[case::no_key(&format!("{HEAD}Id: a\r\n"), 400, "no_key")]
+#[case::invalid_key(&format!("{HEAD}Id: a\r\nKey: 65536\r\n"), 400, "invalid_key")]
+fn a_rejection_is_counted_with_its_reason(
+    #[case] text: &str,
+    #[case] status: u16,
+    #[case] reason: &str,
+) {
+    support::with_host(LONG, |host| async move {
+        let config = support::config(1, &[("/read/", &[("films", 1)])]);
+        host.apply(support::view(&config, &[])).await;
+        support::prove_config(&host.status);
+        assert_eq!(host.answer(text).await.status, status);
+        let labels = format!("status=\"{status}\",reason=\"{reason}\"");
+        let metric = format!("skylarkdock_requests_rejected_total{{{labels}}} 1");
+        assert!(host.has_metric(&metric), "{metric}");
+    });
+}
+
+#[test]
+fn a_host_without_a_configuration_refuses_requests_and_counts_them_with_the_reason() {
+    support::with_host(LONG, |host| async move {
+        let answer = host.answer(&format!("{HEAD}Id: a\r\n")).await;
+        assert_eq!((answer.status, answer.headers.get("Retry-After").is_some()), (503, true));
+        let metric = "skylarkdock_requests_rejected_total{status=\"503\",reason=\"no_config\"} 1";
+        assert!(host.has_metric(metric));
+    });
+}
--- /dev/null
+++ b/crates/edge/tests/support/mod.rs
@@ -0,0 +1,182 @@
+//! The traffic thread of a host, without listeners, in the process of the test.
+
+#![allow(clippy::unwrap_used, dead_code)]
+
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use futures_lite::future;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use skylarkdock_dispatch::routes::{Idempotency, Route, Routes};
+use skylarkdock_dispatch::traffic_split::{TrafficSplit, WeightedService};
+use skylarkdock_edge::client::Outgoing;
+use skylarkdock_edge::clock;
+use skylarkdock_edge::serve::{Answer, Incoming, Limits};
+use skylarkdock_edge::settings::Settings;
+use skylarkdock_edge::status::Status;
+use skylarkdock_edge::traffic::Traffic;
+use skylarkdock_edge::upstreams::{HeaderNames, Protocol};
+use skylarkdock_edge::view::{Config, Entry, ListedUpstream, ServiceInfo, View};
+use skylarkdock_http1::head::{Headers, RequestHead};
+use skylarkdock_spans::renewal::CallEnd;
+use skylarkdock_units::measures::HostSize;
+use skylarkdock_units::times::{HostTime, Millis};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Longer than any test runs.
+pub const LONG: Millis = Millis(3_600_000);
+
+const PROTOCOL: Protocol = Protocol {
+    names: HeaderNames {
+        request_id: "Id",
+        deadline: "Deadline",
+        signature: "Signature",
+        expected: "Expected",
+        not_run: "Not-Run",
+        key: "Key",
+        limit: "X-Limit",
+    },
+    build_grant: |_, _| Outgoing::new("POST", "/grant", &Headers::default(), &[]),
+    build_release: |_| Outgoing::new("POST", "/release", &Headers::default(), &[]),
+    parse_grant_reply: |_| CallEnd::Unknown,
+    parse_release_reply: |_| Err(CallEnd::Unknown),
+};
+
+/// The traffic thread of a host.
+pub struct Host {
+    pub traffic: Rc<Traffic>,
+    pub status: Arc<Status>,
+    views: Sender<Arc<View>>,
+    metrics: PrometheusHandle,
+}
+
+impl Host {
+    /// Puts a view in force and waits until the thread has applied it.
+    pub async fn apply(&self, view: View) {
+        self.views.send(Arc::new(view)).await.unwrap();
+        while !self.views.is_empty() {
+            future::yield_now().await;
+        }
+    }
+
+    /// Returns the answer to a request, which is given without the empty line at its end.
+    pub async fn answer(&self, text: &str) -> Answer {
+        let (head, _) = RequestHead::parse(format!("{text}\r\n").as_bytes()).unwrap().unwrap();
+        self.traffic.answer(Incoming { head, body: Vec::new() }).await
+    }
+
+    /// Returns whether the rendered metrics contain a line.
+    pub fn has_metric(&self, line: &str) -> bool {
+        self.metrics.render().lines().any(|rendered| rendered == line)
+    }
+}
+
+/// Runs the traffic thread of a host whose configurations have to be in force within `apply_time`.
+pub fn with_host<Fut: Future<Output = ()>>(apply_time: Millis, test: impl FnOnce(Host) -> Fut) {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let metrics = recorder.handle();
+    metrics::with_local_recorder(&recorder, || {
+        let ex = Rc::new(LocalExecutor::new());
+        let (views, received_views) = async_channel::unbounded();
+        let (samples, _received_samples) = async_channel::unbounded();
+        let status = Arc::new(Status::default());
+        let traffic = Traffic::start(
+            settings(apply_time),
+            PROTOCOL,
+            Rc::clone(&ex),
+            Rc::default(),
+            Arc::clone(&status),
+            received_views,
+            samples,
+        );
+        async_io::block_on(ex.run(test(Host { traffic, status, views, metrics })));
+    });
+}
+
+fn settings(apply_time: Millis) -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        host: "h1".parse().unwrap(),
+        zone: "z1".parse().unwrap(),
+        region: "r1".parse().unwrap(),
+        size: HostSize(100),
+        zones: std::iter::once(("z1".parse().unwrap(), "r1".parse().unwrap())).collect(),
+        callers: any,
+        readiness: any,
+        peers: any,
+        reports: any,
+        metrics: any,
+        seeds: Vec::new(),
+        heartbeat: Millis(870),
+        grace: Millis(6_000),
+        apply_time,
+        drain_time: Millis(2_000),
+        max_hold: Millis(10_000),
+        repeat_ratio: 0.2,
+        repeat_constant: 56,
+        repeat_window: Millis(10_000),
+    }
+}
+
+/// Builds a configuration with the sharded services `films` and `songs` and the unsharded `orders` and `files`. Each
+/// route is given by its path prefix and its services with their weights.
+pub fn config(version: u64, routes: &[(&str, &[(&str, u32)])]) -> Arc<Config> {
+    let routes = routes.iter().map(|(prefix, services)| Route {
+        name: (*prefix).into(),
+        host: "h.example".into(),
+        prefix: (*prefix).into(),
+        idempotency: Idempotency::Once,
+        split: split(services),
+        timeout: Millis(5_000),
+        objective: Millis(500),
+        attempts: 2,
+        rank: 0,
+    });
+    let services = [("films", true), ("songs", true), ("orders", false), ("files", false)];
+    let services = services.map(|(name, is_sharded)| ServiceInfo {
+        name: name.parse().unwrap(),
+        is_sharded,
+        connection_limit: 10,
+    });
+    let limits = Limits::default();
+    Arc::new(Config { version, routes: Routes::new(routes), services: services.into(), limits })
+}
+
+fn split(services: &[(&str, u32)]) -> TrafficSplit {
+    let weighted = services
+        .iter()
+        .map(|(name, weight)| WeightedService { service: name.parse().unwrap(), weight: *weight });
+    TrafficSplit::new(weighted.collect()).unwrap()
+}
+
+/// Returns a view with a configuration and an upstream of each given service.
+pub fn view(config: &Arc<Config>, upstreams: &[(&str, SocketAddr)]) -> View {
+    let upstreams = upstreams.iter().map(|(service, addr)| ListedUpstream {
+        entry: Entry {
+            id: format!("i-{service}").parse().unwrap(),
+            born: 1_000,
+            service: service.parse().unwrap(),
+            addr: *addr,
+            zone: "z1".parse().unwrap(),
+            region: Some("r1".parse().unwrap()),
+            slots: 4,
+            is_leaving: false,
+            cold: Millis(0),
+            seq: 1,
+        },
+        cold_until: HostTime(0),
+    });
+    View {
+        config: Some(Arc::clone(config)),
+        upstreams: upstreams.collect(),
+        keys: Vec::new(),
+        peers: Some(Vec::new()),
+    }
+}
+
+/// Records that the store had no newer configuration just now.
+pub fn prove_config(status: &Status) {
+    status.set_config_proof(clock::now());
+}
--- a/crates/hostlog/src/explanation.rs
+++ b/crates/hostlog/src/explanation.rs
@@ -83,11 +83,14 @@
         "request: rejected before routing" => {
             let status = line.field("status").unwrap_or("?");
             let version = line.field("config").unwrap_or("?");
-            let why = match status {
-                "404" => "no route",
-                "503" => "no configuration is known, or it may not be the newest",
-                _ => "a header is missing or invalid",
-            };
+            let why = line.field("reason").map_or_else(
+                || match status {
+                    "404" => "no route",
+                    "503" => "no configuration is known, or it may not be the newest",
+                    _ => "a header is missing or invalid",
+                },
+                rejection_text,
+            );
             format!("rejected with {status}: {why} (configuration {version})")
         }
         "request: refused, not run" => {
@@ -136,6 +139,21 @@
     }
 }
 
+/// Returns the reason of a rejection before routing in words.
+fn rejection_text(reason: &str) -> &str {
+    match reason {
+        "no_config" => "no configuration is known yet",
+        "stale_config" => "no route, but a newer configuration may have one",
+        "no_route" => "no route",
+        "no_host" => "the host header is missing",
+        "no_request_id" => "the request id is missing",
+        "invalid_deadline" => "the deadline is not a number of milliseconds",
+        "no_key" => "its service is sharded and it has no key",
+        "invalid_key" => "its key is not a number from 0 to 65535",
+        other => other,
+    }
+}
+
 /// Returns the attempts of a line: the upstream, the result and the time since the arrival of the request.
 pub fn attempts(line: &Line) -> Vec<(&str, &str, &str)> {
     let steps = line.field("steps").unwrap_or_default().split_whitespace();
--- a/crates/hostlog/tests/logs.rs
+++ b/crates/hostlog/tests/logs.rs
@@ -17,6 +17,7 @@
    9.6 host-1 {"timestamp":"2026-02-14T21:47:10.600000+00:00","level":"INFO","message":"crashes: an upstream ended with requests in flight","kvs":{"upstream":"i-4","in_flight":1,"load":3}}
    9.7 host-2 {"timestamp":"2026-02-14T21:47:10.700000+00:00","level":"INFO","message":"request: answered","kvs":{"config":4,"key":"Some(5)","kind":"idempotent","limit_ms":4000,"reason":"none","request":"cc03","route":"read","sent":1,"service":"films","status":200,"steps":"i-1:late@300ms i-2:200@350ms","took_ms":351,"waited_ms":20}}
    9.8 host-2 {"timestamp":"2026-02-14T21:47:10.800000+00:00","level":"WARN","message":"request: rejected before routing","kvs":{"config":4,"request":"Some(\"dd04\")","status":404}}
+   9.8 host-2 {"timestamp":"2026-02-14T21:47:10.850000+00:00","level":"WARN","message":"request: rejected before routing","kvs":{"config":4,"reason":"no_key","request":"Some(\"ff06\")","status":400}}
    9.9 host-2 {"timestamp":"2026-02-14T21:47:10.900000+00:00","level":"INFO","message":"log: lines were held back","kvs":{"kind":"request: answered","count":9}}
 not a line of a host
 "#;
@@ -30,6 +31,11 @@
 #[case::unknown("bb02", Outcome::Unknown, "i-3 shed after 2ms, then i-4 broken after 90ms")]
 #[case::answered("cc03", Outcome::Answered, "351 ms, of which 20 ms waiting")]
 #[case::rejected("dd04", Outcome::NotRun, "404: no route (configuration 4)")]
+#[case::rejected_with_a_reason(
+    "ff06",
+    Outcome::NotRun,
+    "400: its service is sharded and it has no key"
+)]
 fn a_request_is_explained(#[case] id: &str, #[case] outcome: Outcome, #[case] cause: &str) {
     let lines = lines();
     let explanation = explanation::explain(&lines, id).unwrap();
