Don't answer 404 while a newer configuration is known but not applied

A caller could get 404 for a route that the newest configuration has. A host answers 404 only if it has a recent proof that there is no newer configuration, but the control thread records that proof when it reads one, and the traffic thread applies the configuration when it gets to it. In between the new proof vouched for the old routes. The time is short, yet on a host that was without updates for longer than a configuration may take, it is the first thing that callers of the new routes meet.

The proof now comes with the version that was the newest, and a host whose traffic thread applies an older one refuses the request with 503 and a Retry-After, as it does without a recent proof.

`an_added_route_is_not_missing_while_its_configuration_is_not_applied_yet` failed before with 404 and passes now.

--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -194,8 +194,12 @@
                 // from this one.
                 let records = self.apply_config(&page).into_iter().collect();
                 let page = Page { records, next: page.next };
-                self.fleet.borrow_mut().known_records.record_page(topic, &page, false, asked_at);
-                self.status.set_config_proof(asked_at);
+                let version = {
+                    let mut fleet = self.fleet.borrow_mut();
+                    fleet.known_records.record_page(topic, &page, false, asked_at);
+                    fleet.config.as_ref().map_or(0, |config| config.version)
+                };
+                self.status.set_config_proof(asked_at, version);
             }
             Topic::Upstreams => {
                 self.fleet.borrow_mut().known_records.record_page(topic, &page, is_whole, asked_at);
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -11,6 +11,8 @@
     is_leaving: AtomicBool,
     /// In milliseconds, see [`HostTime`].
     config_proof_at: AtomicU64,
+    /// Version that was the newest at that time, or a later one.
+    proven_version: AtomicU64,
     paths: SharedPaths,
 }
 
@@ -40,13 +42,17 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
-    /// Records that the store had no newer configuration at a time.
-    pub fn set_config_proof(&self, at: HostTime) {
-        self.config_proof_at.fetch_max(at.0, Ordering::Relaxed);
+    /// Records that the store had no configuration newer than `version` at a time.
+    pub fn set_config_proof(&self, at: HostTime, version: u64) {
+        // Whoever sees the proof also sees its version.
+        self.proven_version.fetch_max(version, Ordering::Relaxed);
+        self.config_proof_at.fetch_max(at.0, Ordering::Release);
     }
 
-    /// Returns whether every configuration that was published at least `apply_time` ago is known to this host.
-    pub fn is_config_current(&self, apply_time: Millis, now: HostTime) -> bool {
-        now.since(HostTime(self.config_proof_at.load(Ordering::Relaxed))) <= apply_time
+    /// Returns whether no configuration that was published at least `apply_time` ago is newer than `version`. The threads
+    /// of a host learn of a configuration one after the other, so `version` is the one that the caller applies.
+    pub fn is_config_current(&self, apply_time: Millis, now: HostTime, version: u64) -> bool {
+        let proof_at = HostTime(self.config_proof_at.load(Ordering::Acquire));
+        now.since(proof_at) <= apply_time && self.proven_version.load(Ordering::Relaxed) <= version
     }
 }
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -118,7 +118,8 @@
         let Incoming { head, body } = incoming;
         let Some(host) = head.headers.get_str("host") else { return Err(Rejection::NoHost) };
         let Some(route) = config.routes.find(host, head.path()) else {
-            if !self.status.is_config_current(self.settings.apply_time, arrived) {
+            let apply_time = self.settings.apply_time;
+            if !self.status.is_config_current(apply_time, arrived, config.version) {
                 // The route may have been added in a newer configuration that should be in force by now.
                 return Err(Rejection::StaleConfig);
             }
--- a/crates/edge/tests/rejections.rs
+++ b/crates/edge/tests/rejections.rs
@@ -25,7 +25,7 @@
     support::with_host(LONG, |host| async move {
         let config = support::config(1, &[("/read/", &[("films", 1)])]);
         host.apply(support::view(&config, &[])).await;
-        support::prove_config(&host.status);
+        support::prove_config(&host.status, 1);
         assert_eq!(host.answer(text).await.status, status);
         let labels = format!("status=\"{status}\",reason=\"{reason}\"");
         let metric = format!("skylarkdock_requests_rejected_total{{{labels}}} 1");
@@ -42,3 +42,24 @@
         assert!(host.has_metric(metric));
     });
 }
+
+/// Guards against a 404 for a route that a newer configuration has, while the traffic thread has not applied it yet. The
+/// control thread already has the proof that there is no configuration newer than that one.
+#[test]
+fn an_added_route_is_not_missing_while_its_configuration_is_not_applied_yet() {
+    support::with_host(LONG, |host| async move {
+        let first = support::config(1, &[("/read/", &[("orders", 1)])]);
+        let second =
+            support::config(2, &[("/read/", &[("orders", 1)]), ("/new/", &[("orders", 1)])]);
+        host.apply(support::view(&first, &[])).await;
+        support::prove_config(&host.status, 1);
+        let request = "GET /new/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n";
+        assert_eq!(host.answer(request).await.status, 404);
+        host.publish(support::view(&second, &[]));
+        let answer = host.answer(request).await;
+        assert_eq!((answer.status, answer.headers.get("Retry-After").is_some()), (503, true));
+        let metric =
+            "skylarkdock_requests_rejected_total{status=\"503\",reason=\"stale_config\"} 1";
+        assert!(host.has_metric(metric));
+    });
+}
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -61,6 +61,13 @@
         }
     }
 
+    /// Publishes a view as the control thread does, without waiting until the traffic thread has applied it.
+    pub fn publish(&self, view: View) {
+        let version = view.config.as_ref().map_or(0, |config| config.version);
+        self.views.try_send(Arc::new(view)).unwrap();
+        prove_config(&self.status, version);
+    }
+
     /// Returns the answer to a request, which is given without the empty line at its end.
     pub async fn answer(&self, text: &str) -> Answer {
         let (head, _) = RequestHead::parse(format!("{text}\r\n").as_bytes()).unwrap().unwrap();
@@ -176,7 +183,7 @@
     }
 }
 
-/// Records that the store had no newer configuration just now.
-pub fn prove_config(status: &Status) {
-    status.set_config_proof(clock::now());
+/// Records that the store had no configuration newer than `version` just now.
+pub fn prove_config(status: &Status, version: u64) {
+    status.set_config_proof(clock::now(), version);
 }
