Apply the limits in force to requests on open connections

Callers on a connection that was older than the configuration got 413 or 431 for requests that the configuration allows, for as long as they kept the connection: a connection took its limits when it was opened, and those of a host without a configuration are built in. It was also closed after the idle time of its first limits.

The limits are now taken for each request, when its head arrives, and for each idle time. A body is measured by the limits that its head met.

The three cases of `raised_limits_apply_to_open_connections` failed before (413, 413, 431) and pass now.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -103,6 +103,13 @@
     pub limits: Cell<Option<Limits>>,
 }
 
+impl ListenerState {
+    /// Returns the limits for the next request of any connection.
+    fn limits(&self) -> Limits {
+        self.limits.get().unwrap_or_default()
+    }
+}
+
 /// Accepts and serves connections; never returns.
 pub async fn accept(
     ex: Rc<LocalExecutor<'static>>,
@@ -132,7 +139,7 @@
 /// Serves a connection until it is closed.
 async fn serve_connection(stream: Async<TcpStream>, shared: Rc<ListenerState>, handler: Handler) {
     shared.open.set(shared.open.get() + 1);
-    let limits = shared.limits.get().unwrap_or_default();
+    let limits = shared.limits();
     let mut connection = Connection {
         stream,
         shared: Rc::clone(&shared),
@@ -207,6 +214,7 @@
     stream: Async<TcpStream>,
     shared: Rc<ListenerState>,
     handler: Handler,
+    /// Limits for the request that is being received, or for the next one.
     limits: Limits,
     input: Vec<u8>,
     output: Vec<u8>,
@@ -311,6 +319,7 @@
         if self.input.is_empty() {
             return false;
         }
+        self.limits = self.shared.limits();
         // Empty lines before a request are ignored.
         let leading_newlines = self.input.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
         self.input.drain(..leading_newlines);
@@ -433,6 +442,9 @@
             return Poll::Pending;
         }
         let is_partial = self.partial.is_some() || !self.input.is_empty();
+        if !is_partial {
+            self.limits = self.shared.limits();
+        }
         let allowed = if is_partial { self.limits.head_time } else { self.limits.idle_time };
         let end = self.waiting_since + allowed.duration();
         self.timer.set_at(end);
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -6,7 +6,8 @@
 use async_io::{Async, Timer};
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
 use rstest::rstest;
-use skylarkdock_edge::serve::{self, Answer, AnswerFuture, Incoming, ListenerState};
+use skylarkdock_edge::serve::{self, Answer, AnswerFuture, Incoming, Limits, ListenerState};
+use skylarkdock_units::measures::ByteSize;
 use std::cell::Cell;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -156,3 +157,25 @@
         assert_eq!(server.started.get(), 0);
     });
 }
+
+/// Guards against rejecting a request that the limits in force allow because its connection is older than they are.
+#[rstest]
+#[case::long_body(&format!("POST /0 HTTP/1.1\r\nHost: h\r\nContent-Length: 90\r\n\r\n{}", "x".repeat(90)))]
+#[case::long_head(&format!("GET /0 HTTP/1.1\r\nHost: h\r\nName: {}\r\n\r\n", "x".repeat(90)))]
+#[case::chunked_body(&format!(
+    "POST /0 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5a\r\n{}\r\n0\r\n\r\n",
+    "x".repeat(90)
+))]
+fn raised_limits_apply_to_open_connections(#[case] text: &str) {
+    with_server(|server| async move {
+        let small = Limits { head: ByteSize(80), body: ByteSize(80), ..Limits::default() };
+        server.shared.limits.set(Some(small));
+        let stream = connect(server.addr).await;
+        send(&stream, &get(0)).await;
+        assert!(read(&stream, 1).await.starts_with("HTTP/1.1 200 "));
+        server.shared.limits.set(Some(Limits::default()));
+        send(&stream, text).await;
+        let answer = read(&stream, 1).await;
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    });
+}
