Send requests without a key to the unsharded services of a split

Callers of a route that is split among sharded and unsharded services got 400 for the share of their requests that fell on a sharded one, if the requests had no key, although the configuration has a service that takes them. On a route that moves to a sharded service step by step, that share grows with each step.

Such requests are now split among the unsharded services of the route alone, in proportion to their weights and with a count of their own. Requests with a key are split as before, exactly by all weights. No sharded service loses requests by this: it never got those without a key. A route with sharded services only answers 400 as before.

`a_request_without_a_key_goes_to_an_unsharded_part_of_a_split` failed before with 400 and passes now.

--- a/crates/dispatch/src/traffic_split.rs
+++ b/crates/dispatch/src/traffic_split.rs
@@ -35,6 +35,12 @@
         &self.services
     }
 
+    /// Returns a split among some of the services, which keep their weights, or `None` if their weights are all 0.
+    pub fn only(&self, is_allowed: impl Fn(&ServiceName) -> bool) -> Option<Self> {
+        let allowed = self.services.iter().filter(|entry| is_allowed(&entry.service));
+        Self::new(allowed.cloned().collect())
+    }
+
     /// Returns the service of the `count`th request of the route.
     ///
     /// Steps through the cumulative weights with a stride coprime to their sum. Each run of as many requests as that
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -69,6 +69,16 @@
     assert!(first.abs_diff(weights[0] as usize / 2) <= 2, "{first}");
 }
 
+#[test]
+fn a_split_among_some_services_keeps_their_weights() {
+    let parts = [("s0", 3), ("s1", 2), ("s2", 1)];
+    let parts = parts.map(|(name, weight)| WeightedService { service: service(name), weight });
+    let split = TrafficSplit::new(parts.to_vec()).unwrap();
+    let others = split.only(|name| *name != service("s0")).unwrap();
+    assert_eq!(Some(others), TrafficSplit::new(parts[1..].to_vec()));
+    assert_eq!(split.only(|_| false), None);
+}
+
 #[test]
 fn a_split_with_only_zero_weights_is_rejected() {
     assert_eq!(TrafficSplit::new(vec![WeightedService { service: service("s"), weight: 0 }]), None);
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -72,7 +72,8 @@
     crash_tracker: RefCell<CrashTracker>,
     /// Recent crashes of upstreams that are included in load reports.
     reported_crashes: RefCell<Vec<crash_reports::ReportedCrash>>,
-    route_counts: RefCell<FastMap<Arc<str>, u64>>,
+    /// Number of picks by route, and by whether they were among its unsharded services only.
+    route_counts: RefCell<FastMap<(Arc<str>, bool), u64>>,
     reports: RefCell<reports::Reports>,
     pools: RefCell<permits::Pools>,
     detour_client: DetourClient,
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::framing;
 use crate::serve::{Answer, Incoming};
+use crate::view::Config;
 use async_io::Timer;
 use metrics::{counter, histogram};
 use skylarkdock_dispatch::crash_tracker::Fingerprint;
@@ -134,10 +135,9 @@
             Some(Err(_)) => return Err(Rejection::InvalidDeadline),
             None => route.timeout,
         };
-        let service = self.pick_service(&route);
-        let is_sharded = config.services.iter().any(|info| info.name == service && info.is_sharded);
         let key = head.headers.get_str(names.key).map(str::parse::<u16>);
-        let key = match (is_sharded, key) {
+        let service = self.pick_service(&route, config, matches!(key, Some(Ok(_))));
+        let key = match (config.is_sharded(&service), key) {
             (false, _) => None,
             (true, Some(Ok(key))) => Some(key),
             (true, Some(Err(_))) => return Err(Rejection::InvalidKey),
@@ -166,12 +166,22 @@
         })
     }
 
-    fn pick_service(&self, route: &Route) -> ServiceName {
+    /// Selects a service of the route for a request. One without a key goes to services that need none, if there are any.
+    fn pick_service(&self, route: &Route, config: &Config, has_key: bool) -> ServiceName {
+        let services = route.split.services();
+        let unsharded =
+            if !has_key && services.iter().any(|entry| config.is_sharded(&entry.service)) {
+                route.split.only(|service| !config.is_sharded(service))
+            } else {
+                None
+            };
         let mut counts = self.route_counts.borrow_mut();
-        let count =
-            counts.entry(Arc::clone(&route.name)).or_insert_with(|| fastrand::u64(..1 << 32));
+        // Each of the two splits has a count of its own, as its picks match its weights in runs of its own length.
+        let count = counts
+            .entry((Arc::clone(&route.name), unsharded.is_some()))
+            .or_insert_with(|| fastrand::u64(..1 << 32));
         *count += 1;
-        route.split.pick(*count).clone()
+        unsharded.as_ref().unwrap_or(&route.split).pick(*count).clone()
     }
 
     /// Makes attempts until one is answered or no further attempt is allowed.
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -34,6 +34,13 @@
     pub limits: Limits,
 }
 
+impl Config {
+    /// Returns whether requests to a service need a sharding key.
+    pub fn is_sharded(&self, service: &ServiceName) -> bool {
+        self.services.iter().any(|info| info.name == *service && info.is_sharded)
+    }
+}
+
 /// Entry of an upstream in the registry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
--- a/crates/edge/tests/rejections.rs
+++ b/crates/edge/tests/rejections.rs
@@ -63,3 +63,22 @@
         assert!(host.has_metric(metric));
     });
 }
+
+const KEYLESS: &str = "GET /read/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n";
+
+/// Guards against a 400 for a request without a key that a part of its route's split can take.
+#[test]
+fn a_request_without_a_key_goes_to_an_unsharded_part_of_a_split() {
+    support::with_host(LONG, |host| async move {
+        let split = [("films", 3), ("orders", 1), ("songs", 1), ("files", 1)];
+        let config = support::config(1, &[("/read/", &split)]);
+        host.apply(support::view(&config, &[])).await;
+        for _ in 0..12 {
+            // No upstream is registered, so the request is refused once it is routed.
+            assert_eq!(host.answer(KEYLESS).await.status, 503);
+        }
+        let labels = "kind=\"once\",outcome=\"refused\",reason=\"no_upstream\"";
+        let metric = format!("skylarkdock_requests_total{{{labels}}} 12");
+        assert!(host.has_metric(&metric), "{metric}");
+    });
+}
