Refuse requests without a key while their callers may follow an earlier configuration

Callers got 400 as soon as a host learned that their route goes to a sharded service, although the configuration before it, which took the request without a key, could be in force for the apply time. 400 tells a caller that its request is wrong for good. A request that was refused with a Retry-After and came back after such a change met the same.

For the apply time after a host replaced a configuration that takes the request without a key, it answers 503 with a Retry-After. Routing the request by the replaced configuration would serve it, but a host must not go back to an older version once it has shown the effect of a newer one. Routes whose services have long been sharded, or whose unsharded services have no weight, answer 400 as before. A host forgets replaced configurations when it restarts.

The first two cases of `a_request_without_a_key_is_refused_while_an_earlier_configuration_may_apply` failed before with 400 and pass now; the others show what stays.

--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod permits;
 mod race;
 mod rejection;
+mod replaced_configs;
 mod reports;
 mod request;
 mod waiting;
@@ -63,6 +64,7 @@
     shared: Rc<ListenerState>,
     status: Arc<Status>,
     view: RefCell<Arc<View>>,
+    replaced_configs: RefCell<replaced_configs::ReplacedConfigs>,
     services: RefCell<FastMap<ServiceName, ServiceState>>,
     known_upstreams: RefCell<FastMap<UpstreamId, ListedUpstream>>,
     pool: Rc<RefCell<Pool>>,
@@ -114,6 +116,7 @@
             shared,
             status,
             view: RefCell::default(),
+            replaced_configs: RefCell::default(),
             services: RefCell::default(),
             known_upstreams: RefCell::default(),
             pool: Rc::default(),
@@ -208,6 +211,12 @@
         drop((services, known_upstreams));
         self.pool.borrow_mut().close_expired();
         self.set_listed_paths(&view);
+        self.replaced_configs.borrow_mut().update(
+            self.view.borrow().config.as_ref(),
+            view.config.as_ref(),
+            self.settings.apply_time,
+            clock::now(),
+        );
         *self.view.borrow_mut() = view;
     }
 
--- a/crates/edge/src/traffic/rejection.rs
+++ b/crates/edge/src/traffic/rejection.rs
@@ -24,6 +24,9 @@
     InvalidDeadline,
     /// The service is sharded and the request has no key.
     NoKey,
+    /// The service is sharded and the request has no valid key, but a configuration that its caller may still follow needs
+    /// none.
+    KeyNewlyNeeded,
     /// The service is sharded and the key is not a number from 0 to 65535.
     InvalidKey,
 }
@@ -39,6 +42,7 @@
             Self::NoRequestId => "no_request_id",
             Self::InvalidDeadline => "invalid_deadline",
             Self::NoKey => "no_key",
+            Self::KeyNewlyNeeded => "key_newly_needed",
             Self::InvalidKey => "invalid_key",
         }
     }
@@ -46,7 +50,9 @@
     /// Builds the answer to the caller.
     pub(super) fn answer(self) -> Answer {
         match self {
-            Self::NoConfig | Self::StaleConfig => refusal(STARTUP_RETRY_AFTER),
+            Self::NoConfig | Self::StaleConfig | Self::KeyNewlyNeeded => {
+                refusal(STARTUP_RETRY_AFTER)
+            }
             Self::NoRoute => Answer::empty(404),
             Self::NoHost
             | Self::NoRequestId
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -118,8 +118,8 @@
         let Some(config) = &view.config else { return Err(Rejection::NoConfig) };
         let Incoming { head, body } = incoming;
         let Some(host) = head.headers.get_str("host") else { return Err(Rejection::NoHost) };
+        let apply_time = self.settings.apply_time;
         let Some(route) = config.routes.find(host, head.path()) else {
-            let apply_time = self.settings.apply_time;
             if !self.status.is_config_current(apply_time, arrived, config.version) {
                 // The route may have been added in a newer configuration that should be in force by now.
                 return Err(Rejection::StaleConfig);
@@ -140,6 +140,17 @@
         let key = match (config.is_sharded(&service), key) {
             (false, _) => None,
             (true, Some(Ok(key))) => Some(key),
+            // Routing it as an earlier configuration says would undo the newest one for this caller.
+            (true, _)
+                if self.replaced_configs.borrow().allow_without_key(
+                    host,
+                    head.path(),
+                    apply_time,
+                    arrived,
+                ) =>
+            {
+                return Err(Rejection::KeyNewlyNeeded);
+            }
             (true, Some(Err(_))) => return Err(Rejection::InvalidKey),
             (true, None) => return Err(Rejection::NoKey),
         };
--- a/crates/edge/tests/rejections.rs
+++ b/crates/edge/tests/rejections.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use rstest::rstest;
+use skylarkdock_units::times::Millis;
 use support::LONG;
 
 const HEAD: &str = "GET /read/x HTTP/1.1\r\nHost: h.example\r\n";
@@ -82,3 +83,37 @@
         assert!(host.has_metric(&metric), "{metric}");
     });
 }
+
+/// Guards against a 400 for a request that came without a key because its caller doesn't know yet that its route needs
+/// one. The newest configuration is preceded by one more, which changes another route.
+#[rstest]
+#[case::unsharded_before(LONG, &[("orders", 1)], 503, "key_newly_needed")]
+#[case::partly_unsharded_before(LONG, &[("films", 1), ("orders", 1)], 503, "key_newly_needed")]
+#[case::only_sharded_with_a_weight_before(LONG, &[("songs", 1), ("orders", 0)], 400, "no_key")]
+#[case::sharded_before(LONG, &[("songs", 1)], 400, "no_key")]
+#[case::too_long_ago(Millis(0), &[("orders", 1)], 400, "no_key")]
+fn a_request_without_a_key_is_refused_while_an_earlier_configuration_may_apply(
+    #[case] apply_time: Millis,
+    #[case] before: &[(&str, u32)],
+    #[case] status: u16,
+    #[case] reason: &str,
+) {
+    support::with_host(apply_time, |host| async move {
+        let films: &[(&str, u32)] = &[("films", 1)];
+        for (version, routes) in [
+            (1, vec![("/read/", before)]),
+            (2, vec![("/read/", films)]),
+            (3, vec![("/read/", films), ("/new/", before)]),
+        ] {
+            host.apply(support::view(&support::config(version, &routes), &[])).await;
+            // Views are published for other reasons, too.
+            host.apply(support::view(&support::config(version, &routes), &[])).await;
+        }
+        let answer = host.answer(KEYLESS).await;
+        assert_eq!(answer.status, status);
+        assert_eq!(answer.headers.get("Retry-After").is_some(), status == 503);
+        let labels = format!("status=\"{status}\",reason=\"{reason}\"");
+        let metric = format!("skylarkdock_requests_rejected_total{{{labels}}} 1");
+        assert!(host.has_metric(&metric), "{metric}");
+    });
+}
--- a/crates/hostlog/src/explanation.rs
+++ b/crates/hostlog/src/explanation.rs
@@ -149,6 +149,7 @@
         "no_request_id" => "the request id is missing",
         "invalid_deadline" => "the deadline is not a number of milliseconds",
         "no_key" => "its service is sharded and it has no key",
+        "key_newly_needed" => "it has no key, which its service needs only since a moment ago",
         "invalid_key" => "its key is not a number from 0 to 65535",
         other => other,
     }
