Don't answer 400 for a missing key while the configuration may be outdated

A host that had not learned for longer than the apply time whether there is a newer configuration, or had not applied one that it knew, answered 400 to a request without a key for a service that its own configuration calls sharded. By the newer configuration the route may go to a service that needs no key. For an unknown route the same doubt already led to 503; for a key it was not asked.

Both verdicts now rest on the same condition, and without it the answer is 503 with a Retry-After.

`a_request_without_a_key_is_refused_while_a_newer_configuration_may_take_it` failed before with 400 and passes now. The test of replaced configurations now gives the host its proof, without which none of its cases could answer 400.

--- a/crates/edge/src/traffic/rejection.rs
+++ b/crates/edge/src/traffic/rejection.rs
@@ -12,7 +12,7 @@
 pub(super) enum Rejection {
     /// No configuration is known yet.
     NoConfig,
-    /// No route matches, but a newer configuration may have one.
+    /// No route matches or there is no valid key, but a newer configuration may have a route or need no key.
     StaleConfig,
     /// The `Host` header is missing or is not valid UTF-8.
     NoHost,
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -118,13 +118,14 @@
         let Some(config) = &view.config else { return Err(Rejection::NoConfig) };
         let Incoming { head, body } = incoming;
         let Some(host) = head.headers.get_str("host") else { return Err(Rejection::NoHost) };
-        let apply_time = self.settings.apply_time;
+        // What is wrong by this configuration may be right by a newer one that should be in force by now.
+        let unless_stale = |rejection| {
+            let apply_time = self.settings.apply_time;
+            let is_current = self.status.is_config_current(apply_time, arrived, config.version);
+            if is_current { rejection } else { Rejection::StaleConfig }
+        };
         let Some(route) = config.routes.find(host, head.path()) else {
-            if !self.status.is_config_current(apply_time, arrived, config.version) {
-                // The route may have been added in a newer configuration that should be in force by now.
-                return Err(Rejection::StaleConfig);
-            }
-            return Err(Rejection::NoRoute);
+            return Err(unless_stale(Rejection::NoRoute));
         };
         let route = Arc::clone(route);
         let Some(id) = head.headers.get_str(names.request_id).map(str::to_owned) else {
@@ -140,19 +141,16 @@
         let key = match (config.is_sharded(&service), key) {
             (false, _) => None,
             (true, Some(Ok(key))) => Some(key),
-            // Routing it as an earlier configuration says would undo the newest one for this caller.
-            (true, _)
-                if self.replaced_configs.borrow().allow_without_key(
-                    host,
-                    head.path(),
-                    apply_time,
-                    arrived,
-                ) =>
-            {
-                return Err(Rejection::KeyNewlyNeeded);
+            (true, key) => {
+                let rejection = if self.may_lack_key(host, head.path(), arrived) {
+                    Rejection::KeyNewlyNeeded
+                } else if key.is_some() {
+                    Rejection::InvalidKey
+                } else {
+                    Rejection::NoKey
+                };
+                return Err(unless_stale(rejection));
             }
-            (true, Some(Err(_))) => return Err(Rejection::InvalidKey),
-            (true, None) => return Err(Rejection::NoKey),
         };
         let mut headers = head.headers;
         headers.remove_hop_by_hop();
@@ -177,6 +175,13 @@
         })
     }
 
+    /// Returns whether the caller of a request may still follow a replaced configuration that needs no key. The request is
+    /// not routed by it, as a host must not go back to an older version.
+    fn may_lack_key(&self, host: &str, path: &str, now: HostTime) -> bool {
+        let replaced = self.replaced_configs.borrow();
+        replaced.allow_without_key(host, path, self.settings.apply_time, now)
+    }
+
     /// Selects a service of the route for a request. One without a key goes to services that need none, if there are any.
     fn pick_service(&self, route: &Route, config: &Config, has_key: bool) -> ServiceName {
         let services = route.split.services();
--- a/crates/edge/tests/rejections.rs
+++ b/crates/edge/tests/rejections.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use rstest::rstest;
-use skylarkdock_units::times::Millis;
+use skylarkdock_units::times::{HostTime, Millis};
 use support::LONG;
 
 const HEAD: &str = "GET /read/x HTTP/1.1\r\nHost: h.example\r\n";
@@ -109,6 +109,8 @@
             // Views are published for other reasons, too.
             host.apply(support::view(&support::config(version, &routes), &[])).await;
         }
+        // Valid at any time, even without an apply time.
+        host.status.set_config_proof(HostTime(u64::MAX), 3);
         let answer = host.answer(KEYLESS).await;
         assert_eq!(answer.status, status);
         assert_eq!(answer.headers.get("Retry-After").is_some(), status == 503);
@@ -117,3 +119,19 @@
         assert!(host.has_metric(&metric), "{metric}");
     });
 }
+
+/// Guards against a 400 for a request that needs no key by a newer configuration that the host doesn't apply yet.
+#[test]
+fn a_request_without_a_key_is_refused_while_a_newer_configuration_may_take_it() {
+    support::with_host(LONG, |host| async move {
+        let config = |version, services| support::config(version, &[("/read/", services)]);
+        host.apply(support::view(&config(1, &[("films", 1)]), &[])).await;
+        support::prove_config(&host.status, 1);
+        assert_eq!(host.answer(KEYLESS).await.status, 400);
+        host.publish(support::view(&config(2, &[("orders", 1)]), &[]));
+        assert_eq!(host.answer(KEYLESS).await.status, 503);
+        let metric =
+            "skylarkdock_requests_rejected_total{status=\"503\",reason=\"stale_config\"} 1";
+        assert!(host.has_metric(metric));
+    });
+}
