Don't pass on redirections and rejections without the upstream's signature

Callers could be told that their request is wrong by an answer that bears no proof of coming from the upstream: only successes had to be signed. A 3xx or 4xx without a signature, from a server that garbles its answers or one that listens at an address used again, was final, and looked like one of the host's own. An idempotent request was not sent again.

Such an answer is now discarded, logged and counted like an unsigned success. The request may have run, so an idempotent one is sent again within its attempts and the retry budget, and a once-only one ends with 502. Signed answers, answers with the mark that the request did not run, and all 5xx are handled as before.

--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -109,7 +109,8 @@
             408 | 429 | 503 => ReplyKind::Unusable(Defect::ImpliesNotRun),
             100..200 => ReplyKind::Unusable(Defect::Informational),
             _ if headers.get("content-encoding").is_some() => ReplyKind::Unusable(Defect::Encoded),
-            200..300 if headers.get(self.signature).is_none() => {
+            // Callers take a redirection or a rejection without a signature for the host's own.
+            200..500 if headers.get(self.signature).is_none() => {
                 ReplyKind::Unusable(Defect::Unsigned)
             }
             _ => ReplyKind::Final,
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -67,6 +67,27 @@
     b"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok",
     ReplyKind::Unusable(Defect::Unsigned)
 )]
+#[case::unsigned_rejection(
+    b"HTTP/1.1 404 X\r\nId: own\r\nContent-Length: 0\r\n\r\n",
+    ReplyKind::Unusable(Defect::Unsigned)
+)]
+#[case::unsigned_redirection(
+    b"HTTP/1.1 302 X\r\nId: own\r\nContent-Length: 0\r\n\r\n",
+    ReplyKind::Unusable(Defect::Unsigned)
+)]
+#[case::unsigned_failure(
+    b"HTTP/1.1 500 X\r\nId: own\r\nContent-Length: 0\r\n\r\n",
+    ReplyKind::Final
+)]
+#[case::rejection(
+    b"HTTP/1.1 404 X\r\nId: own\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
+    ReplyKind::Final
+)]
+#[case::not_modified(b"HTTP/1.1 304 X\r\nId: own\r\nSignature: s\r\n\r\n", ReplyKind::Final)]
+#[case::rejection_without_a_run(
+    b"HTTP/1.1 400 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    ReplyKind::Shed
+)]
 #[case::encoded(
     b"HTTP/1.1 200 OK\r\nId: own\r\nSignature: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
     ReplyKind::Unusable(Defect::Encoded)
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -127,14 +127,23 @@
     }
 }
 
+/// Builds a configuration whose requests may run once only; see [`config_of`].
+pub fn config(version: u64, routes: &[(&str, &[(&str, u32)])]) -> Arc<Config> {
+    config_of(version, Idempotency::Once, routes)
+}
+
 /// Builds a configuration with the sharded services `films` and `songs` and the unsharded `orders` and `files`. Each
 /// route is given by its path prefix and its services with their weights.
-pub fn config(version: u64, routes: &[(&str, &[(&str, u32)])]) -> Arc<Config> {
+pub fn config_of(
+    version: u64,
+    idempotency: Idempotency,
+    routes: &[(&str, &[(&str, u32)])],
+) -> Arc<Config> {
     let routes = routes.iter().map(|(prefix, services)| Route {
         name: (*prefix).into(),
         host: "h.example".into(),
         prefix: (*prefix).into(),
-        idempotency: Idempotency::Once,
+        idempotency,
         split: split(services),
         timeout: Millis(5_000),
         objective: Millis(500),
@@ -162,7 +171,7 @@
 pub fn view(config: &Arc<Config>, upstreams: &[(&str, SocketAddr)]) -> View {
     let upstreams = upstreams.iter().map(|(service, addr)| ListedUpstream {
         entry: Entry {
-            id: format!("i-{service}").parse().unwrap(),
+            id: format!("i-{service}-{}", addr.port()).parse().unwrap(),
             born: 1_000,
             service: service.parse().unwrap(),
             addr: *addr,
