Accept deadlines with a fraction

Callers that compute the deadline from their remaining time, as after a Retry-After with a fraction, could get 400: the host read whole milliseconds only, while its protocol asks for a number of milliseconds. That a caller of today sends fractions was not seen; the fault was found by reading.

A fraction is now cut off. Anything else that is not a decimal number is answered 400 as before.

`a_deadline_may_have_a_fraction` failed before for 1499.75 and 0.5 with 400, and passes now.

--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -131,9 +131,8 @@
         let Some(id) = head.headers.get_str(names.request_id).map(str::to_owned) else {
             return Err(Rejection::NoRequestId);
         };
-        let deadline = match head.headers.get_str(names.deadline).map(str::parse::<u64>) {
-            Some(Ok(ms)) => Millis(ms),
-            Some(Err(_)) => return Err(Rejection::InvalidDeadline),
+        let deadline = match head.headers.get_str(names.deadline) {
+            Some(text) => parse_deadline(text).ok_or(Rejection::InvalidDeadline)?,
             None => route.timeout,
         };
         let key = head.headers.get_str(names.key).map(str::parse::<u16>);
@@ -438,6 +437,13 @@
     }
 }
 
+/// Parses a number of milliseconds, of which a fraction is cut off.
+fn parse_deadline(text: &str) -> Option<Millis> {
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    let is_decimal = !fraction.is_empty() && fraction.bytes().all(|b| b.is_ascii_digit());
+    is_decimal.then(|| whole.parse().ok().map(Millis)).flatten()
+}
+
 fn fingerprint(method: &str, target: &str, body: &[u8]) -> Fingerprint {
     let mut hash = xxh3::Xxh3::new();
     hash.update(method.as_bytes());
--- a/crates/edge/tests/rejections.rs
+++ b/crates/edge/tests/rejections.rs
@@ -135,3 +135,25 @@
         assert!(host.has_metric(metric));
     });
 }
+
+/// Guards against a 400 for a deadline that a caller computed from its remaining time.
+#[rstest]
+#[case::whole("1500", 503)]
+#[case::zero("0", 503)]
+#[case::fraction("1499.75", 503)]
+#[case::below_one("0.5", 503)]
+#[case::negative("-1", 400)]
+#[case::without_a_whole_part(".5", 400)]
+#[case::without_a_fraction("5.", 400)]
+#[case::signed_fraction("5.-5", 400)]
+#[case::exponent("1e3", 400)]
+#[case::unit("1500ms", 400)]
+fn a_deadline_may_have_a_fraction(#[case] deadline: &str, #[case] status: u16) {
+    support::with_host(LONG, |host| async move {
+        let config = support::config(1, &[("/read/", &[("orders", 1)])]);
+        host.apply(support::view(&config, &[])).await;
+        // No upstream is registered, so the request is refused once it is routed.
+        let answer = host.answer(&format!("{HEAD}Id: a\r\nDeadline: {deadline}\r\n")).await;
+        assert_eq!(answer.status, status);
+    });
+}
