--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -1,13 +1,14 @@
 //! HTTP server for callers, calls of other hosts, readiness checks and metrics. Pipelined requests of a connection run
 //! concurrently and are answered in order.
 
+use crate::framing::{self, FramingError};
 use crate::net;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use futures_lite::io::AsyncReadExt;
-use skylarkdock_http1::body::{Decoder, Framing};
-use skylarkdock_http1::head::{HeadError, Headers, RequestHead};
+use skylarkdock_http1::body::{ChunkError, Decoder, Framing};
+use skylarkdock_http1::head::{Headers, RequestHead};
 use skylarkdock_units::measures::ByteSize;
 use skylarkdock_units::times::Millis;
 use std::cell::Cell;
@@ -102,6 +103,13 @@
     pub limits: Cell<Option<Limits>>,
 }
 
+impl ListenerState {
+    /// Returns the limits for the next request of any connection.
+    fn limits(&self) -> Limits {
+        self.limits.get().unwrap_or_default()
+    }
+}
+
 /// Accepts and serves connections; never returns.
 pub async fn accept(
     ex: Rc<LocalExecutor<'static>>,
@@ -131,7 +139,7 @@
 /// Serves a connection until it is closed.
 async fn serve_connection(stream: Async<TcpStream>, shared: Rc<ListenerState>, handler: Handler) {
     shared.open.set(shared.open.get() + 1);
-    let limits = shared.limits.get().unwrap_or_default();
+    let limits = shared.limits();
     let mut connection = Connection {
         stream,
         shared: Rc::clone(&shared),
@@ -206,6 +214,7 @@
     stream: Async<TcpStream>,
     shared: Rc<ListenerState>,
     handler: Handler,
+    /// Limits for the request that is being received, or for the next one.
     limits: Limits,
     input: Vec<u8>,
     output: Vec<u8>,
@@ -286,13 +295,13 @@
                 Ok(used) => {
                     self.input.drain(..used);
                 }
-                Err(_) => {
-                    self.reject(400);
+                Err(ChunkError) => {
+                    self.reject(FramingError::MalformedChunk);
                     return true;
                 }
             }
             if body.len() as u64 > self.limits.body.0 {
-                self.reject(413);
+                self.reject(FramingError::BodyTooLong);
                 return true;
             }
             if !decoder.is_done() {
@@ -310,19 +319,24 @@
         if self.input.is_empty() {
             return false;
         }
+        self.limits = self.shared.limits();
         // Empty lines before a request are ignored.
         let leading_newlines = self.input.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
         self.input.drain(..leading_newlines);
         match RequestHead::parse(&self.input) {
-            Ok(None) if self.input.len() as u64 > self.limits.head.0 => self.reject(431),
+            Ok(None) if self.input.len() as u64 > self.limits.head.0 => {
+                self.reject(FramingError::HeadTooLong);
+            }
             Ok(None) => {}
-            Ok(Some((_, len))) if len as u64 > self.limits.head.0 => self.reject(431),
+            Ok(Some((_, len))) if len as u64 > self.limits.head.0 => {
+                self.reject(FramingError::HeadTooLong);
+            }
             Ok(Some((head, len))) => {
                 self.input.drain(..len);
                 let is_too_long =
                     matches!(head.framing, Framing::Length(len) if len > self.limits.body.0);
                 if is_too_long {
-                    self.reject(413);
+                    self.reject(FramingError::BodyTooLong);
                     return false;
                 }
                 if head.headers.contains_token("expect", "100-continue") && self.pending.is_empty()
@@ -333,9 +347,7 @@
                 self.partial = Some((head, decoder, Vec::new()));
                 return true;
             }
-            Err(HeadError::TooManyHeaders) => self.reject(431),
-            Err(HeadError::UnsupportedCoding) => self.reject(501),
-            Err(HeadError::Malformed | HeadError::AmbiguousLength) => self.reject(400),
+            Err(e) => self.reject(FramingError::Head(e)),
         }
         false
     }
@@ -350,8 +362,10 @@
     }
 
     /// Queues an error answer behind those of the previous requests, and stops reading.
-    fn reject(&mut self, status: u16) {
-        log::info!(status = status; "serve: a request is malformed or too large");
+    fn reject(&mut self, error: FramingError) {
+        let (status, reason) = (error.status(), error.as_str());
+        framing::count_rejection(status, reason);
+        log::info!(status = status, reason = reason; "serve: a request is malformed or too large");
         self.partial = None;
         self.input.clear();
         self.is_input_closed = true;
@@ -428,6 +442,9 @@
             return Poll::Pending;
         }
         let is_partial = self.partial.is_some() || !self.input.is_empty();
+        if !is_partial {
+            self.limits = self.shared.limits();
+        }
         let allowed = if is_partial { self.limits.head_time } else { self.limits.idle_time };
         let end = self.waiting_since + allowed.duration();
         self.timer.set_at(end);
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -6,6 +6,8 @@
 mod history;
 mod permits;
 mod race;
+mod rejection;
+mod replaced_configs;
 mod reports;
 mod request;
 mod waiting;
@@ -62,6 +64,7 @@
     shared: Rc<ListenerState>,
     status: Arc<Status>,
     view: RefCell<Arc<View>>,
+    replaced_configs: RefCell<replaced_configs::ReplacedConfigs>,
     services: RefCell<FastMap<ServiceName, ServiceState>>,
     known_upstreams: RefCell<FastMap<UpstreamId, ListedUpstream>>,
     pool: Rc<RefCell<Pool>>,
@@ -71,7 +74,8 @@
     crash_tracker: RefCell<CrashTracker>,
     /// Recent crashes of upstreams that are included in load reports.
     reported_crashes: RefCell<Vec<crash_reports::ReportedCrash>>,
-    route_counts: RefCell<FastMap<Arc<str>, u64>>,
+    /// Number of picks by route, and by whether they were among its unsharded services only.
+    route_counts: RefCell<FastMap<(Arc<str>, bool), u64>>,
     reports: RefCell<reports::Reports>,
     pools: RefCell<permits::Pools>,
     detour_client: DetourClient,
@@ -112,6 +116,7 @@
             shared,
             status,
             view: RefCell::default(),
+            replaced_configs: RefCell::default(),
             services: RefCell::default(),
             known_upstreams: RefCell::default(),
             pool: Rc::default(),
@@ -206,6 +211,12 @@
         drop((services, known_upstreams));
         self.pool.borrow_mut().close_expired();
         self.set_listed_paths(&view);
+        self.replaced_configs.borrow_mut().update(
+            self.view.borrow().config.as_ref(),
+            view.config.as_ref(),
+            self.settings.apply_time,
+            clock::now(),
+        );
         *self.view.borrow_mut() = view;
     }
 
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -3,10 +3,13 @@
 use super::attempt::{Attempt, AttemptResult, NotRun};
 use super::history::{History, RequestEnd};
 use super::race::{Either, either};
+use super::rejection::{Rejection, STARTUP_RETRY_AFTER};
 use super::{Traffic, refusal};
 use crate::client::{Outgoing, Reply};
 use crate::clock;
+use crate::framing;
 use crate::serve::{Answer, Incoming};
+use crate::view::Config;
 use async_io::Timer;
 use metrics::{counter, histogram};
 use skylarkdock_dispatch::crash_tracker::Fingerprint;
@@ -22,8 +25,6 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3;
 
-/// `Retry-After` while the configuration, or the service of a request, is not known yet.
-const STARTUP_RETRY_AFTER: Millis = Millis(500);
 /// Expected time until the owner of a key holds it; basis of the `Retry-After` of a request that is given up.
 const MISDIRECTED_RETRY_AFTER: Millis = Millis(60);
 /// Expected time until an upstream has capacity again; basis of the `Retry-After` after shed attempts.
@@ -59,11 +60,11 @@
         let id = incoming.head.headers.get_str(self.protocol.names.request_id).map(str::to_owned);
         let req = match self.accept(incoming, arrived) {
             Ok(req) => req,
-            Err(answer) => {
-                counter!("skylarkdock_requests_rejected_total", "status" => answer.status.to_string())
-                    .increment(1);
+            Err(rejection) => {
+                let (answer, reason) = (rejection.answer(), rejection.as_str());
+                framing::count_rejection(answer.status, reason);
                 let version = self.view.borrow().config.as_ref().map_or(0, |config| config.version);
-                log::warn!(request:? = id, status = answer.status, config = version;
+                log::warn!(request:? = id, status = answer.status, reason = reason, config = version;
                     "request: rejected before routing");
                 return answer;
             }
@@ -92,6 +93,7 @@
         histogram!("skylarkdock_request_wait_seconds")
             .record(history.waited.duration().as_secs_f64());
         let version = self.view.borrow().config.as_ref().map_or(0, |config| config.version);
+        let is_signed = answer.headers.get(self.protocol.names.signature).is_some();
         let level = match end {
             RequestEnd::Answered if answer.status < 500 => log::Level::Info,
             _ => log::Level::Warn,
@@ -104,41 +106,50 @@
         };
         log::log!(level, request = req.id.as_str(), route = &*req.route.name, kind = kind,
             service = req.service.as_str(), key:? = req.key, config = version,
-            status = answer.status, reason = reason, sent = history.sent,
+            status = answer.status, reason = reason, signed = is_signed, sent = history.sent,
             waited_ms = history.waited.0, took_ms = took.0, limit_ms = req.deadline.since(req.arrived).0,
             steps = history.steps.join(" "); "{message}");
     }
 
     /// Finds the route of a request and validates its headers.
-    fn accept(&self, incoming: Incoming, arrived: HostTime) -> Result<Request, Answer> {
+    fn accept(&self, incoming: Incoming, arrived: HostTime) -> Result<Request, Rejection> {
         let names = &self.protocol.names;
         let view = Arc::clone(&self.view.borrow());
-        let Some(config) = &view.config else { return Err(refusal(STARTUP_RETRY_AFTER)) };
+        let Some(config) = &view.config else { return Err(Rejection::NoConfig) };
         let Incoming { head, body } = incoming;
-        let Some(host) = head.headers.get_str("host") else { return Err(Answer::empty(400)) };
+        let Some(host) = head.headers.get_str("host") else { return Err(Rejection::NoHost) };
+        // What is wrong by this configuration may be right by a newer one that should be in force by now.
+        let unless_stale = |rejection| {
+            let apply_time = self.settings.apply_time;
+            let is_current = self.status.is_config_current(apply_time, arrived, config.version);
+            if is_current { rejection } else { Rejection::StaleConfig }
+        };
         let Some(route) = config.routes.find(host, head.path()) else {
-            if !self.status.is_config_current(self.settings.apply_time, arrived) {
-                // The route may have been added in a newer configuration that should be in force by now.
-                return Err(refusal(STARTUP_RETRY_AFTER));
-            }
-            return Err(Answer::empty(404));
+            return Err(unless_stale(Rejection::NoRoute));
         };
         let route = Arc::clone(route);
         let Some(id) = head.headers.get_str(names.request_id).map(str::to_owned) else {
-            return Err(Answer::empty(400));
+            return Err(Rejection::NoRequestId);
         };
-        let deadline = match head.headers.get_str(names.deadline).map(str::parse::<u64>) {
-            Some(Ok(ms)) => Millis(ms),
-            Some(Err(_)) => return Err(Answer::empty(400)),
+        let deadline = match head.headers.get_str(names.deadline) {
+            Some(text) => parse_deadline(text).ok_or(Rejection::InvalidDeadline)?,
             None => route.timeout,
         };
-        let service = self.pick_service(&route);
-        let is_sharded = config.services.iter().any(|info| info.name == service && info.is_sharded);
         let key = head.headers.get_str(names.key).map(str::parse::<u16>);
-        let key = match (is_sharded, key) {
+        let service = self.pick_service(&route, config, matches!(key, Some(Ok(_))));
+        let key = match (config.is_sharded(&service), key) {
             (false, _) => None,
             (true, Some(Ok(key))) => Some(key),
-            (true, _) => return Err(Answer::empty(400)),
+            (true, key) => {
+                let rejection = if self.may_lack_key(host, head.path(), arrived) {
+                    Rejection::KeyNewlyNeeded
+                } else if key.is_some() {
+                    Rejection::InvalidKey
+                } else {
+                    Rejection::NoKey
+                };
+                return Err(unless_stale(rejection));
+            }
         };
         let mut headers = head.headers;
         headers.remove_hop_by_hop();
@@ -163,12 +174,29 @@
         })
     }
 
-    fn pick_service(&self, route: &Route) -> ServiceName {
+    /// Returns whether the caller of a request may still follow a replaced configuration that needs no key. The request is
+    /// not routed by it, as a host must not go back to an older version.
+    fn may_lack_key(&self, host: &str, path: &str, now: HostTime) -> bool {
+        let replaced = self.replaced_configs.borrow();
+        replaced.allow_without_key(host, path, self.settings.apply_time, now)
+    }
+
+    /// Selects a service of the route for a request. One without a key goes to services that need none, if there are any.
+    fn pick_service(&self, route: &Route, config: &Config, has_key: bool) -> ServiceName {
+        let services = route.split.services();
+        let unsharded =
+            if !has_key && services.iter().any(|entry| config.is_sharded(&entry.service)) {
+                route.split.only(|service| !config.is_sharded(service))
+            } else {
+                None
+            };
         let mut counts = self.route_counts.borrow_mut();
-        let count =
-            counts.entry(Arc::clone(&route.name)).or_insert_with(|| fastrand::u64(..1 << 32));
+        // Each of the two splits has a count of its own, as its picks match its weights in runs of its own length.
+        let count = counts
+            .entry((Arc::clone(&route.name), unsharded.is_some()))
+            .or_insert_with(|| fastrand::u64(..1 << 32));
         *count += 1;
-        route.split.pick(*count).clone()
+        unsharded.as_ref().unwrap_or(&route.split).pick(*count).clone()
     }
 
     /// Makes attempts until one is answered or no further attempt is allowed.
@@ -409,6 +437,13 @@
     }
 }
 
+/// Parses a number of milliseconds, of which a fraction is cut off.
+fn parse_deadline(text: &str) -> Option<Millis> {
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    let is_decimal = !fraction.is_empty() && fraction.bytes().all(|b| b.is_ascii_digit());
+    is_decimal.then(|| whole.parse().ok().map(Millis)).flatten()
+}
+
 fn fingerprint(method: &str, target: &str, body: &[u8]) -> Fingerprint {
     let mut hash = xxh3::Xxh3::new();
     hash.update(method.as_bytes());
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use skylarkdock_edge::client::{Conn, Failure, Outgoing, Reply};
-use skylarkdock_edge::upstreams::{HeaderNames, ReplyKind};
+use skylarkdock_edge::upstreams::{Defect, HeaderNames, ReplyKind};
 use skylarkdock_http1::head::Headers;
 use skylarkdock_units::times::Millis;
 use std::io::{Read, Write};
@@ -61,16 +61,40 @@
 #[case::misdirected(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", ReplyKind::Misdirected)]
 #[case::unavailable_without_not_run(
     b"HTTP/1.1 503 X\r\nId: own\r\nContent-Length: 0\r\n\r\n",
-    ReplyKind::Unusable
+    ReplyKind::Unusable(Defect::ImpliesNotRun)
+)]
+#[case::unsigned(
+    b"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok",
+    ReplyKind::Unusable(Defect::Unsigned)
+)]
+#[case::unsigned_rejection(
+    b"HTTP/1.1 404 X\r\nId: own\r\nContent-Length: 0\r\n\r\n",
+    ReplyKind::Unusable(Defect::Unsigned)
+)]
+#[case::unsigned_redirection(
+    b"HTTP/1.1 302 X\r\nId: own\r\nContent-Length: 0\r\n\r\n",
+    ReplyKind::Unusable(Defect::Unsigned)
+)]
+#[case::unsigned_failure(
+    b"HTTP/1.1 500 X\r\nId: own\r\nContent-Length: 0\r\n\r\n",
+    ReplyKind::Final
+)]
+#[case::rejection(
+    b"HTTP/1.1 404 X\r\nId: own\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
+    ReplyKind::Final
+)]
+#[case::not_modified(b"HTTP/1.1 304 X\r\nId: own\r\nSignature: s\r\n\r\n", ReplyKind::Final)]
+#[case::rejection_without_a_run(
+    b"HTTP/1.1 400 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    ReplyKind::Shed
 )]
-#[case::unsigned(b"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok", ReplyKind::Unusable)]
 #[case::encoded(
     b"HTTP/1.1 200 OK\r\nId: own\r\nSignature: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
-    ReplyKind::Unusable
+    ReplyKind::Unusable(Defect::Encoded)
 )]
 #[case::without_request_id(
     b"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok",
-    ReplyKind::Unusable
+    ReplyKind::Unusable(Defect::Unmatched)
 )]
 #[case::until_close(b"HTTP/1.1 200 OK\r\nId: own\r\nSignature: s\r\n\r\nok", ReplyKind::Final)]
 fn answers_are_classified(#[case] answer: &'static [u8], #[case] kind: ReplyKind) {
--- /dev/null
+++ b/crates/edge/tests/rejections.rs
@@ -0,0 +1,159 @@
+//! Requests that a host rejects before it routes them.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use rstest::rstest;
+use skylarkdock_units::times::{HostTime, Millis};
+use support::LONG;
+
+const HEAD: &str = "GET /read/x HTTP/1.1\r\nHost: h.example\r\n";
+
+/// Guards against rejections whose cause can't be told from the metrics.
+#[rstest]
+#[case::no_host("GET /read/x HTTP/1.1\r\nId: a\r\n", 400, "no_host")]
+#[case::no_route("GET /none/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n", 404, "no_route")]
+#[case::no_request_id(HEAD, 400, "no_request_id")]
+#[case::deadline(&format!("{HEAD}Id: a\r\nKey: 1\r\nDeadline: soon\r\n"), 400, "invalid_deadline")]
+#[case::no_key(&format!("{HEAD}Id: a\r\n"), 400, "no_key")]
+#[case::invalid_key(&format!("{HEAD}Id: a\r\nKey: 65536\r\n"), 400, "invalid_key")]
+fn a_rejection_is_counted_with_its_reason(
+    #[case] text: &str,
+    #[case] status: u16,
+    #[case] reason: &str,
+) {
+    support::with_host(LONG, |host| async move {
+        let config = support::config(1, &[("/read/", &[("films", 1)])]);
+        host.apply(support::view(&config, &[])).await;
+        support::prove_config(&host.status, 1);
+        assert_eq!(host.answer(text).await.status, status);
+        let labels = format!("status=\"{status}\",reason=\"{reason}\"");
+        let metric = format!("skylarkdock_requests_rejected_total{{{labels}}} 1");
+        assert!(host.has_metric(&metric), "{metric}");
+    });
+}
+
+#[test]
+fn a_host_without_a_configuration_refuses_requests_and_counts_them_with_the_reason() {
+    support::with_host(LONG, |host| async move {
+        let answer = host.answer(&format!("{HEAD}Id: a\r\n")).await;
+        assert_eq!((answer.status, answer.headers.get("Retry-After").is_some()), (503, true));
+        let metric = "skylarkdock_requests_rejected_total{status=\"503\",reason=\"no_config\"} 1";
+        assert!(host.has_metric(metric));
+    });
+}
+
+/// Guards against a 404 for a route that a newer configuration has, while the traffic thread has not applied it yet. The
+/// control thread already has the proof that there is no configuration newer than that one.
+#[test]
+fn an_added_route_is_not_missing_while_its_configuration_is_not_applied_yet() {
+    support::with_host(LONG, |host| async move {
+        let first = support::config(1, &[("/read/", &[("orders", 1)])]);
+        let second =
+            support::config(2, &[("/read/", &[("orders", 1)]), ("/new/", &[("orders", 1)])]);
+        host.apply(support::view(&first, &[])).await;
+        support::prove_config(&host.status, 1);
+        let request = "GET /new/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n";
+        assert_eq!(host.answer(request).await.status, 404);
+        host.publish(support::view(&second, &[]));
+        let answer = host.answer(request).await;
+        assert_eq!((answer.status, answer.headers.get("Retry-After").is_some()), (503, true));
+        let metric =
+            "skylarkdock_requests_rejected_total{status=\"503\",reason=\"stale_config\"} 1";
+        assert!(host.has_metric(metric));
+    });
+}
+
+const KEYLESS: &str = "GET /read/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n";
+
+/// Guards against a 400 for a request without a key that a part of its route's split can take.
+#[test]
+fn a_request_without_a_key_goes_to_an_unsharded_part_of_a_split() {
+    support::with_host(LONG, |host| async move {
+        let split = [("films", 3), ("orders", 1), ("songs", 1), ("files", 1)];
+        let config = support::config(1, &[("/read/", &split)]);
+        host.apply(support::view(&config, &[])).await;
+        for _ in 0..12 {
+            // No upstream is registered, so the request is refused once it is routed.
+            assert_eq!(host.answer(KEYLESS).await.status, 503);
+        }
+        let labels = "kind=\"once\",outcome=\"refused\",reason=\"no_upstream\"";
+        let metric = format!("skylarkdock_requests_total{{{labels}}} 12");
+        assert!(host.has_metric(&metric), "{metric}");
+    });
+}
+
+/// Guards against a 400 for a request that came without a key because its caller doesn't know yet that its route needs
+/// one. The newest configuration is preceded by one more, which changes another route.
+#[rstest]
+#[case::unsharded_before(LONG, &[("orders", 1)], 503, "key_newly_needed")]
+#[case::partly_unsharded_before(LONG, &[("films", 1), ("orders", 1)], 503, "key_newly_needed")]
+#[case::only_sharded_with_a_weight_before(LONG, &[("songs", 1), ("orders", 0)], 400, "no_key")]
+#[case::sharded_before(LONG, &[("songs", 1)], 400, "no_key")]
+#[case::too_long_ago(Millis(0), &[("orders", 1)], 400, "no_key")]
+fn a_request_without_a_key_is_refused_while_an_earlier_configuration_may_apply(
+    #[case] apply_time: Millis,
+    #[case] before: &[(&str, u32)],
+    #[case] status: u16,
+    #[case] reason: &str,
+) {
+    support::with_host(apply_time, |host| async move {
+        let films: &[(&str, u32)] = &[("films", 1)];
+        for (version, routes) in [
+            (1, vec![("/read/", before)]),
+            (2, vec![("/read/", films)]),
+            (3, vec![("/read/", films), ("/new/", before)]),
+        ] {
+            host.apply(support::view(&support::config(version, &routes), &[])).await;
+            // Views are published for other reasons, too.
+            host.apply(support::view(&support::config(version, &routes), &[])).await;
+        }
+        // Valid at any time, even without an apply time.
+        host.status.set_config_proof(HostTime(u64::MAX), 3);
+        let answer = host.answer(KEYLESS).await;
+        assert_eq!(answer.status, status);
+        assert_eq!(answer.headers.get("Retry-After").is_some(), status == 503);
+        let labels = format!("status=\"{status}\",reason=\"{reason}\"");
+        let metric = format!("skylarkdock_requests_rejected_total{{{labels}}} 1");
+        assert!(host.has_metric(&metric), "{metric}");
+    });
+}
+
+/// Guards against a 400 for a request that needs no key by a newer configuration that the host doesn't apply yet.
+#[test]
+fn a_request_without_a_key_is_refused_while_a_newer_configuration_may_take_it() {
+    support::with_host(LONG, |host| async move {
+        let config = |version, services| support::config(version, &[("/read/", services)]);
+        host.apply(support::view(&config(1, &[("films", 1)]), &[])).await;
+        support::prove_config(&host.status, 1);
+        assert_eq!(host.answer(KEYLESS).await.status, 400);
+        host.publish(support::view(&config(2, &[("orders", 1)]), &[]));
+        assert_eq!(host.answer(KEYLESS).await.status, 503);
+        let metric =
+            "skylarkdock_requests_rejected_total{status=\"503\",reason=\"stale_config\"} 1";
+        assert!(host.has_metric(metric));
+    });
+}
+
+/// Guards against a 400 for a deadline that a caller computed from its remaining time.
+#[rstest]
+#[case::whole("1500", 503)]
+#[case::zero("0", 503)]
+#[case::fraction("1499.75", 503)]
+#[case::below_one("0.5", 503)]
+#[case::negative("-1", 400)]
+#[case::without_a_whole_part(".5", 400)]
+#[case::without_a_fraction("5.", 400)]
+#[case::signed_fraction("5.-5", 400)]
+#[case::exponent("1e3", 400)]
+#[case::unit("1500ms", 400)]
+fn a_deadline_may_have_a_fraction(#[case] deadline: &str, #[case] status: u16) {
+    support::with_host(LONG, |host| async move {
+        let config = support::config(1, &[("/read/", &[("orders", 1)])]);
+        host.apply(support::view(&config, &[])).await;
+        // No upstream is registered, so the request is refused once it is routed.
+        let answer = host.answer(&format!("{HEAD}Id: a\r\nDeadline: {deadline}\r\n")).await;
+        assert_eq!(answer.status, status);
+    });
+}
