Keep seeds that still need the two safeguards

Seeds 2 and 1160 failed in an earlier form of the simulation, in which answered calls kept others waiting, too. In the present one 67 and 398 are the first that end with two holders when the check before a send, or the release at later incarnations, is taken out; both pass with them.

--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -77,8 +77,8 @@
 
 /// Seeds that once ended with two holders of a key.
 #[rstest]
-#[case::a_grant_was_sent_after_it_had_waited(2)]
-#[case::a_later_incarnation_took_a_renewal(1160)]
+#[case::a_grant_was_sent_after_it_had_waited(67)]
+#[case::a_later_incarnation_took_a_renewal(398)]
 fn a_seed_that_failed_holds(#[case] seed: u64) {
     run(seed, Safeguards::default()).unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
 }
