Keep what upstreams ask of a host: to rest, or that they leave

Callers saw requests sent on to upstreams that had asked the host for a pause, and turned away there. Nothing on the host keeps such a wish, so no decision can follow it.

Answers may overtake each other: a later, shorter rest never shortens one, and a later notice of leaving does not renew the first. `Upstream` holds the same for the routing of a service, where `on_restart` clears it.

No decision uses it yet.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,11 +4,13 @@
 //! service's upstreams and [`key_owners`], queues waiting requests and answers a [`routing`] request. [`retry_budget`]
 //! limits retries over all hosts, [`retry_after`] sets the delay that a refused caller is told, [`peer_load`] holds the
 //! load reported by other hosts, [`paths`] knows which upstreams can be reached and over which hosts, [`permits`] keeps
-//! all hosts together within the limit of an upstream, and [`crash_tracker`] refuses requests that crash upstreams.
+//! all hosts together within the limit of an upstream, [`notices`] holds what upstreams asked of this host, and
+//! [`crash_tracker`] refuses requests that crash upstreams.
 
 mod arrivals;
 pub mod crash_tracker;
 pub mod key_owners;
+pub mod notices;
 pub mod paths;
 pub mod peer_load;
 pub mod permits;
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -115,6 +115,9 @@
     /// Consecutive attempts that ended as misdirected.
     misdirections: u32,
     down_until: HostTime,
+    rest_until: HostTime,
+    /// When the upstream first said in an answer that it leaves.
+    leaving_since: Option<HostTime>,
     permits: Permits,
     /// Requests that were sent elsewhere or refused for want of a permit since the last [`Upstream::take_demand`].
     demand: Option<Demand>,
@@ -139,6 +142,8 @@
             connect_failures: 0,
             misdirections: 0,
             down_until: HostTime(0),
+            rest_until: HostTime(0),
+            leaving_since: None,
             permits: Permits::default(),
             demand: None,
         }
@@ -154,7 +159,7 @@
         self.info = info;
     }
 
-    /// Clears failures, backoff and limit, because the upstream has restarted under the same id.
+    /// Clears failures, backoff, limit and what the upstream asked for, because the upstream has restarted under the same id.
     pub fn on_restart(&mut self, now: HostTime) {
         self.permits.on_restart(now);
         self.failure_rate = 0.0;
@@ -163,6 +168,31 @@
         self.misdirections = 0;
         self.down_until = HostTime(0);
         self.shed_until = HostTime(0);
+        self.rest_until = HostTime(0);
+        self.leaving_since = None;
+    }
+
+    /// Records that the upstream wants no requests from this host until a time. An earlier end than the known one is
+    /// ignored.
+    pub fn on_rest(&mut self, until: HostTime) {
+        self.rest_until = self.rest_until.max(until);
+    }
+
+    /// Returns the end of the rest that the upstream asked for, if it has not ended yet.
+    pub fn rest_until(&self, now: HostTime) -> Option<HostTime> {
+        (now < self.rest_until).then_some(self.rest_until)
+    }
+
+    /// Records when the upstream first said in an answer that it leaves. Later notices do not renew it.
+    pub const fn on_leaving_notice(&mut self, since: HostTime) {
+        if self.leaving_since.is_none() {
+            self.leaving_since = Some(since);
+        }
+    }
+
+    /// Returns when the upstream first said in an answer that it leaves.
+    pub const fn leaving_since(&self) -> Option<HostTime> {
+        self.leaving_since
     }
 
     /// Sets the number of requests that the other hosts have at the upstream.
