Send nothing to an upstream that asked this host for a rest

Callers saw requests tried up to five times within milliseconds at an upstream that had turned the host away and named a time: all were turned away, and each such attempt added to its overload.

The cause: after a shed request a host paused for 40 ms of its own, and only if the slots of the upstream seemed taken. What the upstream asked for was not part of any decision.

A resting upstream now gets no first attempt, repeat, hedge or queued request, and permits for it are neither used nor asked for because of new requests. In a service without keys it is no candidate and adds no capacity; if all rest, the shortest rest counts. Requests wait for the end of a rest only if they can still be served then, by the rule that holds for all waiting; others are refused at once with the reason `resting`, also those that wait when the rest begins. A resting owner still owns its keys, so its requests are not taken for those of unowned keys. The delay that callers are told is never shorter than the rest, and is spread after it.

--- a/crates/dispatch/src/routing.rs
+++ b/crates/dispatch/src/routing.rs
@@ -38,6 +38,8 @@
     KeyUnowned,
     /// The upstream limits its rate, and other requests use all of it.
     Limited,
+    /// The upstreams that could run the request asked this host for a rest.
+    Resting,
     /// The deadline came too close while the request waited.
     Expired,
 }
@@ -50,6 +52,7 @@
             Self::NoUpstream => "no_upstream",
             Self::KeyUnowned => "key_unowned",
             Self::Limited => "limited",
+            Self::Resting => "resting",
             Self::Expired => "expired",
         }
     }
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -6,6 +6,7 @@
 //! take a place in the queue.
 
 mod limits;
+mod rest;
 
 use crate::arrivals::ArrivalRates;
 use crate::key_owners::{KeyMap, KeyOwners};
@@ -284,6 +285,7 @@
                     Some(_) => None,
                     None => self
                         .refuse_unowned(request, now)
+                        .or_else(|| self.refuse_resting(request, now))
                         .or_else(|| self.refuse_limited(request, now)),
                 }
             };
@@ -338,7 +340,8 @@
     ) -> Option<UpstreamId> {
         if self.keys.is_some() {
             let owner = self.available_owner(request.key?, now)?;
-            let is_free = owner.has_capacity(self.hosts, owner.load(now), now);
+            let is_free = owner.rest_until(now).is_none()
+                && owner.has_capacity(self.hosts, owner.load(now), now);
             return is_free.then(|| owner.info().id.clone());
         }
         let near = self
@@ -374,7 +377,7 @@
         for upstream in self.upstreams.values() {
             let info = upstream.info();
             let is_other_region = info.distance == Distance::Far;
-            if is_other_region != (scope == SearchScope::OtherRegions) || !upstream.is_usable(now) {
+            if is_other_region != (scope == SearchScope::OtherRegions) || !upstream.accepts(now) {
                 continue;
             }
             let load = upstream.load(now);
@@ -404,8 +407,12 @@
 
     /// Decides whether a request waits or is refused when no upstream has capacity.
     fn admit(&self, request: &RoutingRequest, mean_ms: f32, now: HostTime) -> RoutingDecision {
+        let rest = self.remaining_rest(request, now);
         if self.waiting.len() >= MAX_WAITING {
-            return self.refusal(request, RefusalReason::Overload, to_millis(mean_ms), now);
+            return match rest {
+                Some(rest) => self.refusal(request, RefusalReason::Resting, rest, now),
+                None => self.refusal(request, RefusalReason::Overload, to_millis(mean_ms), now),
+            };
         }
         let service_time = to_millis(mean_ms);
         if let Some(keys) = &self.keys {
@@ -423,6 +430,9 @@
                 / (as_f32(owner.in_flight()) + peer_requests))
                 .max(0.1);
             let wait = to_millis(service_ms * as_f32(ahead + 1) / (slots * own_share));
+            if let Some(rest) = rest {
+                return self.admit_resting(request, rest, wait, to_millis(service_ms), now);
+            }
             let permits = owner.permits();
             if let Some(rate) = permits.rate().filter(|_| !permits.is_available(now)) {
                 let interval = to_millis(as_f32(ahead) * 1_000.0 / rate.0.max(0.001));
@@ -444,13 +454,14 @@
                 now,
             );
         }
-        let is_usable_in_region = |upstream: &&Upstream| {
-            upstream.is_usable(now) && upstream.info().distance != Distance::Far
+        let is_counted = |upstream: &&Upstream| {
+            let is_open = upstream.accepts(now) || (rest.is_some() && upstream.is_usable(now));
+            is_open && upstream.info().distance != Distance::Far
         };
         let requests_per_ms: f32 = self
             .upstreams
             .values()
-            .filter(is_usable_in_region)
+            .filter(is_counted)
             .map(|upstream| upstream.requests_per_ms(mean_ms))
             .sum();
         if requests_per_ms <= 0.0
@@ -463,13 +474,11 @@
         // Requests of ranks with smaller numbers that arrive in the meantime are served first.
         let available_per_ms = (share_per_ms - self.arrivals.rate_above(request.rank, now))
             .max(share_per_ms * MIN_CAPACITY_SHARE);
-        self.admit_if_wait_fits(
-            request,
-            RefusalReason::Overload,
-            to_millis(as_f32(ahead + 1) / available_per_ms),
-            service_time,
-            now,
-        )
+        let wait = to_millis(as_f32(ahead + 1) / available_per_ms);
+        if let Some(rest) = rest {
+            return self.admit_resting(request, rest, wait, service_time, now);
+        }
+        self.admit_if_wait_fits(request, RefusalReason::Overload, wait, service_time, now)
     }
 
     /// Lets a request wait if the expected wait is short enough, and refuses it otherwise.
@@ -538,11 +547,13 @@
         expected: Millis,
         now: HostTime,
     ) -> RoutingDecision {
-        let remaining = request.deadline.since(now);
-        RoutingDecision::Refuse {
-            reason,
-            retry_after: retry_after::delay(expected, remaining, request.jitter_per_mille),
-        }
+        let jitter_per_mille = request.jitter_per_mille;
+        let retry_after = if reason == RefusalReason::Resting {
+            retry_after::after_rest(expected, jitter_per_mille)
+        } else {
+            retry_after::delay(expected, request.deadline.since(now), jitter_per_mille)
+        };
+        RoutingDecision::Refuse { reason, retry_after }
     }
 }
 
--- a/crates/dispatch/src/service/limits.rs
+++ b/crates/dispatch/src/service/limits.rs
@@ -28,6 +28,7 @@
             let owner = request.key.and_then(|key| keys.owner(key)).cloned();
             if chosen.is_none()
                 && let Some(owner) = owner.and_then(|id| self.upstreams.get_mut(&id))
+                && owner.rest_until(now).is_none()
                 && !owner.permits().is_available(now)
             {
                 owner.record_demand(request.rank);
@@ -36,7 +37,7 @@
         }
         let lacking = self.upstreams.values_mut().filter(|upstream| {
             upstream.permits().rate().is_some()
-                && upstream.is_usable(now)
+                && upstream.accepts(now)
                 && upstream.info().distance != Distance::Far
                 && !upstream.permits().is_available(now)
         });
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -286,6 +286,11 @@
         !self.info.is_leaving && now >= self.down_until
     }
 
+    /// Returns whether a request may be sent now: the upstream is usable and does not rest.
+    pub fn accepts(&self, now: HostTime) -> bool {
+        self.is_usable(now) && self.rest_until(now).is_none()
+    }
+
     /// Returns whether the upstream is in backoff after a failed connect or consecutive misdirected attempts.
     pub fn is_down(&self, now: HostTime) -> bool {
         now < self.down_until
