Decode rest and leaving notices of upstreams

Answers of an upstream may ask for rest (Retry-After of a 503) and say that it leaves (Server-Leaving). Nothing decoded them.

Protocol::parse_notices, beside the other functions of the platform, takes an answer and the id of the called upstream, as an answer that names another instance says nothing about the called one.

Nothing uses the notices yet.

--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -1,8 +1,10 @@
 //! Protocol between the host and upstreams. The adapter of each platform provides header names and message formats.
 
 use crate::client::{Outgoing, Reply};
+use skylarkdock_dispatch::notices::Notices;
 use skylarkdock_http1::head::Headers;
 use skylarkdock_spans::renewal::{CallEnd, Grant, Release};
+use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::measures::RequestRate;
 use skylarkdock_units::times::Millis;
 
@@ -23,6 +25,8 @@
     pub key: &'static str,
     /// Requests a second that the upstream takes from all hosts together, as a decimal number; absent without a limit.
     pub limit: &'static str,
+    /// Present with the value 1 on all answers of an upstream that is shutting down.
+    pub leaving: &'static str,
 }
 
 /// Protocol between the host and upstreams.
@@ -38,6 +42,9 @@
     pub parse_grant_reply: fn(&Reply) -> CallEnd,
     /// Parses the answer to a release. Returns the state that the holder hands over, if any.
     pub parse_release_reply: fn(&Reply) -> Result<Option<String>, CallEnd>,
+    /// Parses what an answer asks of the host that got it. Returns nothing if the answer names another upstream than
+    /// the one called.
+    pub parse_notices: fn(&Reply, &UpstreamId) -> Notices,
 }
 
 /// Kind of an upstream's answer to a request.
