Send nothing to an upstream that leaves once its drain time may be over

Upstreams say in their answers that they leave. Routing knew of it only from the registry, so a host that does not hear of the registry in time would go on sending requests to an upstream after its end. No failed request of a caller is on record for this: it follows from the code, in which nothing reads the notice.

In a service without keys, an upstream that gave this notice now gets no request while another one accepts requests that the request was not sent to yet; otherwise it is used for three quarters of the drain time. In a sharded service its keys have no other owner until they are moved, so it is used for the same time, and afterwards requests wait for a new owner like those of an unowned key.

The time counts from the first notice, and a request is sent to the upstream only before three quarters of the drain time have passed since: what arrives later at the host is not sent, and the last quarter covers the way of the request. `Service::set_drain_time` sets it; it is zero before, which means that nothing is sent after a notice.

With the change, `cargo test -p skylarkdock-dispatch` passes.

--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -10,6 +10,7 @@
 
 use crate::arrivals::ArrivalRates;
 use crate::key_owners::{KeyMap, KeyOwners};
+use crate::notices;
 use crate::retry_after;
 use crate::routing::{RefusalReason, RoutingDecision, RoutingRequest};
 use crate::upstream::{AttemptOutcome, Distance, Upstream, UpstreamInfo, as_f32};
@@ -103,6 +104,8 @@
     arrivals: ArrivalRates,
     /// Number of hosts in this region.
     region_hosts: u32,
+    /// Time from an upstream's first notice that it leaves to its end.
+    drain_time: Millis,
     /// Number of hosts in all regions, which all send to the owners of keys.
     hosts: u32,
     /// Mean of the measured service times of the upstreams, in milliseconds.
@@ -122,6 +125,7 @@
             arrivals: ArrivalRates::default(),
             region_hosts: 1,
             hosts: 1,
+            drain_time: Millis(0),
             mean_service_ms: INITIAL_SERVICE_MS,
             answers_since_mean: 0,
             deviation: INITIAL_DEVIATION,
@@ -167,10 +171,12 @@
         }
     }
 
-    /// Returns the owner of a key if requests for the key may be sent to it now.
+    /// Returns the owner of a key if it may get requests for the key, at the latest after a rest.
     fn available_owner(&self, key: u16, now: HostTime) -> Option<&Upstream> {
         let id = self.keys.as_ref()?.available_owner(key, now)?;
-        self.upstreams.get(id).filter(|owner| owner.is_usable(now))
+        let leaving_time = notices::sending_time(self.drain_time);
+        let owner = self.upstreams.get(id)?;
+        (owner.is_usable(now) && !owner.has_left(leaving_time, now)).then_some(owner)
     }
 
     /// Sets the number of hosts in all regions and in this region, including this host.
@@ -371,13 +377,17 @@
         now: HostTime,
         scope: SearchScope,
     ) -> Candidates {
+        let leaving_time = self.leaving_time(request, now);
         let jitter = (as_f32(self.region_hosts) * JITTER_PER_HOST).min(MAX_JITTER);
         let mut candidates = Candidates::default();
         let mut best: Option<(&Upstream, f32)> = None;
         for upstream in self.upstreams.values() {
             let info = upstream.info();
             let is_other_region = info.distance == Distance::Far;
-            if is_other_region != (scope == SearchScope::OtherRegions) || !upstream.accepts(now) {
+            if is_other_region != (scope == SearchScope::OtherRegions)
+                || !upstream.accepts(now)
+                || upstream.has_left(leaving_time, now)
+            {
                 continue;
             }
             let load = upstream.load(now);
@@ -454,9 +464,12 @@
                 now,
             );
         }
+        let leaving_time = self.leaving_time(request, now);
         let is_counted = |upstream: &&Upstream| {
             let is_open = upstream.accepts(now) || (rest.is_some() && upstream.is_usable(now));
-            is_open && upstream.info().distance != Distance::Far
+            is_open
+                && !upstream.has_left(leaving_time, now)
+                && upstream.info().distance != Distance::Far
         };
         let requests_per_ms: f32 = self
             .upstreams
@@ -464,9 +477,9 @@
             .filter(is_counted)
             .map(|upstream| upstream.requests_per_ms(mean_ms))
             .sum();
-        if requests_per_ms <= 0.0
-            && !self.upstreams.values().any(|upstream| upstream.is_usable(now))
-        {
+        let is_left =
+            |upstream: &Upstream| upstream.is_usable(now) && !upstream.has_left(leaving_time, now);
+        if requests_per_ms <= 0.0 && !self.upstreams.values().any(is_left) {
             return self.refusal(request, RefusalReason::NoUpstream, NO_UPSTREAM_DELAY, now);
         }
         let ahead = self.count_ahead(request, now, |_| true);
--- a/crates/dispatch/src/service/limits.rs
+++ b/crates/dispatch/src/service/limits.rs
@@ -35,9 +35,11 @@
             }
             return;
         }
+        let leaving_time = self.leaving_time(request, now);
         let lacking = self.upstreams.values_mut().filter(|upstream| {
             upstream.permits().rate().is_some()
                 && upstream.accepts(now)
+                && !upstream.has_left(leaving_time, now)
                 && upstream.info().distance != Distance::Far
                 && !upstream.permits().is_available(now)
         });
--- a/crates/dispatch/src/service/rest.rs
+++ b/crates/dispatch/src/service/rest.rs
@@ -1,11 +1,30 @@
-//! The part of a service's routing that concerns upstreams which asked this host for a rest.
+//! The part of a service's routing that concerns upstreams which asked this host for a rest or said that
+//! they leave.
 
 use super::{Service, to_millis};
+use crate::notices;
 use crate::routing::{RefusalReason, RoutingDecision, RoutingRequest};
 use crate::upstream::Upstream;
 use skylarkdock_units::times::{HostTime, Millis};
 
 impl Service {
+    /// Sets the time from an upstream's first notice that it leaves to its end. It is zero before the first call, and
+    /// an upstream then gets nothing after its first notice.
+    pub const fn set_drain_time(&mut self, drain_time: Millis) {
+        self.drain_time = drain_time;
+    }
+
+    /// Returns how long after their first notice upstreams that leave may get a request of a service without keys: not
+    /// at all if another one that accepts requests was not tried yet.
+    pub(super) fn leaving_time(&self, request: &RoutingRequest, now: HostTime) -> Millis {
+        let has_other = self.upstreams.values().any(|upstream| {
+            upstream.leaving_since().is_none()
+                && upstream.accepts(now)
+                && !request.tried.contains(&upstream.info().id)
+        });
+        if has_other { Millis(0) } else { notices::sending_time(self.drain_time) }
+    }
+
     /// Returns how long a request can't be sent because the upstreams that could run it rest: the owner of its key, or
     /// all usable upstreams of a service without keys. Upstreams that were tried count only if no other is usable.
     pub fn remaining_rest(&self, request: &RoutingRequest, now: HostTime) -> Option<Millis> {
@@ -13,7 +32,10 @@
             let owner = self.available_owner(request.key?, now)?;
             return owner.rest_until(now).map(|until| until.since(now));
         }
-        let usable = || self.upstreams.values().filter(|upstream| upstream.is_usable(now));
+        let leaving_time = self.leaving_time(request, now);
+        let may_run =
+            |upstream: &&Upstream| upstream.is_usable(now) && !upstream.has_left(leaving_time, now);
+        let usable = || self.upstreams.values().filter(may_run);
         let is_untried = |upstream: &&Upstream| !request.tried.contains(&upstream.info().id);
         if usable().any(|upstream| is_untried(&upstream)) {
             shortest_rest(usable().filter(is_untried), now)
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -286,7 +286,12 @@
         !self.info.is_leaving && now >= self.down_until
     }
 
-    /// Returns whether a request may be sent now: the upstream is usable and does not rest.
+    /// Returns whether the upstream said at least `leaving_time` ago that it leaves.
+    pub fn has_left(&self, leaving_time: Millis, now: HostTime) -> bool {
+        self.leaving_since.is_some_and(|since| now >= since + leaving_time)
+    }
+
+    /// Returns whether the upstream is usable and does not rest.
     pub fn accepts(&self, now: HostTime) -> bool {
         self.is_usable(now) && self.rest_until(now).is_none()
     }
