Emulate upstreams that ask for rest

The load emulator had no upstream that asks the hosts it turns away for a rest, so that neither the fault nor the cost of keeping to rests showed there.

Upstream groups may now name a rest in periods; an upstream counts, for each host that it told, the requests that arrive during the rest, more than a round trip after it was asked for. Hosts use `notices::HostNotices`, as real ones do, and callers whose request gets no further attempt are told the end of the rest. An answer that sheds a request takes no time in the emulator, as before.

--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -18,7 +18,7 @@
 Options:
   --seed N          seed of the random number generator [1]
   --loads A,B,...   offered loads, as fractions of the capacity [0.5,0.8,1,1.2,1.5,2,3,4]
-  --only POLICY     only dispatch, no-queue, least-in-flight or round-robin
+  --only POLICY     only dispatch, ignore-rest, no-queue, least-in-flight or round-robin
   --hosts N         number of hosts, instead of that of the shape
   --html FILE       write charts to a self-contained HTML page
 
@@ -50,7 +50,6 @@
     let loads: Result<Vec<f64>, _> = loads.split(',').map(str::parse).collect();
     let loads = loads.wrap_err("--loads")?;
     let only: Option<Policy> = args.opt_value_from_str("--only")?;
-    let policies = only.map_or_else(|| Policy::ALL.to_vec(), |only| vec![only]);
     let html: Option<PathBuf> = args.opt_value_from_str("--html")?;
     let hosts: Option<u32> = args.opt_value_from_str("--hosts")?;
     let files = args.finish();
@@ -61,6 +60,10 @@
     for file in files {
         let mut shape = Shape::read(&PathBuf::from(file))?;
         shape.hosts = hosts.unwrap_or(shape.hosts).max(1);
+        // The policies that differ only in rests are equal without them.
+        let is_compared = |policy: &Policy| shape.has_rests() || *policy != Policy::IgnoreRest;
+        let all = || Policy::ALL.into_iter().filter(is_compared).collect();
+        let policies: Vec<Policy> = only.map_or_else(all, |only| vec![only]);
         let policy_runs = simulate(&shape, &policies, &loads, seed);
         print_table(&shape, &policy_runs);
         charts.extend(curves(&shape, &policy_runs));
@@ -94,23 +97,26 @@
     println!("## {}", shape.name);
     println!();
     println!(
-        "| policy | load | credit | goodput | {} | sends per request | late refusals | limit: worst window | limit: used |",
+        "| policy | load | credit | goodput | {} | sends per request | late refusals | limit: worst window | limit: used | rests | requests during a rest | most in one rest |",
         headers.join(" | ")
     );
-    println!("| --- |{}", " ---: |".repeat(ranks.len() + 7));
+    println!("| --- |{}", " ---: |".repeat(ranks.len() + 10));
     for (policy, runs) in policy_runs {
         for (load, stats) in runs {
             let answered: Vec<String> =
                 ranks.iter().map(|rank| format!("{:.3}", stats.answered_ratio(*rank))).collect();
             println!(
-                "| {policy} | {load} | {:.3} | {:.1} | {} | {:.2} | {:.1} % | {:.2} | {:.2} |",
+                "| {policy} | {load} | {:.3} | {:.1} | {} | {:.2} | {:.1} % | {:.2} | {:.2} | {} | {} | {} |",
                 stats.credit_ratio(),
                 goodput(shape, stats),
                 answered.join(" | "),
                 stats.amplification(),
                 stats.late_refusal_ratio() * 100.0,
                 stats.limited.worst_rate,
-                stats.limited.used_share()
+                stats.limited.used_share(),
+                stats.rests.asked,
+                stats.rests.arrivals,
+                stats.rests.worst_pair
             );
         }
     }
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -18,6 +18,8 @@
 pub enum Policy {
     /// The decisions of `skylarkdock-dispatch`.
     Dispatch,
+    /// Like `Dispatch`, but hosts ignore that upstreams ask for a rest.
+    IgnoreRest,
     /// Like `Dispatch`, but a request is refused instead of queued.
     NoQueue,
     /// The upstream with the fewest requests from this host; nothing is queued.
@@ -28,14 +30,15 @@
 
 impl Policy {
     /// All policies, with that of the real hosts first.
-    pub const ALL: [Self; 4] =
-        [Self::Dispatch, Self::NoQueue, Self::LeastInFlight, Self::RoundRobin];
+    pub const ALL: [Self; 5] =
+        [Self::Dispatch, Self::IgnoreRest, Self::NoQueue, Self::LeastInFlight, Self::RoundRobin];
 }
 
 impl fmt::Display for Policy {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Dispatch => "dispatch",
+            Self::IgnoreRest => "ignore-rest",
             Self::NoQueue => "no-queue",
             Self::LeastInFlight => "least-in-flight",
             Self::RoundRobin => "round-robin",
@@ -80,7 +83,7 @@
     /// Decides on a request that has arrived or whose last attempt failed.
     pub fn decide(&mut self, request: RoutingRequest, now: HostTime) -> RoutingDecision {
         match self.policy {
-            Policy::Dispatch => self.service.decide(request, now),
+            Policy::Dispatch | Policy::IgnoreRest => self.service.decide(request, now),
             Policy::NoQueue => {
                 let (remaining, jitter_per_mille, ticket) =
                     (request.deadline.since(now), request.jitter_per_mille, request.ticket);
--- a/crates/emulator/src/shape.rs
+++ b/crates/emulator/src/shape.rs
@@ -66,6 +66,28 @@
     /// Periods in which each upstream names a limit of `x` requests a second in its answers.
     #[serde(default)]
     pub limits: Vec<Burst>,
+    /// Periods in which each upstream asks the hosts that it turns away for a rest.
+    #[serde(default)]
+    pub rests: Vec<RestPeriod>,
+}
+
+/// Period in which upstreams ask for a rest.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RestPeriod {
+    /// Start of the period, in milliseconds.
+    pub at_ms: u64,
+    /// Length of the period, in milliseconds.
+    pub for_ms: u64,
+    /// Time for which a host that is turned away in the period is asked to send nothing, in milliseconds.
+    pub rest_ms: u64,
+}
+
+impl RestPeriod {
+    /// Returns whether a time is within the period.
+    pub fn contains(&self, at_ms: u64) -> bool {
+        (self.at_ms..self.at_ms + self.for_ms).contains(&at_ms)
+    }
 }
 
 /// Kind of request, with its rate, work and time limits.
@@ -153,6 +175,11 @@
         Ok(shape)
     }
 
+    /// Returns whether upstreams ask for rests.
+    pub fn has_rests(&self) -> bool {
+        self.upstreams.iter().any(|group| !group.rests.is_empty())
+    }
+
     /// Returns the multiple of the shape's load at which all slots are busy all the time, without failures and bursts.
     pub fn capacity(&self) -> f64 {
         let load_slots: f64 =
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -2,6 +2,7 @@
 
 mod detours;
 mod permits;
+mod rests;
 
 use crate::limits::{Envelope, Limits};
 use crate::policy::{HostRouter, Policy, upstream_info};
@@ -9,6 +10,7 @@
 use crate::stats::RunStats;
 use crate::upstream::{Admission, Job, UpstreamModel};
 use detours::{CONNECT_TIMEOUT_MS, MAX_DETOURS, host_addr, paths_to, upstream_addr};
+use rests::Rests;
 use skylarkdock_dispatch::key_owners::KeyMap;
 use skylarkdock_dispatch::paths::Paths;
 use skylarkdock_dispatch::retry_after;
@@ -102,6 +104,7 @@
 
 struct Simulation<'a> {
     shape: &'a Shape,
+    policy: Policy,
     load: f64,
     rng: fastrand::Rng,
     now_ms: u64,
@@ -116,6 +119,7 @@
     attempts: Vec<Attempt>,
     stats: RunStats,
     limits: Limits,
+    rests: Rests,
     /// Paths of each host.
     paths: Vec<Paths>,
     messages: Vec<Envelope>,
@@ -126,6 +130,7 @@
     let mut simulation = Simulation::new(shape, policy, load, seed);
     simulation.run();
     simulation.stats.limited = simulation.limits.stats(shape, START_MS);
+    simulation.stats.rests = simulation.rests.stats();
     simulation.stats
 }
 
@@ -152,6 +157,7 @@
         }
         Self {
             shape,
+            policy,
             load,
             rng: fastrand::Rng::with_seed(seed),
             now_ms: START_MS,
@@ -162,6 +168,7 @@
                 .map(|_| RetryBudget::new(RETRY_LIMITS, shape.hosts))
                 .collect(),
             limits: Limits::new(shape.hosts, &ids),
+            rests: Rests::new(shape.hosts as usize),
             paths: (0..shape.hosts).map(|_| paths_to(upstreams.len())).collect(),
             messages: Vec::new(),
             upstreams,
@@ -326,11 +333,11 @@
         self.route(request);
     }
 
-    fn route(&mut self, request: usize) {
+    fn routing_request(&self, request: usize) -> RoutingRequest {
         let kind = self.kind(request);
         let state = &self.requests[request];
         let deadline_at_ms = state.created_ms + kind.deadline_ms;
-        let routing_request = RoutingRequest {
+        RoutingRequest {
             ticket: request as u64,
             rank: kind.rank,
             idempotency: if kind.is_idempotent {
@@ -344,8 +351,12 @@
             key: state.key,
             tried: state.tried.clone(),
             jitter_per_mille: u32::try_from(request % 1_000).unwrap_or_default(),
-        };
-        let host = state.host;
+        }
+    }
+
+    fn route(&mut self, request: usize) {
+        let routing_request = self.routing_request(request);
+        let host = self.requests[request].host;
         let now = self.now();
         let decision = self.hosts[host].decide(routing_request, now);
         self.apply_decision(request, decision);
@@ -385,6 +396,7 @@
         self.stats.sends += 1;
         self.limits.on_arrival(upstream, self.now_ms);
         let state = &self.requests[request];
+        self.rests.on_arrival(state.host, upstream, self.now_ms);
         let deadline_at_ms = state.created_ms + self.shape.kinds[state.kind].deadline_ms;
         let job = Job { attempt, work_ms: state.work_ms, deadline_at_ms };
         match self.upstreams[upstream].offer(job, self.now_ms) {
@@ -400,6 +412,7 @@
     /// Handles an attempt that the upstream did not run.
     fn on_shed(&mut self, attempt: usize) {
         let request = self.end_attempt(attempt, AttemptOutcome::Shed);
+        self.ask_for_rest(attempt);
         self.retry_or_refuse(request);
     }
 
@@ -432,7 +445,10 @@
         }
         let remaining = Millis(deadline_at_ms.saturating_sub(self.now_ms));
         let jitter_per_mille = u32::try_from(request % 1_000).unwrap_or_default();
-        self.refuse(request, retry_after::delay(SHED_RETRY_DELAY, remaining, jitter_per_mille));
+        let delay = self
+            .delay_after_rest(request)
+            .unwrap_or_else(|| retry_after::delay(SHED_RETRY_DELAY, remaining, jitter_per_mille));
+        self.refuse(request, delay);
     }
 
     fn finish_job(&mut self, upstream: usize, attempt: usize) {
--- a/crates/emulator/src/stats.rs
+++ b/crates/emulator/src/stats.rs
@@ -40,6 +40,8 @@
     pub refused_late: u64,
     /// Arrivals at upstreams while they name a limit.
     pub limited: LimitStats,
+    /// Arrivals at upstreams during the rests that they asked for.
+    pub rests: RestStats,
     /// First attempts of callers at hosts that can't open connections to upstreams, from the time on at which they
     /// should have found another way.
     pub at_cut_off: FirstAttempts,
@@ -63,6 +65,17 @@
     }
 }
 
+/// Requests that arrived during a rest from the host that was asked for it, more than a round trip after that.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct RestStats {
+    /// Rests that upstreams asked hosts for.
+    pub asked: u64,
+    /// Arrivals during all rests.
+    pub arrivals: u64,
+    /// Largest number of arrivals from one host at one upstream during one rest.
+    pub worst_pair: u64,
+}
+
 /// Arrivals at upstreams that name a limit, from the time on at which all hosts have to keep to it.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct LimitStats {
