Keep intermediaries from upstreams that asked them for rest

An upstream that has asked a host for rest, or has said that it leaves, would still get the requests that the host passes on for other hosts.

Cause: a notice binds the host on whose connection it arrived, and an intermediary neither read the answers nor looked before it sent.

The intermediary now records the notices of what it passes on, beside those of its own requests, under the newest incarnation listed at the address, and looks before each call with a request id, again once the connection is open. It answers in place of the upstream: a 503 that is marked as not run, with the rest that remains or with the leaving notice. Grants and releases have no request id and go on.

Test: tests/detour.rs, three new ones. The other tests of detour.rs are unchanged but for the arguments of the intermediary.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -179,6 +179,7 @@
         let hold = GRANT_LIFETIME.min(settings.max_hold);
         let timing = Timing { hold, call_timeout: CALL_TIMEOUT, proof_lifetime: PROOF_LIFETIME };
         let fleet = RefCell::new(FleetState::new(settings.heartbeat));
+        let detour_server = DetourServer::new(protocol, settings.drain_time);
         let control = Rc::new(Self {
             settings,
             protocol,
@@ -200,7 +201,7 @@
             leader_since: Cell::default(),
             resigned_at: Cell::default(),
             detour_client: DetourClient::default(),
-            detour_server: DetourServer::new(protocol.names.request_id),
+            detour_server,
             leader_connection: RefCell::default(),
         });
         store_sync::start(&control);
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -4,7 +4,7 @@
 use super::owners::RELEASE_TIMEOUT;
 use crate::client::{ControlClient, Failure, Outgoing};
 use crate::clock;
-use crate::detour::DETOUR_PATH;
+use crate::detour::{DETOUR_PATH, Knowledge};
 use crate::net;
 use crate::serve::{self, Answer, AnswerFuture, Incoming, ListenerState};
 use crate::traffic::Sample;
@@ -92,13 +92,19 @@
 
     /// Sends a call of another host to an upstream.
     async fn call_for_peer(&self, body: &[u8]) -> Result<Vec<u8>, postcard::Error> {
-        let is_listed = |addr: SocketAddr| {
+        let listed = |addr: SocketAddr| {
             let fleet = self.fleet.borrow();
             // A call that is under way when this host ends would have an unknown result.
-            !self.status.is_leaving()
-                && fleet.registry.listed().any(|listed| listed.entry.addr == addr)
+            if self.status.is_leaving() {
+                return None;
+            }
+            let entries = fleet.registry.listed().map(|listed| &listed.entry);
+            // An address may have passed on to another upstream, and the entry of the earlier one is still there.
+            let newest = entries.filter(|entry| entry.addr == addr).max_by_key(|entry| entry.born);
+            newest.map(|entry| (entry.id.clone(), entry.born))
         };
-        self.detour_server.on_call(self.status.paths(), body, is_listed).await
+        let (paths, notices) = (self.status.paths(), self.status.notices());
+        self.detour_server.on_call(&Knowledge { paths, notices }, body, listed).await
     }
 
     fn on_sample(&self, sample: HostSample) -> Option<Vec<u8>> {
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -4,17 +4,25 @@
 //! when it may be sent, by the intermediary's clock: one that is delayed on its way must not arrive at the upstream
 //! after its caller has given it up, as a late renewal would extend a grant that counts as expired. The caller knows
 //! the intermediary's clock from its last answer; the first call only asks for it.
+//!
+//! An upstream that asks for rest, or says that it leaves, tells that the host whose connection the answer came on. An
+//! intermediary therefore keeps to it for all requests that it passes on. To one that it may not send it answers in the
+//! place of the upstream, so that the caller learns of it as if it had the upstream's own answer.
 
 use crate::client::{Conn, Failure, Outgoing, Reply, exchange_within};
 use crate::clock;
+use crate::notices::SharedNotices;
 use crate::pool::Pool;
+use crate::upstreams::Protocol;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
+use skylarkdock_dispatch::notices::Withheld;
 use skylarkdock_dispatch::paths::{Intermediary, Paths};
 use skylarkdock_http1::body::Framing;
 use skylarkdock_http1::head::{Header, Headers, ResponseHead};
 use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::cell::RefCell;
 use std::io::{self, ErrorKind};
@@ -259,38 +267,85 @@
 pub struct DetourServer {
     pool: RefCell<Pool>,
     run: u64,
-    id_header: &'static str,
+    protocol: Protocol,
+    drain_time: Millis,
+}
+
+/// What an intermediary knows of the upstreams that it makes calls to.
+pub struct Knowledge<'a> {
+    /// Paths to the upstreams.
+    pub paths: &'a SharedPaths,
+    /// What the upstreams asked of this host.
+    pub notices: &'a SharedNotices,
 }
 
+/// Incarnation of an upstream, by its id and the time of its start.
+type Incarnation = (UpstreamId, u64);
+
 impl DetourServer {
-    /// Creates the state of a new process. `id_header` is the name of the header with a request's id.
-    pub fn new(id_header: &'static str) -> Self {
-        Self { pool: RefCell::default(), run: fastrand::u64(1..), id_header }
+    /// Creates the state of a new process. `drain_time` is the time that an upstream takes from its first leaving notice
+    /// to its end.
+    pub fn new(protocol: Protocol, drain_time: Millis) -> Self {
+        Self { pool: RefCell::default(), run: fastrand::u64(1..), protocol, drain_time }
     }
 
-    /// Handles a call and returns the encoded answer. `is_listed` returns whether an address is one of an upstream.
+    /// Handles a call and returns the encoded answer. `listed` returns the incarnation of the upstream that is listed
+    /// at an address, if there is one.
     ///
     /// # Errors
     ///
     /// Fails if the call or the answer can't be decoded or encoded.
     pub async fn on_call(
         &self,
-        paths: &SharedPaths,
+        knowledge: &Knowledge<'_>,
         body: &[u8],
-        is_listed: impl Fn(SocketAddr) -> bool,
+        listed: impl Fn(SocketAddr) -> Option<(UpstreamId, u64)>,
     ) -> Result<Vec<u8>, postcard::Error> {
         let call: DetourCall = postcard::from_bytes(body)?;
         let end = if call.run != self.run || clock::now().0 > call.send_by {
             DetourEnd::Expired
-        } else if is_listed(call.upstream) {
-            self.forward(paths, call).await
+        } else if let Some(incarnation) = listed(call.upstream) {
+            self.forward(knowledge, &incarnation, call).await
         } else {
             DetourEnd::NoPath { is_cut_off: false, is_refused: false }
         };
         postcard::to_stdvec(&DetourAnswer { run: self.run, clock: clock::now().0, end })
     }
 
-    async fn forward(&self, paths: &SharedPaths, call: DetourCall) -> DetourEnd {
+    /// Returns the answer to a call that may not be sent, if that is so. Grants and releases, which have no request id,
+    /// are sent in any case.
+    fn withhold(
+        &self,
+        notices: &SharedNotices,
+        (id, born): &Incarnation,
+        call: &DetourCall,
+    ) -> Option<DetourEnd> {
+        let call_id = call.id.as_ref()?;
+        let withheld = notices.may_send(id, *born, self.drain_time).err()?;
+        let names = &self.protocol.names;
+        let reason = match withheld {
+            Withheld::Resting(rest) => ("Retry-After", rest.seconds()),
+            Withheld::Leaving => (names.leaving, "1".to_owned()),
+        };
+        let headers =
+            [(names.request_id, call_id.clone()), (names.not_run, "1".to_owned()), reason];
+        Some(DetourEnd::Answered {
+            status: 503,
+            headers: headers.map(|(name, value)| (name.to_owned(), value.into_bytes())).into(),
+            body: Vec::new(),
+            is_matched: true,
+        })
+    }
+
+    async fn forward(
+        &self,
+        &Knowledge { paths, notices }: &Knowledge<'_>,
+        incarnation: &Incarnation,
+        call: DetourCall,
+    ) -> DetourEnd {
+        if let Some(withheld) = self.withhold(notices, incarnation, &call) {
+            return withheld;
+        }
         let upstream = call.upstream;
         let no_path = |is_refused| {
             let is_cut_off = paths.lock().is_cut_off();
@@ -317,10 +372,17 @@
         if clock::now().0 > call.send_by {
             return DetourEnd::Expired;
         }
+        // An answer to another call may have arrived while the connection was opened.
+        if let Some(withheld) = self.withhold(notices, incarnation, &call) {
+            if let Some(conn) = conn.0.take() {
+                self.pool.borrow_mut().put(upstream, conn, MAX_IDLE);
+            }
+            return withheld;
+        }
         let outgoing = Outgoing {
             bytes: call.bytes,
             is_head: call.is_head,
-            id: call.id.map(|id| (self.id_header, id)),
+            id: call.id.map(|id| (self.protocol.names.request_id, id)),
         };
         let Some(open) = conn.0.as_mut() else { return DetourEnd::Broken };
         let timed_out = async {
@@ -330,6 +392,8 @@
         match open.exchange(&outgoing).or(timed_out).await {
             Ok((reply, reusable)) => {
                 paths.on_success(upstream);
+                let (id, born) = incarnation;
+                notices.record(id, *born, (self.protocol.parse_notices)(&reply, id));
                 if let Some(conn) = conn.0.take().filter(|_| reusable) {
                     self.pool.borrow_mut().put(upstream, conn, MAX_IDLE);
                 }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -290,8 +290,6 @@
 /// Builds the answer that refuses a request, which has not run and will not run.
 fn refusal(retry_after: Millis) -> Answer {
     let mut answer = Answer::empty(503);
-    #[expect(clippy::cast_precision_loss, reason = "a delay of seconds")]
-    let seconds = retry_after.0 as f64 / 1000.0;
-    answer.headers.push("Retry-After", format!("{seconds:.3}"));
+    answer.headers.push("Retry-After", retry_after.seconds());
     answer
 }
--- a/crates/edge/tests/detour.rs
+++ b/crates/edge/tests/detour.rs
@@ -4,11 +4,16 @@
 
 use async_io::block_on;
 use rstest::rstest;
+use skylarkdock_dispatch::notices::Notices;
 use skylarkdock_dispatch::paths::Intermediary;
-use skylarkdock_edge::client::{Failure, Outgoing};
-use skylarkdock_edge::detour::{DetourClient, DetourError, DetourServer, SharedPaths};
+use skylarkdock_edge::client::{Failure, Outgoing, Reply};
+use skylarkdock_edge::detour::{DetourClient, DetourError, DetourServer, Knowledge, SharedPaths};
+use skylarkdock_edge::notices::SharedNotices;
+use skylarkdock_edge::upstreams::{HeaderNames, Protocol, ReplyKind};
 use skylarkdock_http1::body::{Decoder, Framing};
 use skylarkdock_http1::head::{Headers, RequestHead};
+use skylarkdock_spans::renewal::CallEnd;
+use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::Millis;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -17,6 +22,36 @@
 use std::thread;
 
 const TIMEOUT: Millis = Millis(5_000);
+const DRAIN_TIME: Millis = Millis(400);
+/// Rest that the upstream of a test asks for, far longer than the test.
+const REST: Millis = Millis(50_000);
+
+fn protocol() -> Protocol {
+    Protocol {
+        names: HeaderNames {
+            request_id: "X-Id",
+            deadline: "X-Deadline",
+            signature: "X-Signature",
+            expected: "X-Expected",
+            not_run: "X-Not-Run",
+            key: "X-Key",
+            limit: "X-Limit",
+            leaving: "X-Leaving",
+        },
+        build_grant: |_, _| request("/grant", b""),
+        build_release: |_| request("/release", b""),
+        parse_grant_reply: |_| CallEnd::Unknown,
+        parse_release_reply: |_| Err(CallEnd::Unknown),
+        parse_notices,
+    }
+}
+
+fn parse_notices(reply: &Reply, _: &UpstreamId) -> Notices {
+    let headers = &reply.head.headers;
+    let seconds = headers.get_str("retry-after").map(|text| text.parse::<f64>().unwrap());
+    let rest = seconds.map(|seconds| Millis((seconds * 1_000.0) as u64));
+    Notices { rest, is_leaving: headers.get("x-leaving").is_some() }
+}
 
 /// Starts a server that answers each request with the bytes that `answer` returns, and closes the connection if there
 /// are none.
@@ -70,8 +105,7 @@
     serve(move |head, body| {
         assert_eq!(head.path(), "/detour");
         let is_listed = |addr| listed.contains(&addr);
-        let paths = SharedPaths::default();
-        let body = server(&paths, &body, &is_listed);
+        let body = server(&body, &is_listed);
         let mut answer =
             format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
         answer.extend_from_slice(&body);
@@ -79,13 +113,17 @@
     })
 }
 
-type Serve = dyn Fn(&SharedPaths, &[u8], &dyn Fn(SocketAddr) -> bool) -> Vec<u8> + Send + Sync;
+type Serve = dyn Fn(&[u8], &dyn Fn(SocketAddr) -> bool) -> Vec<u8> + Send + Sync;
 
 /// Returns an intermediary that stays on a thread of its own, as a host's does.
 fn thread_local_server() -> Box<Serve> {
-    let server = std::sync::Mutex::new(DetourServer::new("X-Id"));
-    Box::new(move |paths, body, is_listed| {
-        block_on(server.lock().unwrap().on_call(paths, body, is_listed)).unwrap()
+    let server = std::sync::Mutex::new(DetourServer::new(protocol(), DRAIN_TIME));
+    let notices = SharedNotices::default();
+    Box::new(move |body, is_listed| {
+        let paths = SharedPaths::default();
+        let knowledge = Knowledge { paths: &paths, notices: &notices };
+        let listed = |addr| is_listed(addr).then(|| ("i-1".parse().unwrap(), 1));
+        block_on(server.lock().unwrap().on_call(&knowledge, body, listed)).unwrap()
     })
 }
 
@@ -186,7 +224,7 @@
     let server = thread_local_server();
     let intermediary = serve(move |_, body| {
         thread::sleep(Millis(600).duration());
-        let body = server(&SharedPaths::default(), &body, &|_| true);
+        let body = server(&body, &|_| true);
         let mut answer =
             format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
         answer.extend_from_slice(&body);
@@ -203,3 +241,73 @@
     }
     assert_eq!(count.load(Ordering::Relaxed), 0);
 }
+
+/// Starts an upstream all of whose answers have this status and additional header line.
+fn upstream_with_notice(count: &Arc<AtomicUsize>, status: u16, notice: String) -> SocketAddr {
+    let count = Arc::clone(count);
+    serve(move |head, _| {
+        count.fetch_add(1, Ordering::Relaxed);
+        let id = head.headers.get_str("x-id").unwrap();
+        let not_run = if status == 503 { "X-Not-Run: 1\r\n" } else { "" };
+        let fields = format!("X-Id: {id}\r\n{not_run}{notice}\r\nContent-Length: 0\r\n\r\n");
+        format!("HTTP/1.1 {status} X\r\n{fields}").into_bytes()
+    })
+}
+
+/// An upstream that asked an intermediary for rest would get the requests of all other hosts over it.
+#[test]
+fn an_intermediary_passes_nothing_on_to_a_resting_upstream_and_tells_its_callers() {
+    let count = Arc::default();
+    let upstream = upstream_with_notice(&count, 503, format!("Retry-After: {}", REST.seconds()));
+    let intermediaries = [near(start_intermediary(vec![upstream]))];
+    for _ in 0..3 {
+        // Each has its own paths, as callers on other hosts do.
+        let (client, paths) = (DetourClient::default(), SharedPaths::default());
+        for _ in 0..3 {
+            let req = request("/x", b"");
+            let call = client.call(&paths, &intermediaries, upstream, (&req, true), TIMEOUT);
+            let reply = block_on(call).unwrap().unwrap();
+            assert_eq!(protocol().names.classify(&reply), ReplyKind::Shed);
+            let rest = parse_notices(&reply, &"i-1".parse().unwrap()).rest.unwrap();
+            assert!(rest <= REST && rest > Millis(0));
+        }
+    }
+    assert_eq!(count.load(Ordering::Relaxed), 1);
+}
+
+/// The caller of an intermediary may not have got the answer in which an upstream said that it leaves.
+#[test]
+fn an_intermediary_passes_nothing_on_to_a_leaving_upstream_after_the_drain_time() {
+    let count = Arc::default();
+    let upstream = upstream_with_notice(&count, 200, "X-Leaving: 1".to_owned());
+    let intermediaries = [near(start_intermediary(vec![upstream]))];
+    let (client, paths) = (DetourClient::default(), SharedPaths::default());
+    let call = || {
+        let req = request("/x", b"");
+        let call = client.call(&paths, &intermediaries, upstream, (&req, true), TIMEOUT);
+        block_on(call).unwrap().unwrap()
+    };
+    assert_eq!(call().head.status, 200);
+    thread::sleep(DRAIN_TIME.duration());
+    for _ in 0..3 {
+        let reply = call();
+        assert_eq!(protocol().names.classify(&reply), ReplyKind::Shed);
+        assert!(parse_notices(&reply, &"i-1".parse().unwrap()).is_leaving);
+    }
+    assert_eq!(count.load(Ordering::Relaxed), 1);
+}
+
+/// The keys of a resting upstream would lapse if its grants, which have no request id, were held back as well.
+#[test]
+fn an_intermediary_passes_grants_on_to_a_resting_upstream() {
+    let count = Arc::default();
+    let upstream = upstream_with_notice(&count, 503, format!("Retry-After: {}", REST.seconds()));
+    let intermediaries = [near(start_intermediary(vec![upstream]))];
+    let (client, paths) = (DetourClient::default(), SharedPaths::default());
+    for _ in 0..3 {
+        let grant = Outgoing { id: None, ..request("/grant", b"") };
+        let call = client.call(&paths, &intermediaries, upstream, (&grant, true), TIMEOUT);
+        block_on(call).unwrap().unwrap();
+    }
+    assert_eq!(count.load(Ordering::Relaxed), 3);
+}
--- a/crates/units/src/times.rs
+++ b/crates/units/src/times.rs
@@ -22,6 +22,11 @@
         Duration::from_millis(self.0)
     }
 
+    /// Returns the time in seconds, with three decimals.
+    pub fn seconds(self) -> String {
+        format!("{}.{:03}", self.0 / 1_000, self.0 % 1_000)
+    }
+
     /// Returns the difference to `other`, or zero if `other` is longer.
     pub const fn saturating_sub(self, other: Self) -> Self {
         Self(self.0.saturating_sub(other.0))
