Move the keys of upstreams that say in their answers that they leave

Callers of keys whose owner said in its answers that it leaves would have been refused after the drain time, until the registry said so as well.

Cause: the leader knew only the registry.

Hosts now also read the answers to grants and releases, and tell the leader in their samples which listed incarnations said that they leave. The leader plans without those, as it does without the ones that the registry shows as leaving, so their keys move by release and grant at once. Hosts and leaders of the version before ignore the new field or read it as empty. A host takes the word of another one for it: the notice then holds for its own requests, too, and goes on to the next leader.

Tests of skylarkdock-edge, path, cut_paths, limited_upstream and refused_leader pass; soak was not run.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -8,6 +8,7 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use async_lock::Mutex;
+use skylarkdock_dispatch::notices::Notices;
 use skylarkdock_dispatch::paths::Intermediary;
 use skylarkdock_spans::leader::{Action, Inputs};
 use skylarkdock_spans::load::KeyLoad;
@@ -124,6 +125,7 @@
             let failure = match caller.call(&req, self.timing.call_timeout).await {
                 Ok(reply) => {
                     paths.on_success(addr);
+                    self.record_answer(&grant.holder, &reply);
                     return (self.protocol.parse_grant_reply)(&reply);
                 }
                 Err(failure) => failure,
@@ -141,7 +143,10 @@
         }
         let remaining = self.timing.call_timeout.saturating_sub(clock::now().since(started));
         match self.call_over_detour(addr, &req, remaining).await {
-            Ok(Ok(reply)) => (self.protocol.parse_grant_reply)(&reply),
+            Ok(Ok(reply)) => {
+                self.record_answer(&grant.holder, &reply);
+                (self.protocol.parse_grant_reply)(&reply)
+            }
             Ok(Err(failure)) => {
                 self.on_call_failure(service, &grant.holder, &failure);
                 CallEnd::Unknown
@@ -155,6 +160,27 @@
         }
     }
 
+    /// Records what the answer to a grant or release asks of this host.
+    fn record_answer(&self, holder: &Holder, reply: &Reply) {
+        let notices = (self.protocol.parse_notices)(reply, &holder.id);
+        self.record_notices(&holder.id, holder.born, notices);
+    }
+
+    /// Records notices of an upstream, and tells the traffic thread of new ones.
+    pub(super) fn record_notices(&self, id: &UpstreamId, born: u64, notices: Notices) {
+        if self.status.notices().record(id, born, notices) {
+            self.publish();
+        }
+    }
+
+    /// Returns the listed upstreams that said that they leave, with the times of their starts.
+    pub(super) fn leaving_upstreams(&self) -> Vec<(UpstreamId, u64)> {
+        let fleet = self.fleet.borrow();
+        let listed = fleet.registry.listed().map(|listed| (&listed.entry.id, listed.entry.born));
+        let leaving = listed.filter(|(id, born)| self.status.notices().is_leaving(id, *born));
+        leaving.map(|(id, born)| (id.clone(), born)).collect()
+    }
+
     /// Makes a call to an upstream over another host.
     async fn call_over_detour(
         &self,
@@ -257,7 +283,7 @@
         for listed in upstreams {
             let entry = &listed.entry;
             let Some(region) = entry.region.clone() else { continue };
-            if entry.is_leaving {
+            if entry.is_leaving || self.status.notices().is_leaving(&entry.id, entry.born) {
                 continue;
             }
             let holder =
@@ -399,6 +425,7 @@
         };
         match done {
             Ok(reply) => {
+                self.record_answer(&release.holder, &reply);
                 let end = (self.protocol.parse_release_reply)(&reply);
                 if end.is_err() {
                     log::info!(upstream:% = release.holder.id, status = reply.head.status, body = String::from_utf8_lossy(&reply.body).as_ref(); "owners: release refused");
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -10,6 +10,7 @@
 use crate::traffic::Sample;
 use async_lock::Mutex;
 use serde::{Deserialize, Serialize};
+use skylarkdock_dispatch::notices::Notices;
 use skylarkdock_http1::head::Headers;
 use skylarkdock_spans::renewal::{Ack, CallEnd, Release};
 use skylarkdock_spans::table::Table;
@@ -36,6 +37,9 @@
     /// Whether the host seems to reach no upstream.
     #[serde(default)]
     is_cut_off: bool,
+    /// Upstreams that said that they leave, with the times of their starts.
+    #[serde(default)]
+    leaving: Vec<(UpstreamId, u64)>,
 }
 
 /// Starts the server for calls of other hosts.
@@ -120,6 +124,9 @@
         }
         self.update_service_times(&sample.service_ms);
         self.count_keys(&sample.keys, now);
+        for (id, born) in &sample.leaving {
+            self.record_notices(id, *born, Notices { rest: None, is_leaving: true });
+        }
         None
     }
 
@@ -155,7 +162,8 @@
         let Sample { keys, service_ms } = sample;
         let is_cut_off = self.status.paths().lock().is_cut_off();
         let host = self.settings.host.clone();
-        let sample = HostSample { host, keys, service_ms, is_cut_off };
+        let leaving = self.leaving_upstreams();
+        let sample = HostSample { host, keys, service_ms, is_cut_off, leaving };
         let mut caller = caller.lock().await;
         if let Err(e) = call(&mut caller, LOAD_PATH, &sample, PEER_TIMEOUT).await {
             log::debug!("peers: can't send a sample to the leader: {e}");
