Go on with renewals that an upstream turns away

By the code, an upstream that turns away renewals with 503 for longer than 1.5 s is suspended until the registry shows it again, and counts as unreachable after three of them; each of the first three is repeated at the next check, 50 ms later.

Cause: such an answer was read as no answer. The new end of a call, `Refused`, leaves the failures alone and counts as an answer, unless the last one is too old to prove that no later incarnation has taken the address: then it suspends the holder as before. The leader treats a refused grant as one without an answer.

--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -229,7 +229,7 @@
         };
         progress.granting = match end {
             CallEnd::Done => GrantState::Done,
-            CallEnd::Fenced | CallEnd::Gone | CallEnd::Unknown => {
+            CallEnd::Fenced | CallEnd::Gone | CallEnd::Refused | CallEnd::Unknown => {
                 progress.failed_grants += 1;
                 GrantState::Idle { not_before: now + RETRY_PAUSE }
             }
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -55,6 +55,8 @@
     Fenced,
     /// Another upstream listens at the address, so the called one has ended.
     Gone,
+    /// The upstream turned the call away because it had no capacity.
+    Refused,
     /// There was no answer that tells whether the upstream carried out the call.
     Unknown,
 }
@@ -237,7 +239,11 @@
             }
             CallEnd::Fenced => state.answered_at = now,
             CallEnd::Gone => state.suspended_at = Some(now),
-            CallEnd::Unknown => {
+            // The last answer proves that the same incarnation still runs only if it is recent.
+            CallEnd::Refused if now.since(state.answered_at) <= MAX_ANSWER_AGE => {
+                state.answered_at = now;
+            }
+            CallEnd::Refused | CallEnd::Unknown => {
                 state.failures += 1;
                 if now.since(state.answered_at) > MAX_ANSWER_AGE {
                     state.suspended_at.get_or_insert(now);
