--- a/crates/dispatch/src/service/rest.rs
+++ b/crates/dispatch/src/service/rest.rs
@@ -1,5 +1,4 @@
-//! The part of a service's routing that concerns upstreams which asked this host for a rest or said that
-//! they leave.
+//! The part of a service's routing that concerns upstreams which asked this host for a rest or said that they leave.
 
 use super::{Service, to_millis};
 use crate::notices;
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -159,7 +159,8 @@
         self.info = info;
     }
 
-    /// Clears failures, backoff, limit and what the upstream asked for, because the upstream has restarted under the same id.
+    /// Clears failures, backoff, limit and what the upstream asked for, because the upstream has restarted under the same
+    /// id.
     pub fn on_restart(&mut self, now: HostTime) {
         self.permits.on_restart(now);
         self.failure_rate = 0.0;
