Move the keys of upstreams that rest for half of the hosts

While an upstream turned all hosts away, nobody served its keys: hosts kept to the rest, and the keys had no other owner.

Cause: the leader did not know of rests.

Hosts tell the leader in their samples which upstreams asked them for rest and for how much longer. One of which at least two hosts, and at least half of the available ones, say so is no candidate while that rest is longer than a second, which a move takes about; unless more upstreams rest so than are left, as those would be overloaded. Its keys then move by release and grant, as those of a leaving upstream do. They come back through the rebalancing once the rest is over. The rule is a pure function; a single host's word can't trigger it, and a fleet of one host never moves keys for it.

What the others lose by the added keys under a real load was not measured, nor were fleets of more hosts.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -121,6 +121,9 @@
     last_sample_at: FastMap<HostId, HostTime>,
     /// Hosts that said in their last sample that they reach no upstream.
     cut_off: FastSet<HostId>,
+    /// Upstreams that asked hosts for rest according to their last samples, with the times of their starts and the ends
+    /// of the rests.
+    rests: FastMap<HostId, Vec<(UpstreamId, u64, HostTime)>>,
     /// Smoothed service time of each upstream, in milliseconds.
     service_ms: FastMap<UpstreamId, f32>,
 }
@@ -135,6 +138,7 @@
             known_records: known_records::KnownRecords::default(),
             last_sample_at: FastMap::default(),
             cut_off: FastSet::default(),
+            rests: FastMap::default(),
             service_ms: FastMap::default(),
         }
     }
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -14,6 +14,7 @@
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::{CallEnd, Grant, Release};
+use skylarkdock_spans::resting::is_widely_resting;
 use skylarkdock_spans::table::{Holder, Keeper, Table};
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId};
@@ -181,6 +182,28 @@
         leaving.map(|(id, born)| (id.clone(), born)).collect()
     }
 
+    /// Returns the listed upstreams that asked this host for rest, with the times of their starts and the remaining
+    /// rests.
+    pub(super) fn resting_upstreams(&self) -> Vec<(UpstreamId, u64, Millis)> {
+        let fleet = self.fleet.borrow();
+        let listed = fleet.registry.listed().map(|listed| (&listed.entry.id, listed.entry.born));
+        let resting = listed.filter_map(|(id, born)| {
+            Some((id.clone(), born, self.status.notices().remaining_rest(id, born)?))
+        });
+        resting.collect()
+    }
+
+    /// Returns the remaining rests that an upstream asked for, of all hosts that said so lately.
+    fn rests(&self, fleet: &FleetState, id: &UpstreamId, born: u64, now: HostTime) -> Vec<Millis> {
+        let of_upstream = |rests: &Vec<(UpstreamId, u64, HostTime)>| {
+            let found = rests.iter().find(|(other, at, _)| other == id && *at == born);
+            found.map(|(_, _, until)| until.since(now))
+        };
+        let others = fleet.rests.iter().filter(|(host, _)| **host != self.settings.host);
+        let others = others.filter_map(|(_, rests)| of_upstream(rests));
+        others.chain(self.status.notices().remaining_rest(id, born)).collect()
+    }
+
     /// Makes a call to an upstream over another host.
     async fn call_over_detour(
         &self,
@@ -273,6 +296,7 @@
 
     /// Collects the state that the leader decides on.
     fn leader_inputs(&self, service: &ServiceName, now: HostTime) -> Inputs {
+        let hosts = self.available_hosts(now);
         let fleet = self.fleet.borrow();
         let mut owners = self.owners.borrow_mut();
         let renewals = owners.renewals.get(service);
@@ -280,6 +304,7 @@
         let assumed = assumed_service_ms(&fleet, service);
         let mut candidates = Vec::new();
         let mut unreachable = Vec::new();
+        let mut resting = Vec::new();
         for listed in upstreams {
             let entry = &listed.entry;
             let Some(region) = entry.region.clone() else { continue };
@@ -297,13 +322,24 @@
                 let since = renewals.suspended_at(&holder);
                 since.is_some_and(|at| now.since(at) > UNREACHABLE_AFTER)
             });
-            let list = if is_unreachable { &mut unreachable } else { &mut candidates };
+            let rests = self.rests(&fleet, &entry.id, entry.born, now);
+            let list = if is_unreachable {
+                &mut unreachable
+            } else if is_widely_resting(&rests, hosts.len()) {
+                &mut resting
+            } else {
+                &mut candidates
+            };
             list.push(Candidate { holder, capacity });
         }
         if unreachable.len() > candidates.len() || self.status.paths().lock().is_cut_off() {
             // More likely this host has lost its paths than the upstreams have ended.
             candidates.append(&mut unreachable);
         }
+        if resting.len() > candidates.len() {
+            // The others would be overloaded with the keys of so many.
+            candidates.append(&mut resting);
+        }
         candidates.sort_by(|a, b| a.holder.id.cmp(&b.holder.id));
         let dead = renewals
             .and_then(|renewals| renewals.table())
@@ -316,7 +352,7 @@
         Inputs {
             candidates,
             rates,
-            hosts: self.available_hosts(now),
+            hosts,
             cut_off: self.cut_off_hosts(),
             dead,
             is_leaving: self.is_handing_over.get(),
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -40,6 +40,9 @@
     /// Upstreams that said that they leave, with the times of their starts.
     #[serde(default)]
     leaving: Vec<(UpstreamId, u64)>,
+    /// Upstreams that asked the host for rest, with the times of their starts and the remaining rests.
+    #[serde(default)]
+    resting: Vec<(UpstreamId, u64, Millis)>,
 }
 
 /// Starts the server for calls of other hosts.
@@ -120,6 +123,12 @@
             } else {
                 fleet.cut_off.remove(&sample.host);
             }
+            fleet.rests.remove(&sample.host);
+            if !sample.resting.is_empty() {
+                let resting = sample.resting.into_iter();
+                let rests = resting.map(|(id, born, rest)| (id, born, now + rest)).collect();
+                fleet.rests.insert(sample.host.clone(), rests);
+            }
             fleet.last_sample_at.insert(sample.host, now);
         }
         self.update_service_times(&sample.service_ms);
@@ -163,7 +172,8 @@
         let is_cut_off = self.status.paths().lock().is_cut_off();
         let host = self.settings.host.clone();
         let leaving = self.leaving_upstreams();
-        let sample = HostSample { host, keys, service_ms, is_cut_off, leaving };
+        let resting = self.resting_upstreams();
+        let sample = HostSample { host, keys, service_ms, is_cut_off, leaving, resting };
         let mut caller = caller.lock().await;
         if let Err(e) = call(&mut caller, LOAD_PATH, &sample, PEER_TIMEOUT).await {
             log::debug!("peers: can't send a sample to the leader: {e}");
--- a/crates/edge/src/notices.rs
+++ b/crates/edge/src/notices.rs
@@ -63,6 +63,13 @@
         self.lock().notices.may_send(id, born, drain_time, clock::now())
     }
 
+    /// Returns the remaining rest that an incarnation of an upstream asked for, if it has not ended.
+    pub fn remaining_rest(&self, id: &UpstreamId, born: u64) -> Option<Millis> {
+        let now = clock::now();
+        let until = self.lock().notices.resting_until(id, born, now)?;
+        Some(until.since(now))
+    }
+
     /// Returns whether an incarnation of an upstream has said that it leaves.
     pub fn is_leaving(&self, id: &UpstreamId, born: u64) -> bool {
         self.lock().notices.leaving_since(id, born).is_some()
--- a/crates/spans/src/lib.rs
+++ b/crates/spans/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod load;
 pub mod plan;
 pub mod renewal;
+pub mod resting;
 pub mod table;
 pub mod timing;
