--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -6,9 +6,11 @@
 //! take a place in the queue.
 
 mod limits;
+mod rest;
 
 use crate::arrivals::ArrivalRates;
 use crate::key_owners::{KeyMap, KeyOwners};
+use crate::notices;
 use crate::retry_after;
 use crate::routing::{RefusalReason, RoutingDecision, RoutingRequest};
 use crate::upstream::{AttemptOutcome, Distance, Upstream, UpstreamInfo, as_f32};
@@ -102,6 +104,8 @@
     arrivals: ArrivalRates,
     /// Number of hosts in this region.
     region_hosts: u32,
+    /// Time from an upstream's first notice that it leaves to its end.
+    drain_time: Millis,
     /// Number of hosts in all regions, which all send to the owners of keys.
     hosts: u32,
     /// Mean of the measured service times of the upstreams, in milliseconds.
@@ -121,6 +125,7 @@
             arrivals: ArrivalRates::default(),
             region_hosts: 1,
             hosts: 1,
+            drain_time: Millis(0),
             mean_service_ms: INITIAL_SERVICE_MS,
             answers_since_mean: 0,
             deviation: INITIAL_DEVIATION,
@@ -166,10 +171,12 @@
         }
     }
 
-    /// Returns the owner of a key if requests for the key may be sent to it now.
+    /// Returns the owner of a key if it may get requests for the key, at the latest after a rest.
     fn available_owner(&self, key: u16, now: HostTime) -> Option<&Upstream> {
         let id = self.keys.as_ref()?.available_owner(key, now)?;
-        self.upstreams.get(id).filter(|owner| owner.is_usable(now))
+        let leaving_time = notices::sending_time(self.drain_time);
+        let owner = self.upstreams.get(id)?;
+        (owner.is_usable(now) && !owner.has_left(leaving_time, now)).then_some(owner)
     }
 
     /// Sets the number of hosts in all regions and in this region, including this host.
@@ -284,6 +291,7 @@
                     Some(_) => None,
                     None => self
                         .refuse_unowned(request, now)
+                        .or_else(|| self.refuse_resting(request, now))
                         .or_else(|| self.refuse_limited(request, now)),
                 }
             };
@@ -338,7 +346,8 @@
     ) -> Option<UpstreamId> {
         if self.keys.is_some() {
             let owner = self.available_owner(request.key?, now)?;
-            let is_free = owner.has_capacity(self.hosts, owner.load(now), now);
+            let is_free = owner.rest_until(now).is_none()
+                && owner.has_capacity(self.hosts, owner.load(now), now);
             return is_free.then(|| owner.info().id.clone());
         }
         let near = self
@@ -368,13 +377,17 @@
         now: HostTime,
         scope: SearchScope,
     ) -> Candidates {
+        let leaving_time = self.leaving_time(request, now);
         let jitter = (as_f32(self.region_hosts) * JITTER_PER_HOST).min(MAX_JITTER);
         let mut candidates = Candidates::default();
         let mut best: Option<(&Upstream, f32)> = None;
         for upstream in self.upstreams.values() {
             let info = upstream.info();
             let is_other_region = info.distance == Distance::Far;
-            if is_other_region != (scope == SearchScope::OtherRegions) || !upstream.is_usable(now) {
+            if is_other_region != (scope == SearchScope::OtherRegions)
+                || !upstream.accepts(now)
+                || upstream.has_left(leaving_time, now)
+            {
                 continue;
             }
             let load = upstream.load(now);
@@ -404,8 +417,12 @@
 
     /// Decides whether a request waits or is refused when no upstream has capacity.
     fn admit(&self, request: &RoutingRequest, mean_ms: f32, now: HostTime) -> RoutingDecision {
+        let rest = self.remaining_rest(request, now);
         if self.waiting.len() >= MAX_WAITING {
-            return self.refusal(request, RefusalReason::Overload, to_millis(mean_ms), now);
+            return match rest {
+                Some(rest) => self.refusal(request, RefusalReason::Resting, rest, now),
+                None => self.refusal(request, RefusalReason::Overload, to_millis(mean_ms), now),
+            };
         }
         let service_time = to_millis(mean_ms);
         if let Some(keys) = &self.keys {
@@ -423,6 +440,9 @@
                 / (as_f32(owner.in_flight()) + peer_requests))
                 .max(0.1);
             let wait = to_millis(service_ms * as_f32(ahead + 1) / (slots * own_share));
+            if let Some(rest) = rest {
+                return self.admit_resting(request, rest, wait, to_millis(service_ms), now);
+            }
             let permits = owner.permits();
             if let Some(rate) = permits.rate().filter(|_| !permits.is_available(now)) {
                 let interval = to_millis(as_f32(ahead) * 1_000.0 / rate.0.max(0.001));
@@ -444,18 +464,22 @@
                 now,
             );
         }
-        let is_usable_in_region = |upstream: &&Upstream| {
-            upstream.is_usable(now) && upstream.info().distance != Distance::Far
+        let leaving_time = self.leaving_time(request, now);
+        let is_counted = |upstream: &&Upstream| {
+            let is_open = upstream.accepts(now) || (rest.is_some() && upstream.is_usable(now));
+            is_open
+                && !upstream.has_left(leaving_time, now)
+                && upstream.info().distance != Distance::Far
         };
         let requests_per_ms: f32 = self
             .upstreams
             .values()
-            .filter(is_usable_in_region)
+            .filter(is_counted)
             .map(|upstream| upstream.requests_per_ms(mean_ms))
             .sum();
-        if requests_per_ms <= 0.0
-            && !self.upstreams.values().any(|upstream| upstream.is_usable(now))
-        {
+        let is_left =
+            |upstream: &Upstream| upstream.is_usable(now) && !upstream.has_left(leaving_time, now);
+        if requests_per_ms <= 0.0 && !self.upstreams.values().any(is_left) {
             return self.refusal(request, RefusalReason::NoUpstream, NO_UPSTREAM_DELAY, now);
         }
         let ahead = self.count_ahead(request, now, |_| true);
@@ -463,13 +487,11 @@
         // Requests of ranks with smaller numbers that arrive in the meantime are served first.
         let available_per_ms = (share_per_ms - self.arrivals.rate_above(request.rank, now))
             .max(share_per_ms * MIN_CAPACITY_SHARE);
-        self.admit_if_wait_fits(
-            request,
-            RefusalReason::Overload,
-            to_millis(as_f32(ahead + 1) / available_per_ms),
-            service_time,
-            now,
-        )
+        let wait = to_millis(as_f32(ahead + 1) / available_per_ms);
+        if let Some(rest) = rest {
+            return self.admit_resting(request, rest, wait, service_time, now);
+        }
+        self.admit_if_wait_fits(request, RefusalReason::Overload, wait, service_time, now)
     }
 
     /// Lets a request wait if the expected wait is short enough, and refuses it otherwise.
@@ -538,11 +560,13 @@
         expected: Millis,
         now: HostTime,
     ) -> RoutingDecision {
-        let remaining = request.deadline.since(now);
-        RoutingDecision::Refuse {
-            reason,
-            retry_after: retry_after::delay(expected, remaining, request.jitter_per_mille),
-        }
+        let jitter_per_mille = request.jitter_per_mille;
+        let retry_after = if reason == RefusalReason::Resting {
+            retry_after::after_rest(expected, jitter_per_mille)
+        } else {
+            retry_after::delay(expected, request.deadline.since(now), jitter_per_mille)
+        };
+        RoutingDecision::Refuse { reason, retry_after }
     }
 }
 
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -121,6 +121,9 @@
     last_sample_at: FastMap<HostId, HostTime>,
     /// Hosts that said in their last sample that they reach no upstream.
     cut_off: FastSet<HostId>,
+    /// Upstreams that asked hosts for rest according to their last samples, with the times of their starts and the ends
+    /// of the rests.
+    rests: FastMap<HostId, Vec<(UpstreamId, u64, HostTime)>>,
     /// Smoothed service time of each upstream, in milliseconds.
     service_ms: FastMap<UpstreamId, f32>,
 }
@@ -135,6 +138,7 @@
             known_records: known_records::KnownRecords::default(),
             last_sample_at: FastMap::default(),
             cut_off: FastSet::default(),
+            rests: FastMap::default(),
             service_ms: FastMap::default(),
         }
     }
@@ -179,6 +183,7 @@
         let hold = GRANT_LIFETIME.min(settings.max_hold);
         let timing = Timing { hold, call_timeout: CALL_TIMEOUT, proof_lifetime: PROOF_LIFETIME };
         let fleet = RefCell::new(FleetState::new(settings.heartbeat));
+        let detour_server = DetourServer::new(protocol, settings.drain_time);
         let control = Rc::new(Self {
             settings,
             protocol,
@@ -200,7 +205,7 @@
             leader_since: Cell::default(),
             resigned_at: Cell::default(),
             detour_client: DetourClient::default(),
-            detour_server: DetourServer::new(protocol.names.request_id),
+            detour_server,
             leader_connection: RefCell::default(),
         });
         store_sync::start(&control);
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -8,11 +8,13 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use async_lock::Mutex;
+use skylarkdock_dispatch::notices::Notices;
 use skylarkdock_dispatch::paths::Intermediary;
 use skylarkdock_spans::leader::{Action, Inputs};
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::{CallEnd, Grant, Purpose, Release};
+use skylarkdock_spans::resting::is_widely_resting;
 use skylarkdock_spans::table::{Holder, Keeper, Table};
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId};
@@ -137,6 +139,7 @@
             let failure = match caller.call(&req, self.timing.call_timeout).await {
                 Ok(reply) => {
                     paths.on_success(addr);
+                    self.record_answer(&grant.holder, &reply);
                     return Some((self.protocol.parse_grant_reply)(&reply));
                 }
                 Err(failure) => failure,
@@ -155,7 +158,10 @@
         }
         let remaining = self.timing.call_timeout.saturating_sub(clock::now().since(started));
         let end = match self.call_over_detour(addr, &req, remaining).await {
-            Ok(Ok(reply)) => (self.protocol.parse_grant_reply)(&reply),
+            Ok(Ok(reply)) => {
+                self.record_answer(&grant.holder, &reply);
+                (self.protocol.parse_grant_reply)(&reply)
+            }
             Ok(Err(failure)) => {
                 self.on_call_failure(service, &grant.holder, &failure);
                 CallEnd::Unknown
@@ -186,6 +192,49 @@
             && renewals.is_some_and(|renewals| renewals.confirm_send(grant, purpose, now))
     }
 
+    /// Records what the answer to a grant or release asks of this host.
+    fn record_answer(&self, holder: &Holder, reply: &Reply) {
+        let notices = (self.protocol.parse_notices)(reply, &holder.id);
+        self.record_notices(&holder.id, holder.born, notices);
+    }
+
+    /// Records notices of an upstream, and tells the traffic thread of new ones.
+    pub(super) fn record_notices(&self, id: &UpstreamId, born: u64, notices: Notices) {
+        if self.status.notices().record(id, born, notices) {
+            self.publish();
+        }
+    }
+
+    /// Returns the listed upstreams that said that they leave, with the times of their starts.
+    pub(super) fn leaving_upstreams(&self) -> Vec<(UpstreamId, u64)> {
+        let fleet = self.fleet.borrow();
+        let listed = fleet.registry.listed().map(|listed| (&listed.entry.id, listed.entry.born));
+        let leaving = listed.filter(|(id, born)| self.status.notices().is_leaving(id, *born));
+        leaving.map(|(id, born)| (id.clone(), born)).collect()
+    }
+
+    /// Returns the listed upstreams that asked this host for rest, with the times of their starts and the remaining
+    /// rests.
+    pub(super) fn resting_upstreams(&self) -> Vec<(UpstreamId, u64, Millis)> {
+        let fleet = self.fleet.borrow();
+        let listed = fleet.registry.listed().map(|listed| (&listed.entry.id, listed.entry.born));
+        let resting = listed.filter_map(|(id, born)| {
+            Some((id.clone(), born, self.status.notices().remaining_rest(id, born)?))
+        });
+        resting.collect()
+    }
+
+    /// Returns the remaining rests that an upstream asked for, of all hosts that said so lately.
+    fn rests(&self, fleet: &FleetState, id: &UpstreamId, born: u64, now: HostTime) -> Vec<Millis> {
+        let of_upstream = |rests: &Vec<(UpstreamId, u64, HostTime)>| {
+            let found = rests.iter().find(|(other, at, _)| other == id && *at == born);
+            found.map(|(_, _, until)| until.since(now))
+        };
+        let others = fleet.rests.iter().filter(|(host, _)| **host != self.settings.host);
+        let others = others.filter_map(|(_, rests)| of_upstream(rests));
+        others.chain(self.status.notices().remaining_rest(id, born)).collect()
+    }
+
     /// Makes a call to an upstream over another host.
     async fn call_over_detour(
         &self,
@@ -278,6 +327,7 @@
 
     /// Collects the state that the leader decides on.
     fn leader_inputs(&self, service: &ServiceName, now: HostTime) -> Inputs {
+        let hosts = self.available_hosts(now);
         let fleet = self.fleet.borrow();
         let mut owners = self.owners.borrow_mut();
         let renewals = owners.renewals.get(service);
@@ -285,10 +335,11 @@
         let assumed = assumed_service_ms(&fleet, service);
         let mut candidates = Vec::new();
         let mut unreachable = Vec::new();
+        let mut resting = Vec::new();
         for listed in upstreams {
             let entry = &listed.entry;
             let Some(region) = entry.region.clone() else { continue };
-            if entry.is_leaving {
+            if entry.is_leaving || self.status.notices().is_leaving(&entry.id, entry.born) {
                 continue;
             }
             let holder =
@@ -302,13 +353,24 @@
                 let since = renewals.suspended_at(&holder);
                 since.is_some_and(|at| now.since(at) > UNREACHABLE_AFTER)
             });
-            let list = if is_unreachable { &mut unreachable } else { &mut candidates };
+            let rests = self.rests(&fleet, &entry.id, entry.born, now);
+            let list = if is_unreachable {
+                &mut unreachable
+            } else if is_widely_resting(&rests, hosts.len()) {
+                &mut resting
+            } else {
+                &mut candidates
+            };
             list.push(Candidate { holder, capacity });
         }
         if unreachable.len() > candidates.len() || self.status.paths().lock().is_cut_off() {
             // More likely this host has lost its paths than the upstreams have ended.
             candidates.append(&mut unreachable);
         }
+        if resting.len() > candidates.len() {
+            // The others would be overloaded with the keys of so many.
+            candidates.append(&mut resting);
+        }
         candidates.sort_by(|a, b| a.holder.id.cmp(&b.holder.id));
         let dead = renewals
             .and_then(|renewals| renewals.table())
@@ -321,7 +383,7 @@
         Inputs {
             candidates,
             rates,
-            hosts: self.available_hosts(now),
+            hosts,
             cut_off: self.cut_off_hosts(),
             dead,
             is_leaving: self.is_handing_over.get(),
@@ -434,6 +496,7 @@
         };
         match done {
             Ok(reply) => {
+                self.record_answer(&release.holder, &reply);
                 let end = (self.protocol.parse_release_reply)(&reply);
                 if end.is_err() {
                     log::info!(upstream:% = release.holder.id, status = reply.head.status, body = String::from_utf8_lossy(&reply.body).as_ref(); "owners: release refused");
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -4,12 +4,13 @@
 use super::owners::RELEASE_TIMEOUT;
 use crate::client::{ControlClient, Failure, Outgoing};
 use crate::clock;
-use crate::detour::DETOUR_PATH;
+use crate::detour::{DETOUR_PATH, Knowledge};
 use crate::net;
 use crate::serve::{self, Answer, AnswerFuture, Incoming, ListenerState};
 use crate::traffic::Sample;
 use async_lock::Mutex;
 use serde::{Deserialize, Serialize};
+use skylarkdock_dispatch::notices::Notices;
 use skylarkdock_http1::head::Headers;
 use skylarkdock_spans::renewal::{Ack, CallEnd, Release};
 use skylarkdock_spans::table::Table;
@@ -36,6 +37,12 @@
     /// Whether the host seems to reach no upstream.
     #[serde(default)]
     is_cut_off: bool,
+    /// Upstreams that said that they leave, with the times of their starts.
+    #[serde(default)]
+    leaving: Vec<(UpstreamId, u64)>,
+    /// Upstreams that asked the host for rest, with the times of their starts and the remaining rests.
+    #[serde(default)]
+    resting: Vec<(UpstreamId, u64, Millis)>,
 }
 
 /// Starts the server for calls of other hosts.
@@ -92,13 +99,19 @@
 
     /// Sends a call of another host to an upstream.
     async fn call_for_peer(&self, body: &[u8]) -> Result<Vec<u8>, postcard::Error> {
-        let is_listed = |addr: SocketAddr| {
+        let listed = |addr: SocketAddr| {
             let fleet = self.fleet.borrow();
             // A call that is under way when this host ends would have an unknown result.
-            !self.status.is_leaving()
-                && fleet.registry.listed().any(|listed| listed.entry.addr == addr)
+            if self.status.is_leaving() {
+                return None;
+            }
+            let entries = fleet.registry.listed().map(|listed| &listed.entry);
+            // An address may have passed on to another upstream, and the entry of the earlier one is still there.
+            let newest = entries.filter(|entry| entry.addr == addr).max_by_key(|entry| entry.born);
+            newest.map(|entry| (entry.id.clone(), entry.born))
         };
-        self.detour_server.on_call(self.status.paths(), body, is_listed).await
+        let (paths, notices) = (self.status.paths(), self.status.notices());
+        self.detour_server.on_call(&Knowledge { paths, notices }, body, listed).await
     }
 
     fn on_sample(&self, sample: HostSample) -> Option<Vec<u8>> {
@@ -110,10 +123,19 @@
             } else {
                 fleet.cut_off.remove(&sample.host);
             }
+            fleet.rests.remove(&sample.host);
+            if !sample.resting.is_empty() {
+                let resting = sample.resting.into_iter();
+                let rests = resting.map(|(id, born, rest)| (id, born, now + rest)).collect();
+                fleet.rests.insert(sample.host.clone(), rests);
+            }
             fleet.last_sample_at.insert(sample.host, now);
         }
         self.update_service_times(&sample.service_ms);
         self.count_keys(&sample.keys, now);
+        for (id, born) in &sample.leaving {
+            self.record_notices(id, *born, Notices { rest: None, is_leaving: true });
+        }
         None
     }
 
@@ -149,7 +171,9 @@
         let Sample { keys, service_ms } = sample;
         let is_cut_off = self.status.paths().lock().is_cut_off();
         let host = self.settings.host.clone();
-        let sample = HostSample { host, keys, service_ms, is_cut_off };
+        let leaving = self.leaving_upstreams();
+        let resting = self.resting_upstreams();
+        let sample = HostSample { host, keys, service_ms, is_cut_off, leaving, resting };
         let mut caller = caller.lock().await;
         if let Err(e) = call(&mut caller, LOAD_PATH, &sample, PEER_TIMEOUT).await {
             log::debug!("peers: can't send a sample to the leader: {e}");
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -1,6 +1,7 @@
-//! Readiness, shutdown state and age of the configuration, shared by the threads of a host.
+//! Readiness, shutdown state, age of the configuration, paths and notices, shared by the threads of a host.
 
 use crate::detour::SharedPaths;
+use crate::notices::SharedNotices;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
@@ -14,6 +15,7 @@
     /// Version that was the newest at that time, or a later one.
     proven_version: AtomicU64,
     paths: SharedPaths,
+    notices: SharedNotices,
 }
 
 impl Status {
@@ -22,6 +24,11 @@
         &self.paths
     }
 
+    /// Returns what the upstreams asked of this host.
+    pub const fn notices(&self) -> &SharedNotices {
+        &self.notices
+    }
+
     /// Returns whether the host has the state that it needs to serve callers.
     pub fn is_ready(&self) -> bool {
         self.is_ready.load(Ordering::Relaxed)
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -198,7 +198,14 @@
                 }
             }
             state.service.set_upstreams(infos);
+            for upstream in state.service.upstreams_mut() {
+                if let Some(listed) = known_upstreams.get(&upstream.info().id) {
+                    self.status.notices().apply_to(upstream, listed.entry.born);
+                }
+            }
         }
+        let incarnations = view.upstreams.iter().map(|u| (u.entry.id.clone(), u.entry.born));
+        self.status.notices().set_listed(&incarnations.collect());
         let listed_ids: FastSet<&UpstreamId> =
             view.upstreams.iter().map(|listed| &listed.entry.id).collect();
         known_upstreams.retain(|id, listed| {
@@ -294,8 +301,6 @@
 /// Builds the answer that refuses a request, which has not run and will not run.
 fn refusal(retry_after: Millis) -> Answer {
     let mut answer = Answer::empty(503);
-    #[expect(clippy::cast_precision_loss, reason = "a delay of seconds")]
-    let seconds = retry_after.0 as f64 / 1000.0;
-    answer.headers.push("Retry-After", format!("{seconds:.3}"));
+    answer.headers.push("Retry-After", retry_after.seconds());
     answer
 }
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use async_executor::LocalExecutor;
 use futures_lite::future;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use skylarkdock_dispatch::notices::Notices;
 use skylarkdock_dispatch::routes::{Idempotency, Route, Routes};
 use skylarkdock_dispatch::traffic_split::{TrafficSplit, WeightedService};
 use skylarkdock_edge::client::Outgoing;
@@ -37,11 +38,16 @@
         not_run: "Not-Run",
         key: "Key",
         limit: "X-Limit",
+        leaving: "X-Leaving",
     },
     build_grant: |_, _| Outgoing::new("POST", "/grant", &Headers::default(), &[]),
     build_release: |_| Outgoing::new("POST", "/release", &Headers::default(), &[]),
     parse_grant_reply: |_| CallEnd::Unknown,
     parse_release_reply: |_| Err(CallEnd::Unknown),
+    parse_notices: |reply, _| Notices {
+        rest: None,
+        is_leaving: reply.head.headers.get("x-leaving").is_some(),
+    },
 };
 
 /// The traffic thread of a host.
