Serve the keys of a leaving owner until they move

Callers saw nothing of this: found when the parts were joined. Keys of an upstream that said in an answer that it leaves were refused at once, until the leader had moved them.

Cause: the decisions take the drain time as a setting of the service, with 0 as its default, and the traffic thread did not set it.

Evidence: the added test got 503 for the second request, and 200 for each with the change.

--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -173,6 +173,7 @@
             state.max_idle = pool::max_idle(info.connection_limit, hosts);
             state.budget.set_hosts(hosts);
             state.service.set_host_counts(hosts, hosts_in_region);
+            state.service.set_drain_time(self.settings.drain_time);
             let keys = view.keys.iter().find(|(service, _)| *service == info.name);
             let keys = keys.map(|(_, keys)| keys.clone());
             state.service.set_keys(info.is_sharded.then(|| keys.unwrap_or_default()));
