Wait for renewals that a later incarnation of a former owner may have taken

Callers may see: two upstreams hold the same keys.

Cause: when an upstream starts anew at its address, its keys are assigned to the new incarnation, and the earlier one is no longer a former owner: the new grant rules its renewals out. If that grant never arrives and the keys move on, the new incarnation is the former owner. It may have taken a renewal for the earlier one, over a connection that a keeper opened after the restart. The leader, which could reach it for no release, looked for grants to this very incarnation in the keepers' lists, found none, and counted them as expired.

Change: every grant in the lists to the same id at the same address counts, whatever the incarnation, as it may be in force there. The plan drops former owners by the same rule.

--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -375,7 +375,8 @@
         }
     }
 
-    /// Returns whether all grants of a span's keys to a former holder have certainly expired.
+    /// Returns whether all grants of a span's keys to a former holder have certainly expired, and those to earlier
+    /// incarnations, which it may have taken.
     fn has_expired(
         &self,
         table: &Table,
@@ -390,7 +391,9 @@
         possible_renewers(table).iter().all(|host| {
             self.acks.get(host).is_some_and(|ack| {
                 let sent = ack.sent.iter().filter(|(sent, _)| {
-                    sent.holder == *holder && sent.first <= span.last && span.first <= sent.last
+                    sent.holder.is_reached_as(holder)
+                        && sent.first <= span.last
+                        && span.first <= sent.last
                 });
                 let sent_at = sent.map(|(_, at)| *at).max().unwrap_or(ack.unlisted_sent_at);
                 ack.version >= table.version && now.since(sent_at) >= self.timing.grant_expiry()
--- a/crates/spans/src/plan.rs
+++ b/crates/spans/src/plan.rs
@@ -220,7 +220,7 @@
         let owner = self.candidates[target].holder.clone();
         // An earlier grant to the new owner, or to an earlier incarnation at its address, needs no release: its new grant
         // covers the same keys and rules out renewals with smaller tokens.
-        former.retain(|former| (&former.holder.id, former.holder.addr) != (&owner.id, owner.addr));
+        former.retain(|former| !former.holder.is_reached_as(&owner));
         Span { owner, fence: self.fence, is_granted: false, former, ..span }
     }
 
--- a/crates/spans/src/table.rs
+++ b/crates/spans/src/table.rs
@@ -45,6 +45,13 @@
     pub region: Region,
 }
 
+impl Holder {
+    /// Returns whether a call for one of two incarnations reaches the other if that is the one which runs.
+    pub fn is_reached_as(&self, other: &Self) -> bool {
+        self.id == other.id && self.addr == other.addr
+    }
+}
+
 /// A host that renews recorded grants.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Keeper {
