Count a replaced keeper's time from the recorded replacement

Callers may see: two upstreams hold the same keys.

Cause: a leader remembers a replaced keeper that acknowledges nothing until its proof and its last grant have expired. It counted that from its first attempt to record the replacement. While writes fail, the recorded table still names the keeper, which gets proof of it and renews. The attempt that comes when the time is over named it neither as keeper nor as retired; if that was the one to be recorded, no leader asked the keeper any more, which could renew for 14 s. It takes a leader whose writes fail for 18 s while the store accepts its heartbeats, so it is rare.

Evidence: the step test; the write after 19.1 s names the keeper nowhere.

Change: the time counts from the first tick in which the recorded table has the host among the retired ones.

--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -120,6 +120,7 @@
     moves: FastMap<SpanId, Move>,
     acks: FastMap<HostId, ReceivedAck>,
     ack_requested_at: FastMap<HostId, HostTime>,
+    /// When the leader first saw each host among the retired ones of the recorded table.
     retired_since: FastMap<HostId, HostTime>,
     avoided_until: FastMap<Holder, HostTime>,
     first_candidate_at: Option<HostTime>,
@@ -531,9 +532,12 @@
         retired.sort();
         retired.dedup();
         retired.retain(|host| {
+            // Until its replacement is recorded, the host gets proof of the table that names it.
+            if !table.retired.contains(host) {
+                return true;
+            }
             let since = *self.retired_since.entry(host.clone()).or_insert(now);
-            let has_ended =
-                table.retired.contains(host) && self.grants_have_expired(host, table, now);
+            let has_ended = self.grants_have_expired(host, table, now);
             !has_ended && now.since(since) < self.timing.expiry_without_acks()
         });
         self.retired_since.retain(|host, _| retired.contains(host));
