Ignore proof from before the start of a keeper's process

Callers may see: two upstreams hold the same keys.

Cause: a keeper acknowledges a table, so that the leader waits no longer than for the grants it listed. If it starts anew and can't reach the store, it takes tables from other hosts. One that lags behind sends the former table, with its own proof from before the newer table was recorded. The new process renews by that until the proof expires, up to 14 s. An upstream that could be reached for no release takes such a renewal, as it has seen no larger token.

Change: proof counts from the start of the process. Whatever an earlier process acknowledged was recorded before that, so a table that was the newest since then is at least as new. A host that starts during an outage of the store renews nothing until the outage ends; before, it did so for at most the rest of 14 s. Other keepers' renewals go on as before.

--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -159,9 +159,12 @@
         self.table = Some(table);
     }
 
-    /// Records proof that at time `at` no table was newer than the one known.
+    /// Records proof that at time `at` no table was newer than the one known. Proof from before the start of the process
+    /// does not count: an earlier process of this host may have acknowledged a newer table since.
     pub fn prove(&mut self, at: HostTime) {
-        self.proof_at = self.proof_at.max(at);
+        if at >= self.started_at {
+            self.proof_at = self.proof_at.max(at);
+        }
     }
 
     /// Returns whether the last proof is recent enough for this host to send grants of its table.
