Add a failing test: a call is sent after its time has passed

Callers may see: two upstreams hold the same keys.

A host that is stopped while it opens a connection for a grant finds the connection open when it runs again. The call is written before its time-out is looked at, however long ago that was: the sender counts the grant from the decision, 3 s of lifetime from the arrival. Detours look at the clock once their connection is open, direct calls don't.

--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use rstest::rstest;
-use skylarkdock_edge::client::{Conn, Failure, Outgoing, Reply};
+use skylarkdock_edge::client::{Conn, ControlClient, Failure, Outgoing, Reply};
 use skylarkdock_edge::upstreams::{HeaderNames, ReplyKind};
 use skylarkdock_http1::head::Headers;
 use skylarkdock_units::times::Millis;
@@ -113,3 +113,23 @@
     };
     assert!(async_io::block_on(Conn::open(addr, Millis(500))).is_err());
 }
+
+/// The process may be stopped while it opens a connection. A grant that is sent after that counts from its arrival, and
+/// its sender has counted it as expired by then.
+#[test]
+fn a_call_whose_time_passed_while_it_opened_a_connection_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let timeout = Millis(100);
+    let mut client = ControlClient::new(listener.local_addr().unwrap());
+    let req = Outgoing::new("POST", "/", &Headers::default(), b"grant");
+    let mut call = Box::pin(client.call(&req, timeout));
+    let begun = async_io::block_on(futures_lite::future::poll_once(&mut call));
+    assert!(begun.is_none(), "{begun:?}");
+    let (mut stream, _) = listener.accept().unwrap();
+    thread::sleep(timeout.duration() * 2);
+    let end = async_io::block_on(call);
+    let mut buf = Vec::new();
+    let _ = stream.read_to_end(&mut buf);
+    assert_eq!(String::from_utf8_lossy(&buf), "");
+    assert!(matches!(end, Err(Failure::NotSent(_))), "{end:?}");
+}
