Don't send a call whose time passed while its connection was opened

Callers may see: two upstreams hold the same keys.

Cause: `ControlClient::call` opens a connection, then writes the request and waits for the answer until the time that is left has passed. The write comes first, even if nothing is left. A host that is stopped between the two and goes on later sends a grant or a renewal then, which was counted from its decision.

Change: the call ends as not sent if its time has passed once the connection is open. Time is taken from the host's clock, which also runs while the host is suspended, like the times that grants are counted from. A kept connection is written to at once, with no wait after the decision was confirmed.

The tests of the crate pass.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client for upstreams, the store and other hosts. A connection carries one request at a time.
 
+use crate::clock;
 use crate::net;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
@@ -352,9 +353,9 @@
     ///
     /// # Errors
     ///
-    /// Returns the errors of [`exchange_within`], and [`Failure::NotSent`] if the connection can't be opened.
+    /// Returns the errors of [`exchange_within`], and [`Failure::NotSent`] if the connection can't be opened in time.
     pub async fn call(&mut self, req: &Outgoing, timeout: Millis) -> Result<Reply, Failure> {
-        let started = Instant::now();
+        let give_up_at = clock::now() + timeout;
         let kept = self.conn.take().filter(|conn| conn.used_at.elapsed() < CONTROL_IDLE_TIMEOUT);
         let mut conn = match kept {
             Some(conn) if conn.is_clean() => conn,
@@ -367,8 +368,12 @@
                 Failure::NotSent(e)
             })?,
         };
-        let left = timeout.duration().saturating_sub(started.elapsed());
-        let left = Millis(u64::try_from(left.as_millis()).unwrap_or(u64::MAX));
+        let left = give_up_at.since(clock::now());
+        if left == Millis(0) {
+            // The process may have been stopped meanwhile.
+            self.consecutive_failures += 1;
+            return Err(Failure::NotSent(io::ErrorKind::TimedOut.into()));
+        }
         match exchange_within(&mut conn, req, left).await {
             Ok((reply, reusable)) => {
                 self.consecutive_failures = 0;
