--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -120,6 +120,7 @@
     moves: FastMap<SpanId, Move>,
     acks: FastMap<HostId, ReceivedAck>,
     ack_requested_at: FastMap<HostId, HostTime>,
+    /// When the leader first saw each host among the retired ones of the recorded table.
     retired_since: FastMap<HostId, HostTime>,
     avoided_until: FastMap<Holder, HostTime>,
     first_candidate_at: Option<HostTime>,
@@ -375,7 +376,8 @@
         }
     }
 
-    /// Returns whether all grants of a span's keys to a former holder have certainly expired.
+    /// Returns whether all grants of a span's keys to a former holder have certainly expired, and those to earlier
+    /// incarnations, which it may have taken.
     fn has_expired(
         &self,
         table: &Table,
@@ -390,7 +392,9 @@
         possible_renewers(table).iter().all(|host| {
             self.acks.get(host).is_some_and(|ack| {
                 let sent = ack.sent.iter().filter(|(sent, _)| {
-                    sent.holder == *holder && sent.first <= span.last && span.first <= sent.last
+                    sent.holder.is_reached_as(holder)
+                        && sent.first <= span.last
+                        && span.first <= sent.last
                 });
                 let sent_at = sent.map(|(_, at)| *at).max().unwrap_or(ack.unlisted_sent_at);
                 ack.version >= table.version && now.since(sent_at) >= self.timing.grant_expiry()
@@ -528,9 +532,12 @@
         retired.sort();
         retired.dedup();
         retired.retain(|host| {
+            // Until its replacement is recorded, the host gets proof of the table that names it.
+            if !table.retired.contains(host) {
+                return true;
+            }
             let since = *self.retired_since.entry(host.clone()).or_insert(now);
-            let has_ended =
-                table.retired.contains(host) && self.grants_have_expired(host, table, now);
+            let has_ended = self.grants_have_expired(host, table, now);
             !has_ended && now.since(since) < self.timing.expiry_without_acks()
         });
         self.retired_since.retain(|host, _| retired.contains(host));
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -161,9 +161,12 @@
         self.table = Some(table);
     }
 
-    /// Records proof that at time `at` no table was newer than the one known.
+    /// Records proof that at time `at` no table was newer than the one known. Proof from before the start of the process
+    /// does not count: an earlier process of this host may have acknowledged a newer table since.
     pub fn prove(&mut self, at: HostTime) {
-        self.proof_at = self.proof_at.max(at);
+        if at >= self.started_at {
+            self.proof_at = self.proof_at.max(at);
+        }
     }
 
     /// Returns whether the last proof is recent enough for this host to send grants of its table.
@@ -235,6 +238,12 @@
         may_send
     }
 
+    /// Returns whether a table that was planned earlier may still be written: it must follow the newest one known. The store
+    /// only checks that this host knows all records, and meanwhile it may have read a table of another leader.
+    pub fn confirm_write(&self, table: &Table) -> bool {
+        table.version == self.table.as_ref().map_or(0, |known| known.version) + 1
+    }
+
     /// Records that the upstream confirmed a grant which this host sent as leader.
     pub fn on_granted(&mut self, grant: &Grant) {
         self.granted.insert((grant.first, grant.last, grant.fence));
--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -106,6 +106,7 @@
 })]
 #[case::grants_are_sent_after_a_wait_without_another_look(60, Safeguards { confirms_sends: false, ..Safeguards::default() })]
 #[case::keys_are_not_released_at_later_incarnations(380, Safeguards { releases_later_incarnations: false, ..Safeguards::default() })]
+#[case::tables_are_written_after_a_wait_without_another_look(1, Safeguards { confirms_writes: false, ..Safeguards::default() })]
 fn the_simulation_detects_a_missing_safeguard(#[case] first: u64, #[case] safeguards: Safeguards) {
     let found = (first..first + 400)
         .any(|seed| run(seed, safeguards).is_err_and(|violation| violation.contains("is held by")));
