Add a failing test: a host that was stopped renews by old proof

Callers may see: two upstreams hold the same keys.

A keeper that can't reach the store renews for up to 14 s after its last proof. If it is stopped meanwhile, an owner may release the keys, end, and start anew at its address without the token of the release. When the keeper goes on, it renews before it reads anything, and the new incarnation takes that.

--- a/crates/spans/tests/other_hosts_grants.rs
+++ b/crates/spans/tests/other_hosts_grants.rs
@@ -4,7 +4,7 @@
 
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
-use skylarkdock_spans::renewal::{Ack, CallEnd, LastSent, Renewals};
+use skylarkdock_spans::renewal::{Ack, CallEnd, LastSent, Purpose, Renewals};
 use skylarkdock_spans::table::{FencingToken, FormerGrant, Holder, Keeper, Span, Table};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::measures::HostSize;
@@ -152,3 +152,20 @@
     renewals.adopt(Table { leader: "k".parse().unwrap(), ..planned.clone() });
     assert!(!renewals.confirm_write(&planned));
 }
+
+/// While the host was stopped, the holder may have released the keys and started anew, so that it takes a renewal with the
+/// former token.
+#[test]
+fn a_host_that_was_stopped_renews_nothing_by_proof_from_before() {
+    let started = HostTime(START.0 - 1_000);
+    let mut renewals = Renewals::new("k".parse().unwrap(), "r".parse().unwrap(), TIMING, started);
+    renewals.adopt(table(3, &holder("a", 1), 3, None));
+    renewals.prove(START);
+    let due = renewals.due_renewals(START);
+    assert_eq!(due.len(), 1);
+    let now = START + TIMING.hold + Millis(1_000);
+    assert!(!renewals.confirm_send(&due[0], Purpose::Renewal, now));
+    assert_eq!(renewals.due_renewals(now), []);
+    renewals.prove(now);
+    assert_eq!(renewals.due_renewals(now + TICK).len(), 1);
+}
