Renew nothing by proof from before the host was stopped

Callers may see: two upstreams hold the same keys.

Cause: a keeper that can't reach the store renews for up to 14 s after its last proof. If it is stopped meanwhile, an owner may release the keys, end, and start anew at its address without the token of the release. When the keeper goes on, it renews before it reads anything, and the new incarnation takes that.

Change: a pause of a grant's lifetime between two looks at the due renewals counts as a stop. Proof from before it does not count any more; the next read of the store, or an update of another host, is proof again. The host's grants have expired in that time anyway.

--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -117,6 +117,10 @@
     started_at: HostTime,
     table: Option<Table>,
     proof_at: HostTime,
+    /// Start of the process, or the end of the last time for which it was stopped. Proof from before does not count.
+    proof_since: HostTime,
+    /// When the due renewals were last asked for; zero before the first time.
+    checked_at: HostTime,
     holders: FastMap<Holder, HolderState>,
     /// When each span was last granted or renewed; zero for one that is due at once.
     renewed_at: FastMap<(u16, u16, FencingToken), HostTime>,
@@ -137,6 +141,8 @@
             started_at: now,
             table: None,
             proof_at: HostTime(0),
+            proof_since: now,
+            checked_at: HostTime(0),
             holders: FastMap::default(),
             renewed_at: FastMap::default(),
             granted: FastSet::default(),
@@ -164,7 +170,7 @@
     /// Records proof that at time `at` no table was newer than the one known. Proof from before the start of the process
     /// does not count: an earlier process of this host may have acknowledged a newer table since.
     pub fn prove(&mut self, at: HostTime) {
-        if at >= self.started_at {
+        if at >= self.proof_since {
             self.proof_at = self.proof_at.max(at);
         }
     }
@@ -174,8 +180,21 @@
         self.proof_at.0 > 0 && now.since(self.proof_at) < self.timing.proof_lifetime
     }
 
-    /// Returns the renewals that are due, and records them as sent.
+    /// Drops the proof if the process was stopped for a grant lifetime: in that time a holder may have released keys and
+    /// started anew, so that it takes a renewal with the former token.
+    fn notice_stop(&mut self, now: HostTime) {
+        if self.checked_at.0 > 0 && now.since(self.checked_at) > self.timing.hold {
+            self.proof_since = now;
+            self.proof_at = HostTime(0);
+            self.checked_at = now;
+        }
+    }
+
+    /// Returns the renewals that are due, and records them as sent. Has to be called all the time, also on hosts that are
+    /// no keepers, as a pause counts as a time for which the process was stopped.
     pub fn due_renewals(&mut self, now: HostTime) -> Vec<Grant> {
+        self.notice_stop(now);
+        self.checked_at = now;
         let Some(table) = &self.table else { return Vec::new() };
         if !self.is_keeper(table) || !self.has_proof(now) {
             return Vec::new();
@@ -224,6 +243,7 @@
     /// Returns whether a grant that was decided on earlier may be sent now, and records it as sent if so. While it waited
     /// for another call to the holder, the keys may have got another owner, or the holder may have been suspended.
     pub fn confirm_send(&mut self, grant: &Grant, purpose: Purpose, now: HostTime) -> bool {
+        self.notice_stop(now);
         let Some(table) = &self.table else { return false };
         let span = table.span(grant.first).filter(|span| span.matches(grant));
         let may_send = self.has_proof(now)
