--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -568,7 +568,7 @@
     let owners = table.spans.iter().map(|span| &span.owner);
     let is_dead = |holder: &&Holder| {
         let entry = registry.entry(&holder.id);
-        entry.is_some_and(|entry| entry.born > holder.born && entry.addr != holder.addr)
+        entry.is_some_and(|entry| holder.has_ended(entry.born, entry.addr))
     };
     former.chain(owners).filter(is_dead).cloned().collect()
 }
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -161,6 +161,29 @@
     assert!(granted_at.unwrap().since(started) >= TIMING.expiry_without_acks());
 }
 
+/// A keeper that has not heard of a restart may renew for the earlier incarnation, and the later one would take that.
+#[test]
+fn keys_are_released_at_a_later_incarnation_at_the_same_address() {
+    let earlier = holder("b");
+    let elsewhere = ([127, 0, 0, 1], 9_001).into();
+    assert!(!earlier.has_ended(2, earlier.addr));
+    assert!(!earlier.has_ended(1, elsewhere));
+    assert!(earlier.has_ended(2, elsewhere));
+    // Neither candidate nor dead: the later incarnation is not listed as able to own keys yet.
+    let mut fixture = Fixture::new();
+    let mut released = Vec::new();
+    for _ in 0..20 {
+        for action in fixture.tick(&["a"]) {
+            match action {
+                Action::Grant(grant) => panic!("granted before the release: {grant:?}"),
+                Action::Release(release) => released.push(release.holder),
+                other => fixture.carry_out(other),
+            }
+        }
+    }
+    assert!(!released.is_empty() && released.iter().all(|holder| *holder == earlier));
+}
+
 /// A keeper that another one of its availability zone replaced has sent grants that its successor knows nothing of.
 #[test]
 fn keys_are_not_granted_before_the_grants_of_a_replaced_keeper_expire() {
