Count a replaced keeper's time anew after another leader's tables

Callers may see: two upstreams hold the same keys.

Cause: a leader remembers when it first saw a host among the retired ones, and drops it from them when its proof and grants must have expired since. A leader that was stopped while another led and made that host a keeper again kept the time of the earlier retirement: it dropped the host at once, with grants in force that no one asked for any more.

Evidence: seed 513 of the fuzz: a keeper renews, is retired in the next table and gone from the one after it 25 ms later.

Change: the times of hosts that a table does not list as retired are dropped with each table, and all of them if tables in between were not seen.

--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -166,9 +166,17 @@
 
     /// Adopts a recorded table if it is newer than the one known.
     pub fn on_table(&mut self, table: &Table) {
-        if self.table.as_ref().is_none_or(|known| known.version < table.version) {
-            self.table = Some(table.clone());
+        let known = self.table.as_ref().map_or(0, |known| known.version);
+        if known >= table.version {
+            return;
+        }
+        if table.version == known + 1 {
+            self.retired_since.retain(|host, _| table.retired.contains(host));
+        } else {
+            // A host that is retired in both may have been a keeper in between.
+            self.retired_since.clear();
         }
+        self.table = Some(table.clone());
     }
 
     /// Handles the result of a write. If a table was recorded although `is_recorded` is false, the leader gets it
--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -112,6 +112,7 @@
 #[case::by_a_leader_that_the_table_did_not_name(1081)]
 #[case::by_a_leader_that_the_table_did_not_name(1189)]
 #[case::by_a_keeper_that_was_replaced(1089)]
+#[case::by_a_keeper_that_was_replaced_again_while_the_leader_was_stopped(513)]
 fn a_grant_of_another_host_is_waited_for(#[case] seed: u64) {
     run(seed, Safeguards::default()).unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
 }
