Pass a table on as soon as its write is confirmed

Callers of a host that started in an outage of the store were refused for keys that the other hosts served (key_unowned), until the outage ended.

A host uses a table that it wrote once the store has confirmed the write, but passed it on only after it had read it back. Between two reads of the fleet topic it pauses for 0.1 s. If the outage begins in that pause, the host never reads its table, and a host that starts in the outage gets the configuration and the registry from it but no owners of keys.

Record the table among the records for other hosts when its write is confirmed. The write is conditional, so the host knows all records before it, and the time at which the write was sent is proof for them as well. A read under way during the write may end later with older records. These replaced newer ones; now a record known from after the page stays.

--- a/crates/edge/src/control/known_records.rs
+++ b/crates/edge/src/control/known_records.rs
@@ -11,34 +11,37 @@
 
 /// Records of a topic other than the registry that this host knows.
 #[derive(Default, Clone)]
-pub(super) struct TopicRecords {
+pub struct TopicRecords {
     /// Newest value of each key, empty for a deleted one, and the offset after the page that contained it.
-    pub(super) records: FastMap<String, (Vec<u8>, u64)>,
+    pub records: FastMap<String, (Vec<u8>, u64)>,
     /// Offset after the last known record.
-    pub(super) next: u64,
+    pub next: u64,
     /// Latest time at which the store is known to have had no newer record.
-    pub(super) proof_at: HostTime,
+    pub proof_at: HostTime,
 }
 
 /// Records and registry changes that this host can send to others.
-pub(super) struct KnownRecords {
+pub struct KnownRecords {
     /// Random id of this process. Versions of different runs can't be compared.
-    pub(super) run: u64,
-    pub(super) config: TopicRecords,
-    pub(super) fleet: TopicRecords,
-    pub(super) registry_proof_at: HostTime,
+    pub run: u64,
+    /// Records of the operators' configuration.
+    pub config: TopicRecords,
+    /// Records written by the entry hosts.
+    pub fleet: TopicRecords,
+    /// Latest time at which the store is known to have had no newer change of the registry.
+    pub registry_proof_at: HostTime,
     /// Latest time at which the store is known to have accepted a leader's heartbeat; `None` if it never did.
-    pub(super) leader_seen_at: Option<HostTime>,
+    pub leader_seen_at: Option<HostTime>,
     /// Latest changes of the registry, at most `MAX_CHANGES`.
-    pub(super) changes: VecDeque<RegistryChange>,
+    pub changes: VecDeque<RegistryChange>,
     /// Number of registry changes since the process started, including those no longer kept.
-    pub(super) version: u64,
+    pub version: u64,
     /// Whether this host has received updates since it last had no source of them.
-    pub(super) has_source: bool,
+    pub has_source: bool,
     /// Whether the source's own reads of the registry fail.
-    pub(super) source_reads_fail: bool,
+    pub source_reads_fail: bool,
     /// Whether this host's last read of the registry failed.
-    pub(super) reads_fail: bool,
+    pub reads_fail: bool,
 }
 
 impl Default for KnownRecords {
@@ -59,32 +62,32 @@
 }
 
 impl KnownRecords {
-    pub(super) fn topic(&mut self, topic: Topic) -> &mut TopicRecords {
+    /// Returns the records of a topic other than the registry.
+    pub fn topic(&mut self, topic: Topic) -> &mut TopicRecords {
         if topic == Topic::Config { &mut self.config } else { &mut self.fleet }
     }
 
     /// Stores a page of a topic, of which the store had no newer records at `proof_at`. For the registry only the
-    /// time is stored. With `is_whole` the page contains all keys, and others count as deleted.
-    pub(super) fn record_page(
-        &mut self,
-        topic: Topic,
-        page: &Page,
-        is_whole: bool,
-        proof_at: HostTime,
-    ) {
+    /// time is stored. With `is_whole` the page contains all keys, and others count as deleted. Records that this host knows
+    /// from after the page stay: it may have written them while the page was read.
+    pub fn record_page(&mut self, topic: Topic, page: &Page, is_whole: bool, proof_at: HostTime) {
         if topic == Topic::Upstreams {
             self.registry_proof_at = self.registry_proof_at.max(proof_at);
             return;
         }
         let known = self.topic(topic);
         if is_whole {
-            for (value, offset) in known.records.values_mut().filter(|(value, _)| !value.is_empty())
-            {
+            let present = known.records.values_mut().filter(|(value, _)| !value.is_empty());
+            for (value, offset) in present.filter(|(_, offset)| *offset <= page.next) {
                 value.clear();
                 *offset = page.next;
             }
         }
         for record in &page.records {
+            let is_older = |(_, offset): &(Vec<u8>, u64)| page.next < *offset;
+            if known.records.get(&record.key).is_some_and(is_older) {
+                continue;
+            }
             known.records.insert(record.key.clone(), (record.value.clone(), page.next));
         }
         known.next = known.next.max(page.next);
@@ -92,7 +95,7 @@
     }
 
     /// Stores changes of the registry, each with the next version.
-    pub(super) fn record_changes(&mut self, changes: &[RegistryChange]) {
+    pub fn record_changes(&mut self, changes: &[RegistryChange]) {
         for change in changes {
             self.version += 1;
             self.changes.push_back(change.clone());
@@ -103,22 +106,22 @@
     }
 
     /// Records whether this host's last read of the registry failed.
-    pub(super) const fn set_reads_fail(&mut self, reads_fail: bool) {
+    pub const fn set_reads_fail(&mut self, reads_fail: bool) {
         self.reads_fail = reads_fail;
     }
 
     /// Returns whether this host gets updates from another.
-    pub(super) const fn has_source(&self) -> bool {
+    pub const fn has_source(&self) -> bool {
         self.has_source
     }
 
     /// Returns whether the own reads of the host that sends updates to this one fail.
-    pub(super) const fn source_reads_fail(&self) -> bool {
+    pub const fn source_reads_fail(&self) -> bool {
         self.source_reads_fail
     }
 
     /// Returns the latest time at which the store is known to have had no newer record of a topic.
-    pub(super) const fn proof_at(&self, topic: Topic) -> HostTime {
+    pub const fn proof_at(&self, topic: Topic) -> HostTime {
         match topic {
             Topic::Config => self.config.proof_at,
             Topic::Upstreams => self.registry_proof_at,
@@ -127,17 +130,17 @@
     }
 
     /// Returns the latest time at which the store is known to have accepted a leader's heartbeat, if it ever did.
-    pub(super) const fn leader_seen_at(&self) -> Option<HostTime> {
+    pub const fn leader_seen_at(&self) -> Option<HostTime> {
         self.leader_seen_at
     }
 
     /// Records that the store accepted a leader's heartbeat which was sent at `at`.
-    pub(super) fn record_leader(&mut self, at: HostTime) {
+    pub fn record_leader(&mut self, at: HostTime) {
         self.leader_seen_at = self.leader_seen_at.max(Some(at));
     }
 
     /// Returns the offset from which to continue reading the store; `None` to start with the newest record of each key.
-    pub(super) const fn next(&self, topic: Topic) -> Option<u64> {
+    pub const fn next(&self, topic: Topic) -> Option<u64> {
         match topic {
             Topic::Config => Some(self.config.next),
             // Changes received from other hosts have no offsets.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -2,7 +2,7 @@
 //! the owners of keys.
 
 mod election;
-mod known_records;
+pub mod known_records;
 mod owners;
 mod peers;
 pub mod registry;
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -415,10 +415,14 @@
         };
         let record = Record { key: format!("{TABLE_PREFIX}{}", table.service), value };
         counter!("skylarkdock_store_calls_total", "call" => "append").increment(1);
-        match (self.store.append)(vec![record], end).await {
+        let asked_at = clock::now();
+        match (self.store.append)(vec![record.clone()], end).await {
             Ok(end) => {
                 let mut fleet = self.fleet.borrow_mut();
                 fleet.fleet_end = fleet.fleet_end.max(end);
+                // Hosts that start in an outage need the table even if this host can't read it any more.
+                let page = Page { records: vec![record], next: end };
+                fleet.known_records.record_page(Topic::Fleet, &page, false, asked_at);
                 true
             }
             Err(StoreError::Conflict) => {
