trials: count the upstreams that crashed by their processes

The test of a request that crashes upstreams counted those whose status call failed. The call has a time-out, so an upstream that was slow on a busy machine counted as crashed, and a failure did not tell which it was.

Count the processes that have ended instead, and require that each ended with the status of the crash, that there is at least one, and that each of the others answers. The bound of two is the same.

--- a/crates/trials/src/fleet/upstreams.rs
+++ b/crates/trials/src/fleet/upstreams.rs
@@ -14,6 +14,7 @@
 use skylarkdock_standins::upstream::service::Owners;
 use skylarkdock_units::ids::{UpstreamId, Zone};
 use std::net::SocketAddr;
+use std::process::ExitStatus;
 
 const MAX_RETAINED_RUNS: &str = "2000000";
 const REQUEST_SLOTS: &str = "64";
@@ -81,6 +82,16 @@
         all.filter(|index| self.upstreams[*index].state == ProcessState::Running).collect()
     }
 
+    /// Returns the exit status of an upstream's process, or `None` while it runs.
+    ///
+    /// # Errors
+    /// Fails when the upstream has no process or it can't be waited for.
+    pub fn upstream_exit_status(&mut self, index: usize) -> Result<Option<ExitStatus>, TrialError> {
+        let upstream = &mut self.upstreams[index];
+        let not_running = upstream.not_running_error();
+        Ok(upstream.process.as_mut().ok_or(not_running)?.ended()?)
+    }
+
     /// Starts an upstream, on its previous address if it has run before.
     ///
     /// # Errors
--- a/crates/trials/tests/upstreams.rs
+++ b/crates/trials/tests/upstreams.rs
@@ -8,10 +8,13 @@
 use skylarkdock_standins::upstream::faults::UpstreamFaults;
 use skylarkdock_trials::history::AttemptResult;
 use skylarkdock_trials::waiting;
+use std::process::ExitStatus;
 use support::TrialFleet;
 
 const SENT_COPIES: usize = 4;
 const MAX_CRASHED_UPSTREAMS: usize = 2;
+/// Exit status of a stand-in upstream that a request crashed.
+const CRASH_EXIT_CODE: i32 = 134;
 
 #[test]
 fn draining_upstream_loses_its_ranges_without_interrupting_requests() {
@@ -57,12 +60,11 @@
 
 #[test]
 fn a_request_that_crashes_upstreams_ends_few_and_is_reported_unknown() {
-    let trial = TrialFleet::start(support::settings("crashing-request"));
+    let mut trial = TrialFleet::start(support::settings("crashing-request"));
     let faults = UpstreamFaults { crash_on: Some("poison".to_owned()), ..Default::default() };
     for index in trial.fleet.running_upstreams() {
         trial.fleet.set_upstream_faults(index, &faults).unwrap();
     }
-    let initial_count = trial.fleet.running_upstreams().len();
     let entries = trial.fleet.http_addresses();
     let send = |copy: usize| {
         support::send_once(&trial.executor, entries[copy % entries.len()], "poison", false)
@@ -73,10 +75,20 @@
         let answer = send(copy);
         assert!(!support::is_done(&answer), "{answer:?}");
     }
-    let upstreams = trial.fleet.running_upstreams();
-    let answering =
-        upstreams.iter().filter(|index| trial.fleet.upstream_running_requests(**index).is_ok());
-    assert!(initial_count - answering.count() <= MAX_CRASHED_UPSTREAMS);
+    // An upstream that does not answer in time may be busy only, so the processes show which have crashed.
+    let mut ended: Vec<ExitStatus> = Vec::new();
+    for index in trial.fleet.running_upstreams() {
+        if let Some(status) = trial.fleet.upstream_exit_status(index).unwrap() {
+            ended.push(status);
+            continue;
+        }
+        waiting::until("an upstream that has not ended answers", || {
+            Ok(trial.fleet.upstream_running_requests(index).is_ok())
+        })
+        .unwrap();
+    }
+    assert!((1..=MAX_CRASHED_UPSTREAMS).contains(&ended.len()), "{ended:?}");
+    assert!(ended.iter().all(|status| status.code() == Some(CRASH_EXIT_CODE)), "{ended:?}");
     // The run histories of crashed upstreams are lost, so the histories are not checked.
     trial.wait_until_served();
 }
