Log broken connections and reported ends of upstreams

An operator could not tell an end that no host noticed from one that was noticed and judged too mildly: hosts logged only the ends that they saw themselves. A broken connection and a report of another host now have a line and a counter each, with the fingerprint of the request.

--- a/crates/edge/src/traffic/crash_reports.rs
+++ b/crates/edge/src/traffic/crash_reports.rs
@@ -3,6 +3,7 @@
 use super::Traffic;
 use super::reports::NameHash;
 use crate::clock;
+use metrics::counter;
 use serde::{Deserialize, Serialize};
 use skylarkdock_dispatch::crash_tracker::{Crash, Fingerprint};
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
@@ -44,6 +45,9 @@
             let upstream = services.get(service).and_then(|state| state.service.upstream(id));
             upstream.map_or(1, |upstream| upstream.load(now))
         };
+        counter!("skylarkdock_crash_evidence_total", "kind" => "broken").increment(1);
+        log::info!(upstream:% = id, fingerprint = fingerprint.0, load = load;
+            "crashes: a connection broke before the answer");
         self.crash_tracker.borrow_mut().on_broken(id, fingerprint, load, now);
     }
 
@@ -57,6 +61,7 @@
         else {
             return;
         };
+        counter!("skylarkdock_crash_evidence_total", "kind" => "own").increment(1);
         log::info!(upstream:% = id, in_flight = crash.in_flight.len(), load = crash.load;
             "crashes: an upstream ended with requests in flight");
         self.reported_crashes.borrow_mut().push(ReportedCrash { since: now, crash });
@@ -90,6 +95,9 @@
             let in_flight = report.in_flight.into_iter().map(Fingerprint).collect();
             let crash = Crash { upstream: report.upstream.0, in_flight, load: report.load };
             if tracker.on_crash(&crash, now) {
+                counter!("skylarkdock_crash_evidence_total", "kind" => "reported").increment(1);
+                log::info!(upstream = crash.upstream, in_flight = crash.in_flight.len(), load = crash.load;
+                    "crashes: another host reports that an upstream ended");
                 // Reports of many hosts are relayed, so the crashes in them are passed on.
                 self.reported_crashes.borrow_mut().push(ReportedCrash { since: now, crash });
             }
