--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`stats`] counts what the callers got, and [`chart`] draws it over the offered load. Equal seeds give equal results.
 
 pub mod chart;
+pub mod crashes;
 pub mod limits;
 pub mod policy;
 pub mod shape;
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -3,6 +3,7 @@
 use eyre::{WrapErr, eyre};
 use pico_args::Arguments;
 use skylarkdock_emulator::chart::{self, Curve};
+use skylarkdock_emulator::crashes::{self, Scenario};
 use skylarkdock_emulator::policy::Policy;
 use skylarkdock_emulator::shape::Shape;
 use skylarkdock_emulator::simulation;
@@ -14,6 +15,7 @@
 Simulates load shapes on entry hosts in virtual time and compares their routing with baseline policies.
 
 Usage: skylarkdock-emulator SHAPE... [OPTIONS]
+       skylarkdock-emulator --crashes [--seed N]
 
 Options:
   --seed N          seed of the random number generator [1]
@@ -21,6 +23,7 @@
   --only POLICY     only dispatch, ignore-rest, no-queue, least-in-flight or round-robin
   --hosts N         number of hosts, instead of that of the shape
   --html FILE       write charts to a self-contained HTML page
+  --crashes         simulate requests that crash upstreams, with 12 to 300 hosts
 
 Examples:
   skylarkdock-emulator crates/emulator/shapes/slow-part.json
@@ -45,6 +48,10 @@
 
 fn run(mut args: Arguments) -> eyre::Result<()> {
     let seed: u64 = args.opt_value_from_str("--seed")?.unwrap_or(1);
+    if args.contains("--crashes") {
+        print_crash_table(seed);
+        return Ok(());
+    }
     let loads: String =
         args.opt_value_from_str("--loads")?.unwrap_or_else(|| DEFAULT_LOADS.to_owned());
     let loads: Result<Vec<f64>, _> = loads.split(',').map(str::parse).collect();
@@ -75,6 +82,53 @@
     Ok(())
 }
 
+fn print_crash_table(seed: u64) {
+    println!(
+        "| hosts | upstreams | scenario | ended | sends after {} ms | after {} ms | other requests | refused | popular one refused for ms |",
+        crashes::LEARNING_MS,
+        crashes::WINDOW_MS
+    );
+    println!("| ---: | ---: | --- | ---: | ---: | ---: | ---: | ---: | ---: |");
+    for (hosts, upstreams) in [(12, 12), (79, 94), (300, 360)] {
+        let calm = Scenario {
+            hosts,
+            upstreams,
+            crashing_per_s: 0.0,
+            mass_restarts_at: &[],
+            is_silent: false,
+            length_ms: 60_000,
+            seed,
+        };
+        let restarts: &[u64] = &[10_000, 25_000, 28_000];
+        let scenarios = [
+            ("one each 2 s", Scenario { crashing_per_s: 0.5, ..calm }),
+            ("2 a second", Scenario { crashing_per_s: 2.0, ..calm }),
+            ("10 a second", Scenario { crashing_per_s: 10.0, ..calm }),
+            (
+                "one each 2 s, silent ends",
+                Scenario { crashing_per_s: 0.5, is_silent: true, ..calm },
+            ),
+            ("mass restarts", Scenario { mass_restarts_at: restarts, ..calm }),
+            (
+                "mass restarts, 2 a second",
+                Scenario { mass_restarts_at: restarts, crashing_per_s: 2.0, ..calm },
+            ),
+        ];
+        for (name, scenario) in scenarios {
+            let stats = crashes::simulate(scenario);
+            println!(
+                "| {hosts} | {upstreams} | {name} | {} | {} | {} | {} | {} | {} |",
+                stats.ended,
+                stats.sends_when_known,
+                stats.late_sends,
+                stats.others,
+                stats.refused,
+                stats.longest_refusal_ms
+            );
+        }
+    }
+}
+
 type PolicyRuns = Vec<(Policy, Vec<(f64, RunStats)>)>;
 
 fn simulate(shape: &Shape, policies: &[Policy], loads: &[f64], seed: u64) -> PolicyRuns {
