Take a refused connection for an end if another host has no path either

An upstream that refused a connection counted as ended only if the host that was asked for a detour was refused itself.

The client of detours now tells 'another host does not reach it either' from 'no host could be asked', and a request whose own connection was refused ends as refused in the first case. Grants and releases take both as unknown, as before.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -171,7 +171,7 @@
                 self.on_call_failure(service, &grant.holder, &refused);
                 CallEnd::Unknown
             }
-            Err(DetourError::NoDetour) => CallEnd::Unknown,
+            Err(DetourError::NoDetour | DetourError::Unreached) => CallEnd::Unknown,
         };
         Some(end)
     }
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -119,9 +119,12 @@
 /// Why a call could not be made over another host. Nothing was sent to the upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum DetourError {
-    /// No other host reaches the upstream, or none is known.
-    #[error("no other host reaches the upstream")]
+    /// No other host could be asked.
+    #[error("no other host can be asked")]
     NoDetour,
+    /// Another host, which reaches other upstreams, does not reach this one or does not know it.
+    #[error("another host does not reach the upstream either")]
+    Unreached,
     /// The upstream refused a connection of another host, too.
     #[error("the upstream refuses connections of other hosts")]
     Refused,
@@ -173,7 +176,7 @@
                     }
                     if !is_cut_off {
                         // Two hosts did not reach it, so it has probably ended.
-                        return Err(DetourError::NoDetour);
+                        return Err(DetourError::Unreached);
                     }
                 }
                 Err(Failure::NotSent(e)) => {
@@ -456,7 +459,7 @@
 impl From<DetourError> for io::Error {
     fn from(error: DetourError) -> Self {
         let kind = match error {
-            DetourError::NoDetour => ErrorKind::NotConnected,
+            DetourError::NoDetour | DetourError::Unreached => ErrorKind::NotConnected,
             DetourError::Refused => ErrorKind::ConnectionRefused,
         };
         Self::new(kind, error)
--- a/crates/edge/src/traffic/detours.rs
+++ b/crates/edge/src/traffic/detours.rs
@@ -26,7 +26,7 @@
     /// # Errors
     ///
     /// Fails if no other host reaches the upstream either, with [`io::ErrorKind::ConnectionRefused`] only if the
-    /// upstream refuses connections from everywhere.
+    /// upstream refused a connection and none was opened from elsewhere.
     pub(super) async fn exchange_over_detour(
         &self,
         addr: SocketAddr,
@@ -48,13 +48,14 @@
         match (forwarded, direct) {
             (Ok(result), _) => Ok(result),
             (Err(_), Some(direct)) if intermediaries.is_empty() => Err(direct),
-            (Err(error @ DetourError::Refused), _) => Err(error.into()),
-            (Err(error @ DetourError::NoDetour), _) => Err(error.into()),
+            // What this host learnt itself says more than that another one does not reach it either.
+            (Err(DetourError::Unreached), Some(direct)) => Err(direct),
+            (Err(error), _) => Err(error.into()),
         }
     }
 
     /// Returns the hosts that calls may go over.
-    fn intermediaries(&self) -> Vec<Intermediary> {
+    pub(super) fn intermediaries(&self) -> Vec<Intermediary> {
         let view = self.view.borrow();
         let intermediary = |peer: &PeerInfo| Intermediary {
             addr: peer.calls,
