Refuse a request after three crashes, and remember it

Causes, each shown by a test that failed: the suspicion of a crash was divided by the load, so that up to six crashes were needed; all was forgotten after 12 s; an end was proved only by a connection that another request happened to open, by a restart under the same id, or by an entry that lapsed within 3 s; one end reported again after 2 s counted as a new one and was passed on, so that hosts kept each other refusing popular requests; and a host that missed the reports of 1.7 s never learnt of the crashes.

The tracker now keeps crashes by incarnation. A request is refused for 10 min after three crashes, or two if it was alone, at any load. An answer on any host clears it; one that was answered before, or is one of several suspects, or is in flight while many upstreams end for unknown reasons, needs more crashes or is refused for 3 s only; one whose crashes another suspect explains is served. A successor at the address, and a 421 that names another instance, prove an end; a broken connection is followed by a check. Attempts that are silent when the entry lapses count. New crashes go to all regions at once, eight in a report, and a digest tells hosts that missed them. The host name is part of a fingerprint.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -55,6 +55,13 @@
         }
     }
 
+    /// Returns whether an idle connection to an address is open, and removes those that are not.
+    pub fn has_open(&mut self, addr: SocketAddr) -> bool {
+        let Some(idle) = self.idle.get_mut(&addr) else { return false };
+        idle.retain(Conn::is_clean);
+        !idle.is_empty()
+    }
+
     /// Closes all idle connections to an address.
     pub fn close_all(&mut self, addr: SocketAddr) {
         self.idle.remove(&addr);
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -7,7 +7,8 @@
 use crate::upstreams::ReplyKind;
 use async_io::Timer;
 use futures_lite::FutureExt;
-use skylarkdock_dispatch::crash_tracker::Fingerprint;
+use metrics::counter;
+use skylarkdock_dispatch::crash_tracker::{EndProof, Fingerprint, Unanswered};
 use skylarkdock_dispatch::notices::Withheld;
 use skylarkdock_dispatch::upstream::AttemptOutcome;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
@@ -15,6 +16,7 @@
 use skylarkdock_units::times::{HostTime, Millis};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// Result of an attempt.
 #[derive(Debug)]
@@ -55,22 +57,52 @@
 
 /// Records the end of an attempt when it is dropped, also if the attempt is cancelled.
 struct AttemptGuard<'a> {
-    traffic: &'a Traffic,
+    traffic: &'a Rc<Traffic>,
     service: &'a ServiceName,
-    id: &'a UpstreamId,
+    target: Target<'a>,
+    fingerprint: Fingerprint,
     started: HostTime,
     ended: AttemptOutcome,
 }
 
 impl Drop for AttemptGuard<'_> {
     fn drop(&mut self) {
+        let now = clock::now();
+        self.record_answer(now);
         if let Some(state) = self.traffic.services.borrow_mut().get_mut(self.service) {
-            state.service.on_end(self.id, self.started, self.ended, clock::now());
+            state.service.on_end(self.target.id, self.started, self.ended, now);
         }
         self.traffic.decide_waiting();
     }
 }
 
+impl AttemptGuard<'_> {
+    /// Records whether the upstream answered, which shows whether the request may have ended it.
+    fn record_answer(&self, now: HostTime) {
+        let Self { traffic, service, target, fingerprint, ended, .. } = *self;
+        let id = target.id;
+        let mut tracker = traffic.crash_tracker.borrow_mut();
+        let how = match ended {
+            AttemptOutcome::Broken | AttemptOutcome::TimedOut => {
+                counter!("skylarkdock_crash_evidence_total", "kind" => "unanswered").increment(1);
+                log::info!(upstream:% = id, fingerprint = fingerprint.0, end:? = ended;
+                    "crashes: an attempt has no answer");
+                Unanswered::Failed
+            }
+            AttemptOutcome::Cancelled => Unanswered::Cancelled,
+            // An upstream that reports a failure may be about to end.
+            AttemptOutcome::Answered => return tracker.on_answered(id, fingerprint, true, now),
+            AttemptOutcome::Failed
+            | AttemptOutcome::Unreachable
+            | AttemptOutcome::Shed
+            | AttemptOutcome::Misdirected => {
+                return tracker.on_answered(id, fingerprint, false, now);
+            }
+        };
+        tracker.on_unanswered(id, fingerprint, how, traffic.load_at(service, id), now);
+    }
+}
+
 /// Parameters of an attempt.
 pub(super) struct Attempt<'a> {
     pub(super) service: &'a ServiceName,
@@ -82,10 +114,10 @@
 
 /// Incarnation of an upstream to which an attempt is sent.
 #[derive(Clone, Copy)]
-struct Target<'a> {
-    id: &'a UpstreamId,
-    born: u64,
-    addr: SocketAddr,
+pub(super) struct Target<'a> {
+    pub(super) id: &'a UpstreamId,
+    pub(super) born: u64,
+    pub(super) addr: SocketAddr,
 }
 
 /// Reason for which nothing was sent.
@@ -105,7 +137,7 @@
 impl Traffic {
     /// Sends a request to an upstream and waits for the answer. `build` encodes the request with the remaining time.
     pub(super) async fn attempt(
-        &self,
+        self: &Rc<Self>,
         attempt: Attempt<'_>,
         build: impl Fn(Millis) -> Outgoing,
     ) -> AttemptResult {
@@ -116,16 +148,24 @@
         };
         let target = Target { id, born, addr };
         let started = clock::now();
-        metrics::counter!("skylarkdock_sends_total", "service" => service.to_string()).increment(1);
+        counter!("skylarkdock_sends_total", "service" => service.to_string()).increment(1);
         if let Some(state) = self.services.borrow_mut().get_mut(service) {
             state.service.on_start(id, started);
         }
+        self.crash_tracker.borrow_mut().on_sent(id, fingerprint, started);
+        let ended = AttemptOutcome::Cancelled;
         let mut guard =
-            AttemptGuard { traffic: self, service, id, started, ended: AttemptOutcome::Cancelled };
+            AttemptGuard { traffic: self, service, target, fingerprint, started, ended };
         let attempt_result = match self.exchange_pooled(target, &attempt, build).await {
             Ok(result) => {
                 if let Ok(reply) = &result {
                     self.record_notices(service, target, reply);
+                    if self.protocol.names.is_from_other(reply, id) {
+                        self.on_ended(id, born, EndProof::Certain);
+                    }
+                }
+                if matches!(result, Err(Failure::Broken(_))) {
+                    self.check_end(target);
                 }
                 let limit = result.as_ref().ok().map(|reply| self.protocol.names.limit(reply));
                 let attempt_result = self.classify_result(id, result);
@@ -136,15 +176,12 @@
             }
             Err(Unsent::NoPath(e)) => {
                 if e.kind() == ErrorKind::ConnectionRefused {
-                    self.on_unreachable_or_restarted(id);
+                    self.on_ended(id, born, EndProof::Certain);
                 }
                 AttemptResult::NotRun(NotRun::Unreachable)
             }
             Err(Unsent::Withheld(withheld)) => AttemptResult::NotRun(NotRun::Withheld(withheld)),
         };
-        if matches!(attempt_result, AttemptResult::Unknown(AttemptOutcome::Broken)) {
-            self.on_broken(service, id, fingerprint);
-        }
         guard.ended = match &attempt_result {
             AttemptResult::Answered(reply) if reply.head.status >= 500 => AttemptOutcome::Failed,
             AttemptResult::Answered(_) => AttemptOutcome::Answered,
@@ -197,7 +234,8 @@
         checked
     }
 
-    fn check_target(&self, target: Target<'_>) -> Result<(), Unsent> {
+    /// Checks just before a request is sent whether what was learnt since the upstream was chosen rules it out.
+    fn check_send(&self, target: Target<'_>) -> Result<(), Unsent> {
         let drain_time = self.settings.drain_time;
         let checked = self.status.notices().may_send(target.id, target.born, drain_time);
         checked.map_err(Unsent::Withheld)
@@ -252,7 +290,7 @@
         if self.status.paths().lock().is_direct(addr) {
             match self.exchange_direct(target, attempt, &build).await {
                 Ok(result) => return Ok(result),
-                Err(Unsent::Withheld(withheld)) => return Err(Unsent::Withheld(withheld)),
+                Err(unsent @ Unsent::Withheld(_)) => return Err(unsent),
                 Err(Unsent::NoPath(e)) => {
                     log::debug!("traffic: can't connect to {addr}: {e}");
                     self.pool.borrow_mut().close_all(addr);
@@ -261,7 +299,7 @@
                 }
             }
         }
-        self.check_target(target)?;
+        self.check_send(target)?;
         let remaining = deadline.since(clock::now());
         let req = build(remaining);
         Ok(self.exchange_over_detour(addr, &req, attempt.is_once, remaining, direct).await?)
@@ -274,7 +312,7 @@
         build: &impl Fn(Millis) -> Outgoing,
     ) -> Result<Result<Reply, Failure>, Unsent> {
         let addr = target.addr;
-        self.check_target(target)?;
+        self.check_send(target)?;
         let deadline = attempt.deadline;
         let pooled = self.pool.borrow_mut().take(addr, attempt.is_once);
         if let Some(conn) = pooled {
@@ -289,7 +327,7 @@
         }
         let remaining = deadline.since(clock::now());
         let conn = Conn::open(addr, CONNECT_TIMEOUT.min(remaining)).await?;
-        if let Err(unsent) = self.check_target(target) {
+        if let Err(unsent) = self.check_send(target) {
             let max_idle = self.services.borrow().get(attempt.service).map_or(1, |s| s.max_idle);
             self.pool.borrow_mut().put(addr, conn, max_idle);
             return Err(unsent);
@@ -326,7 +364,7 @@
                 ReplyKind::Misdirected => AttemptResult::NotRun(NotRun::Misdirected),
                 ReplyKind::Unusable(defect) => {
                     let reason = defect.as_str();
-                    metrics::counter!("skylarkdock_answers_discarded_total", "reason" => reason)
+                    counter!("skylarkdock_answers_discarded_total", "reason" => reason)
                         .increment(1);
                     log::info!(upstream:% = id, status = reply.head.status, reason = reason; "traffic: an answer is not passed on");
                     AttemptResult::Unknown(AttemptOutcome::Broken)
--- a/crates/edge/src/traffic/crash_reports.rs
+++ b/crates/edge/src/traffic/crash_reports.rs
@@ -1,106 +1,252 @@
 //! Crashes of upstreams with requests in flight: seen by this host, or reported by other hosts.
 
 use super::Traffic;
-use super::reports::NameHash;
+use super::attempt::Target;
+use crate::client::{Conn, Outgoing};
 use crate::clock;
-use metrics::counter;
+use crate::detour::{CONNECT_TIMEOUT, DetourError};
+use crate::view::{Entry, View};
+use async_io::Timer;
+use metrics::{counter, gauge};
 use serde::{Deserialize, Serialize};
-use skylarkdock_dispatch::crash_tracker::{Crash, Fingerprint};
+use skylarkdock_dispatch::crash_tracker::{
+    Crash, Digest, EndProof, Fingerprint, IncarnationHash, Refusal,
+};
+use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
-use skylarkdock_units::times::{HostTime, Millis};
-
-/// Time for which a crash is included in each load report; long enough for two reports to other regions.
-const REPORT_PERIOD: Millis = Millis(1_700);
-/// Number of crashes in one report. With more of them, or more fingerprints, a report would not fit in a packet.
-const MAX_CRASHES: usize = 4;
-/// Number of fingerprints per crash in a report.
-const MAX_FINGERPRINTS: usize = 16;
-
-/// Crash that is included in load reports.
-#[derive(Debug)]
-pub(super) struct ReportedCrash {
-    since: HostTime,
-    crash: Crash,
-}
+use skylarkdock_units::times::Millis;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use xxhash_rust::xxh3;
+
+/// First bytes of a datagram with a digest. No load report begins with them, as they are no valid hash of a host, and
+/// messages about permits begin otherwise.
+const DIGEST_TAG: [u8; 5] = [0xff, 0xff, 0xff, 0xff, 0x7f];
+/// Time within which all connections to an upstream that ends break.
+const BREAK_TIME: Millis = Millis(20);
+/// Shortest time between two checks of one address. An upstream stays away for longer.
+const END_CHECK_INTERVAL: Millis = Millis(1_000);
+/// Time that another host gets to say whether it reaches an upstream.
+const SECOND_OPINION_TIMEOUT: Millis = Millis(100);
 
-/// Crash in wire format: the upstream, the fingerprints of the requests in flight and the load from all hosts.
+/// Crash in wire format: the incarnation, the fingerprints of the requests in flight and the load from all hosts.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct CrashReport {
-    upstream: NameHash,
+    upstream: u32,
     in_flight: Vec<u64>,
     load: u32,
 }
 
-impl Traffic {
-    /// Records that the connection of a request broke before the answer, or that the answer was invalid.
-    pub(super) fn on_broken(
-        &self,
-        service: &ServiceName,
-        id: &UpstreamId,
-        fingerprint: Fingerprint,
-    ) {
-        let now = clock::now();
-        let load = {
-            let services = self.services.borrow();
-            let upstream = services.get(service).and_then(|state| state.service.upstream(id));
-            upstream.map_or(1, |upstream| upstream.load(now))
+/// Digest in wire format, with ages in milliseconds. Later versions may append fields, which earlier ones skip.
+#[derive(Debug, Serialize, Deserialize)]
+struct WireDigest {
+    refused: Vec<(u64, u64)>,
+    answered: Vec<(u64, u64)>,
+}
+
+impl CrashReport {
+    pub(super) fn new(crash: &Crash) -> Self {
+        let in_flight = crash.in_flight.iter().map(|fingerprint| fingerprint.0).collect();
+        Self { upstream: crash.upstream.0, in_flight, load: crash.load }
+    }
+
+    fn crash(self) -> Crash {
+        let in_flight = self.in_flight.into_iter().map(Fingerprint).collect();
+        Crash { upstream: IncarnationHash(self.upstream), in_flight, load: self.load }
+    }
+}
+
+impl WireDigest {
+    fn new(digest: &Digest) -> Self {
+        let wire = |entries: &[(Fingerprint, Millis)]| {
+            entries.iter().map(|(fingerprint, age)| (fingerprint.0, age.0)).collect()
         };
-        counter!("skylarkdock_crash_evidence_total", "kind" => "broken").increment(1);
-        log::info!(upstream:% = id, fingerprint = fingerprint.0, load = load;
-            "crashes: a connection broke before the answer");
-        self.crash_tracker.borrow_mut().on_broken(id, fingerprint, load, now);
+        Self { refused: wire(&digest.refused), answered: wire(&digest.answered) }
     }
 
-    /// Records that an upstream refused a connection, has restarted or is no longer listed. If connections to it broke
-    /// shortly before, this is a crash, which is reported to the other hosts.
-    pub(super) fn on_unreachable_or_restarted(&self, id: &UpstreamId) {
+    fn digest(self) -> Digest {
+        let entries = |wire: Vec<(u64, u64)>| {
+            wire.into_iter().map(|(hash, age)| (Fingerprint(hash), Millis(age))).collect()
+        };
+        Digest { refused: entries(self.refused), answered: entries(self.answered) }
+    }
+}
+
+/// Returns whether a datagram is a digest.
+pub(super) fn is_digest(bytes: &[u8]) -> bool {
+    bytes.starts_with(&DIGEST_TAG)
+}
+
+/// Returns a digest in wire format; `None` if it can't be encoded.
+pub(super) fn encode_digest(digest: &Digest) -> Option<Vec<u8>> {
+    match postcard::to_extend(&WireDigest::new(digest), DIGEST_TAG.to_vec()) {
+        Ok(bytes) => Some(bytes),
+        Err(e) => {
+            log::error!("crashes: can't encode a digest: {e}");
+            None
+        }
+    }
+}
+
+/// Returns the hash that stands for an incarnation on all hosts.
+fn incarnation_hash(id: &UpstreamId, born: u64) -> IncarnationHash {
+    let [a, b, c, d, ..] = xxh3::xxh3_64_with_seed(id.as_str().as_bytes(), born).to_le_bytes();
+    IncarnationHash(u32::from_le_bytes([a, b, c, d]))
+}
+
+impl Traffic {
+    /// Returns whether a request is refused because it probably crashes upstreams.
+    pub(super) fn crash_refusal(&self, fingerprint: Fingerprint) -> Option<Refusal> {
+        self.crash_tracker.borrow().refusal(fingerprint, clock::now())
+    }
+
+    /// Checks whether an upstream has ended, after the connection of a request broke before the answer. Requests to it
+    /// may be rare, so none may show it soon.
+    pub(super) fn check_end(self: &Rc<Self>, target: Target<'_>) {
         let now = clock::now();
-        let hash = NameHash::of(id.as_str());
-        let Some(crash) =
-            self.crash_tracker.borrow_mut().on_unreachable_or_restarted(id, hash.0, now)
-        else {
+        let mut checked_at = self.end_checked_at.borrow_mut();
+        checked_at.retain(|_, at| now.since(*at) < END_CHECK_INTERVAL);
+        if checked_at.contains_key(&target.addr) {
             return;
+        }
+        checked_at.insert(target.addr, now);
+        let (traffic, id) = (Rc::clone(self), target.id.clone());
+        let (born, addr) = (target.born, target.addr);
+        let check = async move {
+            if traffic.has_ended(&id, addr).await {
+                traffic.on_ended(&id, born, EndProof::Certain);
+            }
         };
+        self.ex.spawn(check).detach();
+    }
+
+    /// Returns whether an upstream has ended: all connections to it broke, it refuses new ones, and no other host
+    /// reaches it.
+    async fn has_ended(&self, id: &UpstreamId, addr: SocketAddr) -> bool {
+        Timer::after(BREAK_TIME.duration()).await;
+        let has_connections =
+            self.crash_tracker.borrow().awaits_answers(id) || self.pool.borrow_mut().has_open(addr);
+        if has_connections || !self.status.paths().lock().is_direct(addr) {
+            return false;
+        }
+        match Conn::open(addr, CONNECT_TIMEOUT).await {
+            Ok(conn) => {
+                self.pool.borrow_mut().put(addr, conn, 1);
+                return false;
+            }
+            Err(e) => {
+                self.status.paths().on_failure(addr, &e);
+                if e.kind() != ErrorKind::ConnectionRefused {
+                    return false;
+                }
+            }
+        }
+        let intermediaries = self.intermediaries();
+        // The other host opens a connection and sends nothing on it.
+        let nothing = Outgoing { bytes: Vec::new(), is_head: false, id: None };
+        let opinion = self
+            .detour_client
+            .call(
+                self.status.paths(),
+                &intermediaries,
+                addr,
+                (&nothing, true),
+                SECOND_OPINION_TIMEOUT,
+            )
+            .await;
+        match opinion {
+            Ok(_) => false,
+            Err(DetourError::NoDetour) => intermediaries.is_empty(),
+            Err(DetourError::Refused | DetourError::Unreached) => true,
+        }
+    }
+
+    /// Records that an upstream has ended. If it had requests in flight, this is a crash, which is reported to the other
+    /// hosts.
+    pub(super) fn on_ended(&self, id: &UpstreamId, born: u64, proof: EndProof) {
+        let hash = incarnation_hash(id, born);
+        let ended = self.crash_tracker.borrow_mut().on_ended(id, hash, proof, clock::now());
+        let Some(crash) = ended else { return };
         counter!("skylarkdock_crash_evidence_total", "kind" => "own").increment(1);
         log::info!(upstream:% = id, in_flight = crash.in_flight.len(), load = crash.load;
             "crashes: an upstream ended with requests in flight");
-        self.reported_crashes.borrow_mut().push(ReportedCrash { since: now, crash });
     }
 
-    /// Returns the crashes to include in the next load reports.
-    pub(super) fn crashes_to_report(&self) -> Vec<CrashReport> {
-        let now = clock::now();
-        let mut reported = self.reported_crashes.borrow_mut();
-        reported.retain(|entry| now.since(entry.since) < REPORT_PERIOD);
-        let newest = reported.iter().rev().take(MAX_CRASHES);
-        let reports = newest.map(|entry| CrashReport {
-            upstream: NameHash(entry.crash.upstream),
-            in_flight: entry
-                .crash
-                .in_flight
-                .iter()
-                .take(MAX_FINGERPRINTS)
-                .map(|fingerprint| fingerprint.0)
-                .collect(),
-            load: entry.crash.load,
-        });
-        reports.collect()
+    /// Records the upstreams that ended according to a view: of those known before and not leaving, the ones that are no
+    /// longer listed, and the ones that have a later incarnation or successor at their address.
+    pub(super) fn record_ends(&self, view: &View) {
+        let known = self.known_upstreams.borrow();
+        let listed = view.upstreams.iter().map(|listed| &listed.entry);
+        let is_known = |entry: &Entry| {
+            known.get(&entry.id).is_some_and(|known| known.entry.born == entry.born)
+        };
+        if known.len() == view.upstreams.len() && listed.clone().all(is_known) {
+            return;
+        }
+        let mut born: FastMap<&UpstreamId, u64> = FastMap::default();
+        let mut newest_at: FastMap<SocketAddr, u64> = FastMap::default();
+        for entry in listed {
+            born.insert(&entry.id, entry.born);
+            let newest = newest_at.entry(entry.addr).or_default();
+            *newest = entry.born.max(*newest);
+        }
+        for entry in known.values().map(|known| &known.entry).filter(|entry| !entry.is_leaving) {
+            let is_replaced = newest_at.get(&entry.addr).is_some_and(|newest| *newest > entry.born);
+            match born.get(&entry.id) {
+                _ if is_replaced => self.on_ended(&entry.id, entry.born, EndProof::Certain),
+                Some(now_born) if *now_born != entry.born => {
+                    self.on_ended(&entry.id, entry.born, EndProof::Certain);
+                }
+                Some(_) => {}
+                None => self.on_ended(&entry.id, entry.born, EndProof::Lapsed),
+            }
+        }
+        self.crash_tracker.borrow_mut().retain_upstreams(|id| born.contains_key(id));
     }
 
     /// Applies the crashes reported by another host.
     pub(super) fn apply_crash_reports(&self, reports: Vec<CrashReport>) {
-        let now = clock::now();
-        let mut tracker = self.crash_tracker.borrow_mut();
-        for report in reports {
-            let in_flight = report.in_flight.into_iter().map(Fingerprint).collect();
-            let crash = Crash { upstream: report.upstream.0, in_flight, load: report.load };
-            if tracker.on_crash(&crash, now) {
-                counter!("skylarkdock_crash_evidence_total", "kind" => "reported").increment(1);
-                log::info!(upstream = crash.upstream, in_flight = crash.in_flight.len(), load = crash.load;
-                    "crashes: another host reports that an upstream ended");
-                // Reports of many hosts are relayed, so the crashes in them are passed on.
-                self.reported_crashes.borrow_mut().push(ReportedCrash { since: now, crash });
+        if reports.is_empty() {
+            return;
+        }
+        let crashes: Vec<Crash> = reports.into_iter().map(CrashReport::crash).collect();
+        let new = self.crash_tracker.borrow_mut().on_crashes(&crashes, clock::now());
+        if new > 0 {
+            counter!("skylarkdock_crash_evidence_total", "kind" => "reported")
+                .increment(new as u64);
+            log::info!(new = new; "crashes: another host reports that upstreams ended");
+        }
+    }
+
+    /// Applies the digest of another host.
+    pub(super) fn apply_digest(&self, bytes: &[u8]) {
+        match postcard::from_bytes::<WireDigest>(&bytes[DIGEST_TAG.len()..]) {
+            Ok(wire) => {
+                self.crash_tracker.borrow_mut().on_digest(&wire.digest(), clock::now());
             }
+            Err(e) => log::debug!("crashes: can't read a digest: {e}"),
         }
     }
+
+    /// Returns the number of requests that all hosts have at an upstream.
+    pub(super) fn load_at(&self, service: &ServiceName, id: &UpstreamId) -> u32 {
+        let services = self.services.borrow();
+        let upstream = services.get(service).and_then(|state| state.service.upstream(id));
+        upstream.map_or(1, |upstream| upstream.load(clock::now()))
+    }
+
+    /// Returns what to tell hosts that missed reports of crashes.
+    pub(super) fn crash_digest(&self) -> Digest {
+        let digest = self.crash_tracker.borrow_mut().digest(clock::now());
+        gauge!("skylarkdock_refused_as_crashing")
+            .set(f64::from(u32::try_from(digest.refused.len()).unwrap_or(u32::MAX)));
+        digest
+    }
+
+    /// Returns the crashes to report.
+    pub(super) fn crashes_to_report(&self) -> Vec<CrashReport> {
+        let crashes = self.crash_tracker.borrow().recent_crashes(clock::now());
+        crashes.iter().map(CrashReport::new).collect()
+    }
 }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -72,8 +72,8 @@
     /// Notified when a request starts to wait.
     has_waiting: Event,
     crash_tracker: RefCell<CrashTracker>,
-    /// Recent crashes of upstreams that are included in load reports.
-    reported_crashes: RefCell<Vec<crash_reports::ReportedCrash>>,
+    /// When it was last checked whether the upstream at an address has ended.
+    end_checked_at: RefCell<FastMap<SocketAddr, HostTime>>,
     /// Number of picks by route, and by whether they were among its unsharded services only.
     route_counts: RefCell<FastMap<(Arc<str>, bool), u64>>,
     reports: RefCell<reports::Reports>,
@@ -123,7 +123,7 @@
             waiters: RefCell::default(),
             has_waiting: Event::new(),
             crash_tracker: RefCell::default(),
-            reported_crashes: RefCell::default(),
+            end_checked_at: RefCell::default(),
             route_counts: RefCell::default(),
             reports: RefCell::default(),
             pools: RefCell::default(),
@@ -180,6 +180,7 @@
         }
         let listed = view.upstreams.iter().map(|listed| (&listed.entry.service, &listed.entry.id));
         self.reports.borrow_mut().set_upstreams(listed);
+        self.record_ends(&view);
         let mut known_upstreams = self.known_upstreams.borrow_mut();
         let mut by_service: FastMap<&ServiceName, Vec<&ListedUpstream>> = FastMap::default();
         for listed in &view.upstreams {
@@ -191,11 +192,9 @@
                 infos.push(self.upstream_info(listed));
                 let known = known_upstreams.insert(listed.entry.id.clone(), listed.clone());
                 let is_restarted = known.is_some_and(|known| known.entry.born != listed.entry.born);
-                if is_restarted {
-                    self.on_unreachable_or_restarted(&listed.entry.id);
-                    if let Some(upstream) = state.service.upstream_mut(&listed.entry.id) {
-                        upstream.on_restart(clock::now());
-                    }
+                if is_restarted && let Some(upstream) = state.service.upstream_mut(&listed.entry.id)
+                {
+                    upstream.on_restart(clock::now());
                 }
             }
             state.service.set_upstreams(infos);
@@ -209,13 +208,7 @@
         self.status.notices().set_listed(&incarnations.collect());
         let listed_ids: FastSet<&UpstreamId> =
             view.upstreams.iter().map(|listed| &listed.entry.id).collect();
-        known_upstreams.retain(|id, listed| {
-            let is_listed = listed_ids.contains(id);
-            if !is_listed && !listed.entry.is_leaving {
-                self.on_unreachable_or_restarted(id);
-            }
-            is_listed
-        });
+        known_upstreams.retain(|id, _| listed_ids.contains(id));
         drop((services, known_upstreams));
         self.pool.borrow_mut().close_expired();
         self.set_listed_paths(&view);
--- a/crates/edge/src/traffic/reports.rs
+++ b/crates/edge/src/traffic/reports.rs
@@ -5,13 +5,14 @@
 //! their availability zone, which sends the sum to the relays of the other zones, and sends to each of its members the
 //! load of all other hosts that it knows of. The number of datagrams thus grows linearly with the number of hosts.
 
-use super::crash_reports::CrashReport;
+use super::crash_reports::{self, CrashReport};
 use super::{Traffic, permits};
 use crate::clock;
 use crate::relays::{self, Rank};
 use crate::view::PeerInfo;
 use async_io::{Async, Timer};
 use serde::{Deserialize, Serialize};
+use skylarkdock_dispatch::crash_tracker::Digest;
 use skylarkdock_dispatch::peer_load::{PeerLoad, UpstreamHash};
 use skylarkdock_units::collections::{FastMap, FastSet};
 use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId, Zone};
@@ -38,6 +39,10 @@
 const RELAY_AVOID_TIME: Millis = Millis(5_000);
 /// Time without reports after which a member gets no more reports.
 const MAX_MEMBER_SILENCE: Millis = Millis(1_200);
+/// Number of crashes in one report; with more of them it would not fit in a packet.
+const MAX_CRASHES_PER_PART: usize = 4;
+/// Index of a part that has crashes only, above those of all parts with load.
+const CRASHES_PART: u8 = u8::MAX;
 /// Number of upstreams in a report, so that it fits in a packet together with the crashes. Reports of more upstreams
 /// are split by the hash of the upstream.
 const MAX_UPSTREAMS_PER_PART: usize = 100;
@@ -124,18 +129,29 @@
         let expired = traffic.reports.borrow_mut().peer_load.expire_reports(now);
         traffic.update_peer_load(&expired, now);
         let crashes = traffic.crashes_to_report();
+        let far_every = if is_direct { FAR_REPORT_EVERY } else { RELAYED_FAR_REPORT_EVERY };
+        // Other regions learn of a new crash at once.
+        let includes_far = round.is_multiple_of(far_every)
+            || traffic.crash_tracker.borrow().has_crash_since(interval, now);
+        let digest = if includes_far { traffic.crash_digest() } else { Digest::default() };
+        let digest = if digest.is_empty() { None } else { crash_reports::encode_digest(&digest) };
         let own = traffic.own_load();
-        let is_idle = own.is_empty() && crashes.is_empty();
+        let is_idle = own.is_empty() && crashes.is_empty() && digest.is_none();
         let outgoing = if is_direct && is_idle && was_idle {
             Vec::new()
         } else if is_direct {
-            traffic.direct_reports(&peers, own, round)
+            traffic.direct_reports(&peers, own, includes_far)
         } else {
-            traffic.relayed_reports(&peers, &own, round, now)
+            traffic.relayed_reports(&peers, &own, includes_far, now)
         };
         was_idle = is_idle;
         for (addr, scope, loads) in outgoing {
             traffic.send_parts(&socket, addr, scope, &loads, &crashes).await;
+            if let Some(digest) = &digest
+                && let Err(e) = socket.send_to(digest, addr).await
+            {
+                log::debug!("crashes: can't send a digest to {addr}: {e}");
+            }
         }
     }
 }
@@ -147,6 +163,9 @@
             Ok((len, from)) if permits::is_message(&buf[..len]) => {
                 traffic.on_permit_message(&buf[..len], from);
             }
+            Ok((len, _)) if crash_reports::is_digest(&buf[..len]) => {
+                traffic.apply_digest(&buf[..len]);
+            }
             Ok((len, from)) => match postcard::from_bytes::<Report>(&buf[..len]) {
                 Ok(report) => traffic.apply_report(report, from),
                 Err(e) => log::debug!("reports: can't read a report: {e}"),
@@ -174,9 +193,8 @@
         &self,
         peers: &[PeerInfo],
         own: Loads,
-        round: u64,
+        includes_far: bool,
     ) -> Vec<(SocketAddr, Scope, Loads)> {
-        let includes_far = round.is_multiple_of(FAR_REPORT_EVERY);
         let receivers =
             peers.iter().filter(|peer| includes_far || peer.region == self.settings.region);
         receivers.map(|peer| (peer.reports, Scope::Own, own.clone())).collect()
@@ -187,7 +205,7 @@
         &self,
         peers: &[PeerInfo],
         own: &Loads,
-        round: u64,
+        includes_far: bool,
         now: HostTime,
     ) -> Vec<(SocketAddr, Scope, Loads)> {
         let mut reports = self.reports.borrow_mut();
@@ -206,7 +224,6 @@
         ) {
             Some(relay) => outgoing.push((relay, Scope::Member, group_load)),
             None => {
-                let includes_far = round.is_multiple_of(RELAYED_FAR_REPORT_EVERY);
                 for zone in other_zones(peers, &settings.zone) {
                     let is_far = settings.zones.get(&zone) != Some(&settings.region);
                     if is_far && !includes_far {
@@ -242,11 +259,18 @@
     ) {
         let parts =
             self.reports.borrow().names.len().div_ceil(MAX_UPSTREAMS_PER_PART).clamp(1, 255);
-        let parts = u8::try_from(parts).unwrap_or(u8::MAX);
-        for part in 0..parts {
+        let parts = u8::try_from(parts).unwrap_or(u8::MAX).min(CRASHES_PART - 1);
+        let (first_crashes, more_crashes) =
+            crashes.split_at(crashes.len().min(MAX_CRASHES_PER_PART));
+        let crash_part = (!more_crashes.is_empty()).then_some(CRASHES_PART);
+        for part in (0..parts).chain(crash_part) {
             let is_in_part = |hash: UpstreamHash| hash % u32::from(parts) == u32::from(part);
             let load = loads.iter().filter(|(id, _)| is_in_part(**id)).map(|(id, n)| (*id, *n));
-            let crashes = if part == 0 { crashes.to_vec() } else { Vec::new() };
+            let crashes = match part {
+                0 => first_crashes.to_vec(),
+                CRASHES_PART => more_crashes.to_vec(),
+                _ => Vec::new(),
+            };
             let host = NameHash::of(self.settings.host.as_str());
             let report = Report { host, scope, part, load: load.collect(), crashes };
             let bytes = match postcard::to_stdvec(&report) {
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -12,7 +12,7 @@
 use crate::view::Config;
 use async_io::Timer;
 use metrics::{counter, histogram};
-use skylarkdock_dispatch::crash_tracker::Fingerprint;
+use skylarkdock_dispatch::crash_tracker::{Fingerprint, Refusal};
 use skylarkdock_dispatch::notices::Withheld;
 use skylarkdock_dispatch::retry_after;
 use skylarkdock_dispatch::routes::{Idempotency, Route};
@@ -132,6 +132,7 @@
             return Err(unless_stale(Rejection::NoRoute));
         };
         let route = Arc::clone(route);
+        let host_name = host.to_ascii_lowercase();
         let Some(id) = head.headers.get_str(names.request_id).map(str::to_owned) else {
             return Err(Rejection::NoRequestId);
         };
@@ -163,7 +164,12 @@
         let jitter_per_mille =
             u32::try_from(xxh3::xxh3_64(id.as_bytes()) % 1_000).unwrap_or_default();
         Ok(Request {
-            fingerprint: fingerprint(&head.method, &head.target, &body),
+            fingerprint: fingerprint([
+                head.method.as_bytes(),
+                host_name.as_bytes(),
+                head.target.as_bytes(),
+                &body,
+            ]),
             id,
             method: head.method,
             target: head.target,
@@ -204,17 +210,21 @@
     }
 
     /// Makes attempts until one is answered or no further attempt is allowed.
-    async fn run_attempts(&self, req: &Request, history: &mut History) -> (Answer, RequestEnd) {
+    async fn run_attempts(
+        self: &Rc<Self>,
+        req: &Request,
+        history: &mut History,
+    ) -> (Answer, RequestEnd) {
         let is_once = req.route.idempotency == Idempotency::Once;
         let long_retry_after = Millis(req.deadline.since(req.arrived).0 / 3);
         if self.shared.refuses_requests.get() {
             return (refusal(long_retry_after), RequestEnd::Refused("host_is_leaving"));
         }
         loop {
-            let wait_started = clock::now();
-            if self.crash_tracker.borrow().is_refused(req.fingerprint, wait_started) {
-                return self.final_answer(req, history, long_retry_after, "crashes_upstreams");
+            if let Some(refusal) = self.crash_refusal(req.fingerprint) {
+                return self.refuse_crashing(req, history, refusal);
             }
+            let wait_started = clock::now();
             let decision =
                 self.choose_upstream(&req.service, self.routing_request(req, history)).await;
             history.waited = history.waited + clock::now().since(wait_started);
@@ -288,7 +298,7 @@
     /// Makes an attempt. If the answer to an idempotent request is late, sends it to a second upstream as well, if one
     /// has capacity. The first successful answer is used and the other attempt is cancelled.
     async fn attempt_hedged(
-        &self,
+        self: &Rc<Self>,
         req: &Request,
         id: &UpstreamId,
         history: &mut History,
@@ -430,6 +440,20 @@
         self.final_answer(req, history, retry_after, NotRun::Withheld(withheld).as_str())
     }
 
+    /// Returns the final answer to a request that probably crashes upstreams.
+    fn refuse_crashing(
+        &self,
+        req: &Request,
+        history: &mut History,
+        refusal: Refusal,
+    ) -> (Answer, RequestEnd) {
+        let retry_after = match refusal {
+            Refusal::Certain => Millis(req.deadline.since(req.arrived).0 / 3),
+            Refusal::Uncertain(pause) => retry_after::after_rest(pause, req.jitter_per_mille),
+        };
+        self.final_answer(req, history, retry_after, "crashes_upstreams")
+    }
+
     /// Returns a refusal if no upstream can have run the request, and otherwise the last failure or a gateway error.
     fn final_answer(
         &self,
@@ -485,11 +509,15 @@
     is_decimal.then(|| whole.parse().ok().map(Millis)).flatten()
 }
 
-fn fingerprint(method: &str, target: &str, body: &[u8]) -> Fingerprint {
+/// Returns the fingerprint of a request from its method, host name, target and body. Callers repeat a request with the
+/// same content and another id. A key is not part of it, as it only says which upstream runs the request.
+fn fingerprint(parts: [&[u8]; 4]) -> Fingerprint {
     let mut hash = xxh3::Xxh3::new();
-    hash.update(method.as_bytes());
-    hash.update(target.as_bytes());
-    hash.update(body);
+    for part in parts {
+        // With the lengths, no bytes can pass from one part to the next.
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
     Fingerprint(hash.digest())
 }
 
--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -27,6 +27,8 @@
     pub limit: &'static str,
     /// Present with the value 1 on all answers of an upstream that is shutting down.
     pub leaving: &'static str,
+    /// Id of the upstream that sent an answer; only on some answers.
+    pub instance: &'static str,
 }
 
 /// Protocol between the host and upstreams.
@@ -99,6 +101,12 @@
         rate.ok()
     }
 
+    /// Returns whether an answer to a request for an upstream names another one, which has its address now.
+    pub fn is_from_other(&self, reply: &Reply, id: &UpstreamId) -> bool {
+        let instance = reply.head.headers.get_str(self.instance);
+        instance.is_some_and(|instance| instance != id.as_str())
+    }
+
     /// Classifies an upstream's answer.
     pub fn classify(&self, reply: &Reply) -> ReplyKind {
         let headers: &Headers = &reply.head.headers;
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -20,6 +20,7 @@
     key: "Key",
     limit: "X-Limit",
     leaving: "x-leaving",
+    instance: "X-Instance",
 };
 
 /// Starts a peer that answers the first request on one connection with `answer` and closes it.
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -39,6 +39,7 @@
         key: "Key",
         limit: "X-Limit",
         leaving: "X-Leaving",
+        instance: "X-Instance",
     },
     build_grant: |_, _| Outgoing::new("POST", "/grant", &Headers::default(), &[]),
     build_release: |_| Outgoing::new("POST", "/release", &Headers::default(), &[]),
--- a/crates/emulator/src/crashes.rs
+++ b/crates/emulator/src/crashes.rs
@@ -8,7 +8,7 @@
 mod knowledge;
 
 use knowledge::HostKnowledge;
-use skylarkdock_dispatch::crash_tracker::Fingerprint;
+use skylarkdock_dispatch::crash_tracker::{EndProof, Fingerprint};
 use skylarkdock_units::times::HostTime;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -303,13 +303,15 @@
                 if listed.incarnation == Some(incarnation) {
                     listed.incarnation = None;
                 }
-                self.hosts[host].on_gone((slot, incarnation), HostTime(self.now_ms));
+                let now = HostTime(self.now_ms);
+                self.hosts[host].on_ended((slot, incarnation), EndProof::Lapsed, now);
             }
             Event::Listed { host, slot, incarnation } => {
                 self.listed[host][slot] =
                     Listed { incarnation: Some(incarnation), avoided_until: 0 };
                 let before = incarnation - 1;
-                self.hosts[host].on_successor((slot, before), HostTime(self.now_ms));
+                let now = HostTime(self.now_ms);
+                self.hosts[host].on_ended((slot, before), EndProof::Certain, now);
             }
             Event::Reports { host, round } => self.send_reports(host, round),
             Event::Report { message, host } => {
@@ -318,7 +320,8 @@
             }
             Event::Probe { host, slot, incarnation, is_refused } => {
                 if is_refused {
-                    self.hosts[host].on_gone((slot, incarnation), HostTime(self.now_ms));
+                    let now = HostTime(self.now_ms);
+                    self.hosts[host].on_ended((slot, incarnation), EndProof::Certain, now);
                 }
             }
         }
@@ -406,9 +409,6 @@
             let unreachable = Event::Unreachable { request, slot, incarnation, is_refused };
             return self.schedule(delay, unreachable);
         }
-        if !self.hosts[host].may_send(fingerprint, HostTime(self.now_ms)) {
-            return;
-        }
         if fingerprint.0 == CRASHING {
             let since_third = self.crashes_at.get(2).map_or(0, |at| self.now_ms - at);
             self.stats.sends_when_known += u64::from(since_third > LEARNING_MS);
@@ -417,7 +417,11 @@
         if upstream.incarnation != incarnation {
             // The upstream's successor answers that it is another one.
             self.requests[request].attempts += 1;
-            self.hosts[host].on_other_instance((slot, incarnation), HostTime(self.now_ms));
+            self.hosts[host].on_ended(
+                (slot, incarnation),
+                EndProof::Certain,
+                HostTime(self.now_ms),
+            );
             return self.schedule(latency, Event::Route { request });
         }
         self.requests[request].attempts += 1;
@@ -428,7 +432,7 @@
         } else {
             return self.schedule(latency, Event::Route { request });
         }
-        self.hosts[host].on_sent((slot, incarnation), fingerprint);
+        self.hosts[host].on_sent((slot, incarnation), fingerprint, HostTime(self.now_ms));
     }
 
     fn begin(&mut self, slot: usize, request: usize) {
@@ -497,28 +501,20 @@
         let load = 1 + self.upstreams[slot].running.len() + self.upstreams[slot].queued.len();
         let load = u32::try_from(load).unwrap_or(u32::MAX);
         let now = HostTime(self.now_ms);
-        if self.hosts[host].on_broken((slot, incarnation), fingerprint, load, now) {
-            let upstream = &self.upstreams[slot];
-            let is_down = !upstream.is_up;
-            let latency = self.latency(host, slot);
-            // A connection of its own, and then the question to another host.
-            let is_refused = is_down && !self.scenario.is_silent;
-            let delay = 4 * latency + 2 * NEAR_MS;
-            self.schedule(delay, Event::Probe { host, slot, incarnation, is_refused });
-        }
+        self.hosts[host].on_broken((slot, incarnation), fingerprint, load, now);
+        // The host opens a connection to see whether the upstream has ended, and then asks another host.
+        let is_refused = !self.upstreams[slot].is_up && !self.scenario.is_silent;
+        let delay = 4 * self.latency(host, slot) + 2 * NEAR_MS;
+        self.schedule(delay, Event::Probe { host, slot, incarnation, is_refused });
         self.route(request);
     }
 
     fn on_unreachable(&mut self, request: usize, slot: usize, incarnation: u64, is_refused: bool) {
         let host = self.requests[request].host;
-        let was_avoided = self.now_ms < self.listed[host][slot].avoided_until;
         self.listed[host][slot].avoided_until = self.now_ms + AVOID_MS;
-        let other = self.rng.usize(..self.scenario.hosts);
-        let is_avoided_by_other = self.now_ms < self.listed[other][slot].avoided_until;
-        self.listed[other][slot].avoided_until = self.now_ms + AVOID_MS;
-        if is_refused && !was_avoided {
+        if is_refused {
             let now = HostTime(self.now_ms);
-            self.hosts[host].on_refused_connection((slot, incarnation), is_avoided_by_other, now);
+            self.hosts[host].on_ended((slot, incarnation), EndProof::Certain, now);
         }
         self.schedule(2 * NEAR_MS, Event::Route { request });
     }
@@ -528,7 +524,7 @@
         self.schedule(knowledge::interval_ms(hosts), Event::Reports { host, round: round + 1 });
         let now = HostTime(self.now_ms);
         let includes_far = self.hosts[host].includes_far(round, hosts, now);
-        let Some(message) = self.hosts[host].message(round, now) else { return };
+        let Some(message) = self.hosts[host].message(round, hosts, now) else { return };
         for receiver in receivers(host, hosts, includes_far) {
             let latency = if region(host) == region(receiver) { NEAR_MS } else { FAR_MS };
             self.schedule(latency, Event::Report { message: self.messages.len(), host: receiver });
@@ -558,8 +554,3 @@
 
 /// Identity of an upstream: its address, and how often it started there.
 type Incarnation = (usize, u64);
-
-/// Returns the hash that stands for an incarnation in reports.
-fn incarnation_hash((slot, incarnation): Incarnation) -> u32 {
-    u32::try_from(slot as u64 * 10_000 + incarnation).unwrap_or(u32::MAX)
-}
