Refuse a request under way once it is known to crash upstreams

Whether a request is refused was looked at before an upstream was chosen: one that waited for a place, whose connection was being opened or whose answer was late was sent all the same.

The host looks again just before it sends on a connection or over another host and before a second attempt beside a late one, and a waiting request is refused as soon as the refusal is learnt.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use metrics::counter;
-use skylarkdock_dispatch::crash_tracker::{EndProof, Fingerprint, Unanswered};
+use skylarkdock_dispatch::crash_tracker::{EndProof, Fingerprint, Refusal, Unanswered};
 use skylarkdock_dispatch::notices::Withheld;
 use skylarkdock_dispatch::upstream::AttemptOutcome;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
@@ -40,6 +40,8 @@
     Misdirected,
     /// Nothing was sent, as the upstream rests or leaves.
     Withheld(Withheld),
+    /// Nothing was sent, as the request probably crashes upstreams.
+    Crashing(Refusal),
 }
 
 impl NotRun {
@@ -51,6 +53,7 @@
             Self::Misdirected => "misdirected",
             Self::Withheld(Withheld::Resting(_)) => "resting",
             Self::Withheld(Withheld::Leaving) => "leaving",
+            Self::Crashing(_) => "crashes_upstreams",
         }
     }
 }
@@ -126,6 +129,8 @@
     NoPath(io::Error),
     /// The upstream rests or leaves.
     Withheld(Withheld),
+    /// The request probably crashes upstreams.
+    Crashing(Refusal),
 }
 
 impl From<io::Error> for Unsent {
@@ -181,6 +186,7 @@
                 AttemptResult::NotRun(NotRun::Unreachable)
             }
             Err(Unsent::Withheld(withheld)) => AttemptResult::NotRun(NotRun::Withheld(withheld)),
+            Err(Unsent::Crashing(refusal)) => AttemptResult::NotRun(NotRun::Crashing(refusal)),
         };
         guard.ended = match &attempt_result {
             AttemptResult::Answered(reply) if reply.head.status >= 500 => AttemptOutcome::Failed,
@@ -188,7 +194,9 @@
             AttemptResult::NotRun(NotRun::Unreachable) => AttemptOutcome::Unreachable,
             AttemptResult::NotRun(NotRun::Shed) => AttemptOutcome::Shed,
             AttemptResult::NotRun(NotRun::Misdirected) => AttemptOutcome::Misdirected,
-            AttemptResult::NotRun(NotRun::Withheld(_)) => AttemptOutcome::Cancelled,
+            AttemptResult::NotRun(NotRun::Withheld(_) | NotRun::Crashing(_)) => {
+                AttemptOutcome::Cancelled
+            }
             AttemptResult::Unknown(ended) => *ended,
         };
         attempt_result
@@ -235,7 +243,10 @@
     }
 
     /// Checks just before a request is sent whether what was learnt since the upstream was chosen rules it out.
-    fn check_send(&self, target: Target<'_>) -> Result<(), Unsent> {
+    fn check_send(&self, target: Target<'_>, fingerprint: Fingerprint) -> Result<(), Unsent> {
+        if let Some(refusal) = self.crash_refusal(fingerprint) {
+            return Err(Unsent::Crashing(refusal));
+        }
         let drain_time = self.settings.drain_time;
         let checked = self.status.notices().may_send(target.id, target.born, drain_time);
         checked.map_err(Unsent::Withheld)
@@ -290,7 +301,7 @@
         if self.status.paths().lock().is_direct(addr) {
             match self.exchange_direct(target, attempt, &build).await {
                 Ok(result) => return Ok(result),
-                Err(unsent @ Unsent::Withheld(_)) => return Err(unsent),
+                Err(unsent @ (Unsent::Withheld(_) | Unsent::Crashing(_))) => return Err(unsent),
                 Err(Unsent::NoPath(e)) => {
                     log::debug!("traffic: can't connect to {addr}: {e}");
                     self.pool.borrow_mut().close_all(addr);
@@ -299,7 +310,7 @@
                 }
             }
         }
-        self.check_send(target)?;
+        self.check_send(target, attempt.fingerprint)?;
         let remaining = deadline.since(clock::now());
         let req = build(remaining);
         Ok(self.exchange_over_detour(addr, &req, attempt.is_once, remaining, direct).await?)
@@ -312,7 +323,7 @@
         build: &impl Fn(Millis) -> Outgoing,
     ) -> Result<Result<Reply, Failure>, Unsent> {
         let addr = target.addr;
-        self.check_send(target)?;
+        self.check_send(target, attempt.fingerprint)?;
         let deadline = attempt.deadline;
         let pooled = self.pool.borrow_mut().take(addr, attempt.is_once);
         if let Some(conn) = pooled {
@@ -327,7 +338,7 @@
         }
         let remaining = deadline.since(clock::now());
         let conn = Conn::open(addr, CONNECT_TIMEOUT.min(remaining)).await?;
-        if let Err(unsent) = self.check_send(target) {
+        if let Err(unsent) = self.check_send(target, attempt.fingerprint) {
             let max_idle = self.services.borrow().get(attempt.service).map_or(1, |s| s.max_idle);
             self.pool.borrow_mut().put(addr, conn, max_idle);
             return Err(unsent);
--- a/crates/edge/src/traffic/crash_reports.rs
+++ b/crates/edge/src/traffic/crash_reports.rs
@@ -101,6 +101,17 @@
         self.crash_tracker.borrow().refusal(fingerprint, clock::now())
     }
 
+    /// Waits until a request is refused because it probably crashes upstreams.
+    pub(super) async fn until_refused(&self, fingerprint: Fingerprint) {
+        loop {
+            let listener = self.crashes_changed.listen();
+            if self.crash_refusal(fingerprint).is_some() {
+                return;
+            }
+            listener.await;
+        }
+    }
+
     /// Checks whether an upstream has ended, after the connection of a request broke before the answer. Requests to it
     /// may be rare, so none may show it soon.
     pub(super) fn check_end(self: &Rc<Self>, target: Target<'_>) {
@@ -171,6 +182,7 @@
         counter!("skylarkdock_crash_evidence_total", "kind" => "own").increment(1);
         log::info!(upstream:% = id, in_flight = crash.in_flight.len(), load = crash.load;
             "crashes: an upstream ended with requests in flight");
+        self.crashes_changed.notify(usize::MAX);
     }
 
     /// Records the upstreams that ended according to a view: of those known before and not leaving, the ones that are no
@@ -216,6 +228,7 @@
             counter!("skylarkdock_crash_evidence_total", "kind" => "reported")
                 .increment(new as u64);
             log::info!(new = new; "crashes: another host reports that upstreams ended");
+            self.crashes_changed.notify(usize::MAX);
         }
     }
 
@@ -224,6 +237,7 @@
         match postcard::from_bytes::<WireDigest>(&bytes[DIGEST_TAG.len()..]) {
             Ok(wire) => {
                 self.crash_tracker.borrow_mut().on_digest(&wire.digest(), clock::now());
+                self.crashes_changed.notify(usize::MAX);
             }
             Err(e) => log::debug!("crashes: can't read a digest: {e}"),
         }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -72,6 +72,8 @@
     /// Notified when a request starts to wait.
     has_waiting: Event,
     crash_tracker: RefCell<CrashTracker>,
+    /// Notified when more may be known of requests that crash upstreams.
+    crashes_changed: Event,
     /// When it was last checked whether the upstream at an address has ended.
     end_checked_at: RefCell<FastMap<SocketAddr, HostTime>>,
     /// Number of picks by route, and by whether they were among its unsharded services only.
@@ -123,6 +125,7 @@
             waiters: RefCell::default(),
             has_waiting: Event::new(),
             crash_tracker: RefCell::default(),
+            crashes_changed: Event::new(),
             end_checked_at: RefCell::default(),
             route_counts: RefCell::default(),
             reports: RefCell::default(),
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -11,6 +11,7 @@
 use crate::serve::{Answer, Incoming};
 use crate::view::Config;
 use async_io::Timer;
+use futures_lite::FutureExt;
 use metrics::{counter, histogram};
 use skylarkdock_dispatch::crash_tracker::{Fingerprint, Refusal};
 use skylarkdock_dispatch::notices::Withheld;
@@ -225,9 +226,15 @@
                 return self.refuse_crashing(req, history, refusal);
             }
             let wait_started = clock::now();
-            let decision =
-                self.choose_upstream(&req.service, self.routing_request(req, history)).await;
+            let chosen = self.choose_upstream(&req.service, self.routing_request(req, history));
+            let refused = async {
+                self.until_refused(req.fingerprint).await;
+                None
+            };
+            let chosen = async { Some(chosen.await) };
+            let chosen = chosen.or(refused).await;
             history.waited = history.waited + clock::now().since(wait_started);
+            let Some(decision) = chosen else { continue };
             let id = match decision {
                 Some(RoutingDecision::Send(id)) => id,
                 Some(RoutingDecision::Refuse { reason, retry_after }) => {
@@ -265,6 +272,9 @@
                         return self.give_up(req, history, "upstream_failed");
                     }
                 }
+                AttemptResult::NotRun(NotRun::Crashing(refusal)) => {
+                    return self.refuse_crashing(req, history, refusal);
+                }
                 AttemptResult::NotRun(reason) => {
                     history.record_not_run(reason, &id, req.key.is_some());
                     if let NotRun::Withheld(withheld) = reason
@@ -343,6 +353,9 @@
         first: &UpstreamId,
         history: &History,
     ) -> Option<UpstreamId> {
+        if self.crash_refusal(req.fingerprint).is_some() {
+            return None;
+        }
         let mut request = self.routing_request(req, history);
         request.tried.push(first.clone());
         let now = clock::now();
--- a/crates/emulator/src/crashes.rs
+++ b/crates/emulator/src/crashes.rs
@@ -409,6 +409,10 @@
             let unreachable = Event::Unreachable { request, slot, incarnation, is_refused };
             return self.schedule(delay, unreachable);
         }
+        // The host looks again just before it sends.
+        if self.hosts[host].is_refused(fingerprint, HostTime(self.now_ms)) {
+            return;
+        }
         if fingerprint.0 == CRASHING {
             let since_third = self.crashes_at.get(2).map_or(0, |at| self.now_ms - at);
             self.stats.sends_when_known += u64::from(since_third > LEARNING_MS);
