Wait for large answers as long as bytes of them arrive

A configuration of 5,000 routes never passed a link of 4 Mbit/s.

The time limit of these calls is one of silence now, beside 5 s for the whole: what makes progress ends, and a silent connection is noticed as soon as before. Grants, releases, samples and elections keep a limit for the whole call, as they must not arrive late.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -10,12 +10,15 @@
 use skylarkdock_units::times::Millis;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
 /// Idle time after which a control call opens a new connection, because the peer may be closing the idle one.
 const CONTROL_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Number of checks for received bytes in the longest silence of a call.
+const SILENCE_CHECKS: u64 = 4;
 const READ_SIZE: usize = 16 * 1024;
 /// Size of the largest accepted head of an answer.
 const MAX_HEAD_SIZE: usize = 64 * 1024;
@@ -91,9 +94,27 @@
     pub is_matched: bool,
 }
 
+/// Time limits of a call whose answer may be large.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    /// Longest time without a byte of the answer.
+    pub silence: Millis,
+    /// Longest time of the whole call.
+    pub total: Millis,
+}
+
+impl Patience {
+    /// Returns limits by which the whole call takes at most `timeout`.
+    pub const fn whole(timeout: Millis) -> Self {
+        Self { silence: timeout, total: timeout }
+    }
+}
+
 /// Connection to a peer.
 pub struct Conn {
     stream: Async<TcpStream>,
+    /// Number of bytes received so far.
+    received: Arc<AtomicUsize>,
     buf: Vec<u8>,
     /// When the last answer arrived.
     pub used_at: Instant,
@@ -113,6 +134,7 @@
         let stream = net::connect(addr, timeout).await?;
         Ok(Self {
             stream,
+            received: Arc::default(),
             buf: Vec::new(),
             used_at: Instant::now(),
             keep_alive: None,
@@ -161,7 +183,7 @@
                 }
                 futures_lite::future::pending::<Result<(Reply, bool), Failure>>().await
             };
-            let read = receive(&self.stream, &mut buf, req);
+            let read = receive((&self.stream, &self.received), &mut buf, req);
             read.or(written).await
         };
         self.buf = buf;
@@ -170,7 +192,7 @@
 
     async fn receive(&mut self, req: &Outgoing) -> Result<(Reply, bool), Failure> {
         let mut buf = std::mem::take(&mut self.buf);
-        let result = receive(&self.stream, &mut buf, req).await;
+        let result = receive((&self.stream, &self.received), &mut buf, req).await;
         self.buf = buf;
         self.record_reply(result)
     }
@@ -229,9 +251,12 @@
     }
 }
 
+/// Connection to read from, and the counter of the bytes received on it.
+type Source<'a> = (&'a Async<TcpStream>, &'a AtomicUsize);
+
 /// Reads the answer to a request, and skips answers to other requests before it.
 async fn receive(
-    stream: &Async<TcpStream>,
+    stream: Source<'_>,
     buf: &mut Vec<u8>,
     req: &Outgoing,
 ) -> Result<(Reply, bool), Failure> {
@@ -255,7 +280,7 @@
 }
 
 async fn receive_next(
-    stream: &Async<TcpStream>,
+    stream: Source<'_>,
     buf: &mut Vec<u8>,
     is_head: bool,
     size: &mut AnswerSize,
@@ -294,13 +319,14 @@
 }
 
 async fn fill(
-    mut stream: &Async<TcpStream>,
+    (mut stream, received): Source<'_>,
     buf: &mut Vec<u8>,
     size: &mut AnswerSize,
 ) -> Result<usize, Failure> {
     let mut chunk = [0; READ_SIZE];
     let count = stream.read(&mut chunk).await.map_err(Failure::Broken)?;
     size.add(count)?;
+    received.fetch_add(count, Ordering::Relaxed);
     buf.extend_from_slice(&chunk[..count]);
     Ok(count)
 }
@@ -328,6 +354,43 @@
     conn.exchange(req).or(timed_out).await
 }
 
+/// Sends a request on a connection and waits for its answer as long as bytes of it arrive. A timeout of the whole answer
+/// would let no large one through where a link is slow or shared.
+///
+/// # Errors
+///
+/// Returns the errors of [`Conn::exchange`], and [`Failure::TimedOut`].
+pub async fn exchange_patiently(
+    conn: &mut Conn,
+    req: &Outgoing,
+    patience: Patience,
+) -> Result<(Reply, bool), Failure> {
+    let received = Arc::clone(&conn.received);
+    let timed_out = async move {
+        let started_at = clock::now();
+        let give_up_at = started_at + patience.total;
+        let (mut seen, mut seen_at) = (received.load(Ordering::Relaxed), started_at);
+        loop {
+            let silent_at = seen_at + patience.silence;
+            // While bytes arrive, the time of the last one is known to a part of the silence.
+            let check_at = if seen_at == started_at {
+                silent_at
+            } else {
+                clock::now() + Millis(patience.silence.0 / SILENCE_CHECKS)
+            };
+            Timer::at(clock::instant(check_at.min(give_up_at))).await;
+            let (count, now) = (received.load(Ordering::Relaxed), clock::now());
+            if count != seen {
+                (seen, seen_at) = (count, now);
+            }
+            if now >= give_up_at || now >= seen_at + patience.silence {
+                return Err(Failure::TimedOut);
+            }
+        }
+    };
+    conn.exchange(req).or(timed_out).await
+}
+
 /// Client for control calls to one peer, which keeps its connection open. After a failure the connection is reset, so
 /// that no undelivered part of the call arrives later.
 pub struct ControlClient {
@@ -355,7 +418,20 @@
     ///
     /// Returns the errors of [`exchange_within`], and [`Failure::NotSent`] if the connection can't be opened in time.
     pub async fn call(&mut self, req: &Outgoing, timeout: Millis) -> Result<Reply, Failure> {
-        let give_up_at = clock::now() + timeout;
+        self.call_patiently(req, Patience::whole(timeout)).await
+    }
+
+    /// Like [`Self::call`], for a call whose answer may be large.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Self::call`].
+    pub async fn call_patiently(
+        &mut self,
+        req: &Outgoing,
+        patience: Patience,
+    ) -> Result<Reply, Failure> {
+        let give_up_at = clock::now() + patience.total;
         let kept = self.conn.take().filter(|conn| conn.used_at.elapsed() < CONTROL_IDLE_TIMEOUT);
         let mut conn = match kept {
             Some(conn) if conn.is_clean() => conn,
@@ -363,7 +439,7 @@
                 self.consecutive_failures += 1;
                 return Err(Failure::NotSent(io::ErrorKind::ConnectionReset.into()));
             }
-            None => Conn::open(self.addr, timeout).await.map_err(|e| {
+            None => Conn::open(self.addr, patience.silence).await.map_err(|e| {
                 self.consecutive_failures += 1;
                 Failure::NotSent(e)
             })?,
@@ -374,7 +450,8 @@
             self.consecutive_failures += 1;
             return Err(Failure::NotSent(io::ErrorKind::TimedOut.into()));
         }
-        match exchange_within(&mut conn, req, left).await {
+        let patience = Patience { silence: patience.silence.min(left), total: left };
+        match exchange_patiently(&mut conn, req, patience).await {
             Ok((reply, reusable)) => {
                 self.consecutive_failures = 0;
                 if reusable {
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -2,7 +2,7 @@
 
 use super::Control;
 use super::owners::RELEASE_TIMEOUT;
-use crate::client::{ControlClient, Failure, Outgoing};
+use crate::client::{ControlClient, Failure, Outgoing, Patience};
 use crate::clock;
 use crate::detour::{DETOUR_PATH, Knowledge};
 use crate::net;
@@ -175,7 +175,7 @@
         let resting = self.resting_upstreams();
         let sample = HostSample { host, keys, service_ms, is_cut_off, leaving, resting };
         let mut caller = caller.lock().await;
-        if let Err(e) = call(&mut caller, LOAD_PATH, &sample, PEER_TIMEOUT).await {
+        if let Err(e) = call(&mut caller, LOAD_PATH, &sample, Patience::whole(PEER_TIMEOUT)).await {
             log::debug!("peers: can't send a sample to the leader: {e}");
         }
     }
@@ -207,7 +207,7 @@
     ) -> Option<Result<Option<String>, CallEnd>> {
         let addr = self.peer_addr(host)?;
         let mut caller = ControlClient::new(addr);
-        match call(&mut caller, RELEASE_PATH, release, RELEASE_TIMEOUT).await {
+        match call(&mut caller, RELEASE_PATH, release, Patience::whole(RELEASE_TIMEOUT)).await {
             Ok(body) => serde_json::from_slice(&body).ok(),
             Err(e) => {
                 log::info!(host:% = host, error:% = e; "peers: request to send a release failed");
@@ -227,7 +227,7 @@
         path: &str,
         message: &T,
     ) -> Result<Vec<u8>, Failure> {
-        call(&mut ControlClient::new(addr), path, message, PEER_TIMEOUT).await
+        call(&mut ControlClient::new(addr), path, message, Patience::whole(PEER_TIMEOUT)).await
     }
 }
 
@@ -236,13 +236,13 @@
     caller: &mut ControlClient,
     path: &str,
     message: &T,
-    timeout: Millis,
+    patience: Patience,
 ) -> Result<Vec<u8>, Failure> {
     let body = encode(message).unwrap_or_default();
     let mut headers = Headers::default();
     headers.push("Host", caller.addr().to_string());
     let req = Outgoing::new("POST", path, &headers, &body);
-    let reply = caller.call(&req, timeout).await?;
+    let reply = caller.call_patiently(&req, patience).await?;
     if reply.head.status >= 300 {
         log::debug!(peer:% = caller.addr(), status = reply.head.status; "peers: call refused");
         return Err(Failure::Malformed);
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -13,7 +13,7 @@
 use super::known_records::{KnownRecords, TopicRecords};
 use super::registry::{KeptEntry, RegistryChange};
 use super::{Control, peers};
-use crate::client::ControlClient;
+use crate::client::{ControlClient, Patience};
 use crate::clock;
 use crate::relays::{self, Rank};
 use crate::store::{Page, Record, Topic};
@@ -30,8 +30,9 @@
 
 /// Longest time that a request for updates waits at the host that it was sent to.
 const UPDATE_WAIT: Millis = Millis(300);
-/// Time that a call for updates may take beyond the wait.
-const CALL_MARGIN: Millis = Millis(300);
+/// Time limits of a request for updates: the silence beyond the wait, and the time that the largest answer may take.
+const UPDATE_PATIENCE: Patience =
+    Patience { silence: Millis(UPDATE_WAIT.0 + 300), total: Millis(5_000) };
 /// Pause after a request for updates that was not answered.
 const RETRY_PAUSE: Millis = Millis(200);
 /// Time for which a host that gave no usable answer is avoided in favour of the next source.
@@ -211,8 +212,7 @@
             }
             let Some(source) = caller.as_mut() else { continue };
             let request = self.update_request(known);
-            let body =
-                peers::call(source, peers::UPDATES_PATH, &request, UPDATE_WAIT + CALL_MARGIN).await;
+            let body = peers::call(source, peers::UPDATES_PATH, &request, UPDATE_PATIENCE).await;
             match body.map(|body| serde_json::from_slice::<UpdateResponse>(&body)) {
                 Ok(Ok(response)) => {
                     let received = (response.run, response.version);
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -3,13 +3,14 @@
 #![allow(clippy::unwrap_used)]
 
 use rstest::rstest;
-use skylarkdock_edge::client::{Conn, ControlClient, Failure, Outgoing, Reply};
+use skylarkdock_edge::client::{Conn, ControlClient, Failure, Outgoing, Patience, Reply};
 use skylarkdock_edge::upstreams::{Defect, HeaderNames, ReplyKind};
 use skylarkdock_http1::head::Headers;
 use skylarkdock_units::times::Millis;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::thread;
+use std::time::Duration;
 
 const NAMES: HeaderNames = HeaderNames {
     request_id: "Id",
@@ -159,3 +160,47 @@
     assert_eq!(String::from_utf8_lossy(&buf), "");
     assert!(matches!(end, Err(Failure::NotSent(_))), "{end:?}");
 }
+
+/// Starts a peer that answers in pieces with pauses between them, and then goes silent.
+fn slow_peer(pieces: &'static [&'static str], pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 4096];
+        let _ = stream.read(&mut buf).unwrap();
+        for piece in pieces {
+            thread::sleep(pause);
+            if stream.write_all(piece.as_bytes()).is_err() {
+                return;
+            }
+        }
+        // The peer ends the connection only after the caller.
+        let _ = stream.read(&mut buf);
+    });
+    addr
+}
+
+/// A timeout of the whole answer gave up large ones on slow links, again and again.
+#[rstest]
+#[case::arrives_slowly(&["HTTP/1.1 200 OK\r\n", "Content-Length: 3\r\n\r\n", "a", "b", "c"], 20_000, true)]
+#[case::goes_silent(&["HTTP/1.1 200 OK\r\n", "Content-Length: 3\r\n\r\n", "a"], 20_000, false)]
+#[case::takes_too_long(&["HTTP/1.1 200 OK\r\n", "Content-Length: 3\r\n\r\n", "a", "b", "c"], 2_000, false)]
+fn an_answer_is_waited_for_as_long_as_bytes_arrive(
+    #[case] pieces: &'static [&'static str],
+    #[case] total: u64,
+    #[case] is_received: bool,
+) {
+    let addr = slow_peer(pieces, Duration::from_millis(600));
+    let reply = async_io::block_on(async {
+        let mut client = ControlClient::new(addr);
+        let patience = Patience { silence: Millis(2_000), total: Millis(total) };
+        let req = Outgoing::new("GET", "/", &Headers::default(), &[]);
+        client.call_patiently(&req, patience).await
+    });
+    match reply {
+        Ok(reply) => assert!(is_received && reply.body == b"abc"),
+        Err(Failure::TimedOut) => assert!(!is_received),
+        Err(e) => panic!("{e}"),
+    }
+}
