Send large records between hosts as differences, and compress updates

A configuration was sent whole with each version, as text inside text: with 1,400 routes about 0.4 MB to each of 79 hosts, several times in a row.

A host says which versions of large records it has, and gets the difference to them (deltas: zstd with the earlier version as its prefix); without a common version it gets the record compressed. A difference to another version than the one it names, or one whose result has another hash, is refused, and the whole record is asked for, so no host can make up a configuration. Ownership tables go the same way, and large answers are compressed. Hosts of the version before send and get text as before: the new fields have defaults, and compressed answers are sent to those that ask for versions only.

--- a/crates/edge/src/control/known_records.rs
+++ b/crates/edge/src/control/known_records.rs
@@ -1,5 +1,6 @@
 //! Records of the store and changes of the registry that a host knows and can send to others.
 
+use super::encoded::{self, Versions};
 use super::registry::RegistryChange;
 use crate::store::{Page, Topic};
 use skylarkdock_units::collections::FastMap;
@@ -28,6 +29,8 @@
     pub config: TopicRecords,
     /// Records written by the entry hosts.
     pub fleet: TopicRecords,
+    /// Versions of the large records of both topics, by key.
+    pub versions: FastMap<String, Versions>,
     /// Latest time at which the store is known to have had no newer change of the registry.
     pub registry_proof_at: HostTime,
     /// Latest time at which the store is known to have accepted a leader's heartbeat; `None` if it never did.
@@ -50,6 +53,7 @@
             run: fastrand::u64(1..),
             config: TopicRecords::default(),
             fleet: TopicRecords::default(),
+            versions: FastMap::default(),
             registry_proof_at: HostTime(0),
             leader_seen_at: None,
             changes: VecDeque::new(),
@@ -75,7 +79,7 @@
             self.registry_proof_at = self.registry_proof_at.max(proof_at);
             return;
         }
-        let known = self.topic(topic);
+        let known = if topic == Topic::Config { &mut self.config } else { &mut self.fleet };
         if is_whole {
             let present = known.records.values_mut().filter(|(value, _)| !value.is_empty());
             for (value, offset) in present.filter(|(_, offset)| *offset <= page.next) {
@@ -89,6 +93,9 @@
                 continue;
             }
             known.records.insert(record.key.clone(), (record.value.clone(), page.next));
+            if encoded::is_large(&record.value) {
+                self.versions.entry(record.key.clone()).or_default().add(&record.value);
+            }
         }
         known.next = known.next.max(page.next);
         known.proof_at = known.proof_at.max(proof_at);
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! the owners of keys.
 
 mod election;
+pub mod encoded;
 pub mod known_records;
 mod owners;
 mod peers;
@@ -98,6 +99,8 @@
     status: Arc<Status>,
     /// Until when this host takes no part in the election and gives other hosts no updates, as it resigned.
     resigned_until: Cell<HostTime>,
+    /// Whether the next request for updates asks for whole records, as one could not be decoded.
+    needs_whole_records: Cell<bool>,
     /// Whether this host is handing leadership over. It finishes pending moves and plans no others.
     is_handing_over: Cell<bool>,
     leader_since: Cell<HostTime>,
@@ -201,6 +204,7 @@
             min_store_latency: Cell::new(Millis(u64::MAX)),
             status,
             resigned_until: Cell::default(),
+            needs_whole_records: Cell::default(),
             is_handing_over: Cell::new(false),
             leader_since: Cell::default(),
             resigned_at: Cell::default(),
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -2,6 +2,7 @@
 
 use super::Control;
 use super::owners::RELEASE_TIMEOUT;
+use super::updates::{self, UpdateRequest};
 use crate::client::{ControlClient, Failure, Outgoing, Patience};
 use crate::clock;
 use crate::detour::{DETOUR_PATH, Knowledge};
@@ -78,11 +79,15 @@
                     return Answer::empty(400);
                 }
             },
-            UPDATES_PATH => match serde_json::from_slice(&req.body) {
-                Ok(request) => match self.on_update_request(request).await {
-                    Some(response) => Ok(encode(&response)),
-                    None => return Answer::empty(503),
-                },
+            UPDATES_PATH => match serde_json::from_slice::<UpdateRequest>(&req.body) {
+                Ok(request) => {
+                    let reads_compressed = request.reads_compressed();
+                    let Some(response) = self.on_update_request(request).await else {
+                        return Answer::empty(503);
+                    };
+                    let text = encode(&response);
+                    Ok(if reads_compressed { text.map(updates::compress) } else { text })
+                }
                 Err(e) => Err(e),
             },
             _ => return Answer::empty(404),
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -10,7 +10,8 @@
 //! leads. So updates also say whether the sender's own reads fail, and how long ago the store accepted a leader's
 //! heartbeat.
 
-use super::known_records::{KnownRecords, TopicRecords};
+use super::encoded::{self, EncodedRecord, EncodedRecordError, Versions};
+use super::known_records::KnownRecords;
 use super::registry::{KeptEntry, RegistryChange};
 use super::{Control, peers};
 use crate::client::{ControlClient, Patience};
@@ -20,6 +21,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
+use skylarkdock_deltas::{self as deltas, DeltaError};
 use skylarkdock_spans::leader::SpanId;
 use skylarkdock_spans::renewal::Renewals;
 use skylarkdock_units::collections::FastMap;
@@ -27,12 +29,15 @@
 use skylarkdock_units::times::{HostTime, Millis};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use thiserror::Error;
 
 /// Longest time that a request for updates waits at the host that it was sent to.
 const UPDATE_WAIT: Millis = Millis(300);
 /// Time limits of a request for updates: the silence beyond the wait, and the time that the largest answer may take.
 const UPDATE_PATIENCE: Patience =
     Patience { silence: Millis(UPDATE_WAIT.0 + 300), total: Millis(5_000) };
+/// Size from which an answer is compressed, in bytes: the registry, and tables that changed.
+const MIN_COMPRESSED_SIZE: usize = 4_096;
 /// Pause after a request for updates that was not answered.
 const RETRY_PAUSE: Millis = Millis(200);
 /// Time for which a host that gave no usable answer is avoided in favour of the next source.
@@ -69,6 +74,10 @@
     granted: Vec<(ServiceName, SpanId)>,
     /// Longest wait for updates.
     wait: Millis,
+    /// Keys of the large records that the requesting host has, and the hashes of its versions. `None` from a host of an
+    /// earlier version, which reads no encoded records.
+    #[serde(default)]
+    versions: Option<Vec<(String, u64)>>,
 }
 
 /// Update of a topic other than the registry.
@@ -82,6 +91,9 @@
     is_whole: bool,
     /// Keys and values that the requesting host may not know.
     records: Vec<(String, String)>,
+    /// Large records that it may not know.
+    #[serde(default)]
+    encoded: Vec<EncodedRecord>,
 }
 
 /// Answer to a request for updates.
@@ -113,6 +125,48 @@
     granted: Vec<(ServiceName, SpanId)>,
 }
 
+/// Reason for which an answer to a request for updates can't be read.
+#[derive(Debug, Error)]
+pub(super) enum UpdateError {
+    /// The compressed bytes are damaged.
+    #[error("can't decompress it")]
+    Compression(#[source] DeltaError),
+    /// The text is not of the expected form.
+    #[error("can't parse it")]
+    Text(#[source] serde_json::Error),
+}
+
+impl UpdateRequest {
+    /// Returns whether the requesting host reads compressed answers.
+    pub(super) const fn reads_compressed(&self) -> bool {
+        self.versions.is_some()
+    }
+}
+
+impl UpdateResponse {
+    fn decode(bytes: &[u8]) -> Result<Self, UpdateError> {
+        if !deltas::is_compressed(bytes) {
+            return serde_json::from_slice(bytes).map_err(UpdateError::Text);
+        }
+        let text = deltas::decompress(bytes).map_err(UpdateError::Compression)?;
+        serde_json::from_slice(&text).map_err(UpdateError::Text)
+    }
+}
+
+/// Compresses an answer that is large. One that can't be compressed is sent as it is.
+pub(super) fn compress(answer: Vec<u8>) -> Vec<u8> {
+    if answer.len() < MIN_COMPRESSED_SIZE {
+        return answer;
+    }
+    match deltas::compress(&answer) {
+        Ok(compressed) => compressed,
+        Err(e) => {
+            log::error!("news: can't compress an answer: {e}");
+            answer
+        }
+    }
+}
+
 /// Returns whether a host that sent a request lacks records.
 fn has_updates_for(known: &KnownRecords, request: &UpdateRequest) -> bool {
     known.run != request.run
@@ -121,14 +175,38 @@
         || known.fleet.next > request.fleet
 }
 
-/// Returns the update of a topic for a host that knows its records before the offset `next`.
-fn topic_update(known: &TopicRecords, next: u64, now: HostTime) -> TopicUpdate {
-    let newer = known.records.iter().filter(|(_, (_, offset))| *offset > next);
-    let texts = newer.filter_map(|(key, (value, _))| {
-        Some((key.clone(), std::str::from_utf8(value).ok()?.to_owned()))
-    });
-    let age = now.since(known.proof_at);
-    TopicUpdate { next: known.next, age, is_whole: next == 0, records: texts.collect() }
+/// Returns the update of a topic for a host that knows its records before the offset `next`. With `have`, the keys and
+/// hashes of the versions that it has, large records are encoded.
+fn topic_update(
+    known: &mut KnownRecords,
+    topic: Topic,
+    next: u64,
+    have: Option<&[(String, u64)]>,
+    now: HostTime,
+) -> TopicUpdate {
+    let topic = if topic == Topic::Config { &known.config } else { &known.fleet };
+    let mut update = TopicUpdate {
+        next: topic.next,
+        age: now.since(topic.proof_at),
+        is_whole: next == 0,
+        records: Vec::new(),
+        encoded: Vec::new(),
+    };
+    for (key, (value, _)) in topic.records.iter().filter(|(_, (_, offset))| *offset > next) {
+        if let Some(have) = have
+            && let Some(versions) = known.versions.get_mut(key).filter(|_| encoded::is_large(value))
+        {
+            let base = have.iter().find(|(other, _)| other == key).map_or(0, |(_, hash)| *hash);
+            if let Some(record) = versions.encode(key, value, base) {
+                update.encoded.push(record);
+                continue;
+            }
+        }
+        if let Ok(text) = std::str::from_utf8(value) {
+            update.records.push((key.clone(), text.to_owned()));
+        }
+    }
+    update
 }
 
 /// Starts the task that requests updates.
@@ -158,7 +236,11 @@
             listener.or(passed).await;
         }
         let now = clock::now();
-        let fleet = self.fleet.borrow();
+        let mut fleet = self.fleet.borrow_mut();
+        let have = request.versions.as_deref();
+        let known = &mut fleet.known_records;
+        let config = topic_update(known, Topic::Config, request.config, have, now);
+        let fleet_topic = topic_update(known, Topic::Fleet, request.fleet, have, now);
         let known = &fleet.known_records;
         let missing = known.version.checked_sub(request.version);
         let missing = missing.and_then(|count| usize::try_from(count).ok());
@@ -184,8 +266,8 @@
             changes,
             kept,
             reads_fail: known.reads_fail,
-            config: topic_update(&known.config, request.config, now),
-            fleet: topic_update(&known.fleet, request.fleet, now),
+            config,
+            fleet: fleet_topic,
             leader_age: known.leader_seen_at.map(|seen_at| now.since(seen_at)),
             granted: self.owners.borrow().unrecorded_grants(),
         })
@@ -213,7 +295,7 @@
             let Some(source) = caller.as_mut() else { continue };
             let request = self.update_request(known);
             let body = peers::call(source, peers::UPDATES_PATH, &request, UPDATE_PATIENCE).await;
-            match body.map(|body| serde_json::from_slice::<UpdateResponse>(&body)) {
+            match body.map(|body| UpdateResponse::decode(&body)) {
                 Ok(Ok(response)) => {
                     let received = (response.run, response.version);
                     // Changes older than what this host knows were not applied, so the next request asks for all
@@ -255,6 +337,12 @@
             fleet: fleet.known_records.fleet.next,
             granted: self.owners.borrow().unrecorded_grants(),
             wait: UPDATE_WAIT,
+            versions: Some(if self.needs_whole_records.get() {
+                Vec::new()
+            } else {
+                let versions = fleet.known_records.versions.iter();
+                versions.map(|(key, versions)| (key.clone(), versions.newest())).collect()
+            }),
         }
     }
 
@@ -331,9 +419,11 @@
                 registry.apply_update(changes, response.kept, is_whole, proof_at, now)
             });
         }
+        let mut is_decoded = true;
         for (topic, update) in [(Topic::Config, response.config), (Topic::Fleet, response.fleet)] {
-            self.apply_topic_update(topic, update, proof);
+            is_decoded &= self.apply_topic_update(topic, update, proof);
         }
+        self.needs_whole_records.set(!is_decoded);
         let previous =
             std::mem::replace(&mut self.owners.borrow_mut().reported_grants, response.granted);
         if previous != self.owners.borrow().reported_grants {
@@ -342,13 +432,14 @@
         is_newer
     }
 
-    /// Applies an update of a topic, if it reflects a later state of the store than this host knows.
+    /// Applies an update of a topic, if it reflects a later state of the store than this host knows. Returns `false` if a
+    /// record can't be decoded; nothing is applied then.
     fn apply_topic_update(
         &self,
         topic: Topic,
         update: TopicUpdate,
         proof: impl Fn(Millis) -> HostTime,
-    ) {
+    ) -> bool {
         let proof_at = proof(update.age);
         let (next, known_at) = {
             let mut fleet = self.fleet.borrow_mut();
@@ -356,12 +447,31 @@
             (known.next, known.proof_at)
         };
         if proof_at <= known_at || update.next < next || update.next == 0 {
-            return;
+            return true;
         }
         let is_whole = update.is_whole;
         let records = update.records.into_iter();
-        let records = records.map(|(key, text)| Record { key, value: text.into_bytes() }).collect();
+        let mut records: Vec<Record> =
+            records.map(|(key, text)| Record { key, value: text.into_bytes() }).collect();
+        for record in update.encoded {
+            match self.decode_record(&record) {
+                Ok(value) => records.push(Record { key: record.key, value }),
+                Err(e) => {
+                    log::warn!(key = record.key.as_str(), error:% = e; "news: can't decode a record, asking for the whole one");
+                    return false;
+                }
+            }
+        }
         self.apply_page(topic, Page { records, next: update.next }, is_whole, proof_at);
+        true
+    }
+
+    fn decode_record(&self, record: &EncodedRecord) -> Result<Vec<u8>, EncodedRecordError> {
+        let fleet = self.fleet.borrow();
+        match fleet.known_records.versions.get(&record.key) {
+            Some(versions) => versions.decode(record),
+            None => Versions::default().decode(record),
+        }
     }
 
     /// Returns the host of this availability zone that relays updates while the zone has no keeper.
