--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod chart;
 pub mod crashes;
+pub mod distribution;
 pub mod limits;
 pub mod policy;
 pub mod shape;
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -4,6 +4,7 @@
 use pico_args::Arguments;
 use skylarkdock_emulator::chart::{self, Curve};
 use skylarkdock_emulator::crashes::{self, Scenario};
+use skylarkdock_emulator::distribution::{self, Rules};
 use skylarkdock_emulator::policy::Policy;
 use skylarkdock_emulator::shape::Shape;
 use skylarkdock_emulator::simulation;
@@ -16,6 +17,7 @@
 
 Usage: skylarkdock-emulator SHAPE... [OPTIONS]
        skylarkdock-emulator --crashes [--seed N]
+       skylarkdock-emulator --distribution
 
 Options:
   --seed N          seed of the random number generator [1]
@@ -24,6 +26,7 @@
   --hosts N         number of hosts, instead of that of the shape
   --html FILE       write charts to a self-contained HTML page
   --crashes         simulate requests that crash upstreams, with 12 to 300 hosts
+  --distribution    simulate how configurations reach 79 and 300 hosts
 
 Examples:
   skylarkdock-emulator crates/emulator/shapes/slow-part.json
@@ -52,6 +55,10 @@
         print_crash_table(seed);
         return Ok(());
     }
+    if args.contains("--distribution") {
+        print_distribution_table();
+        return Ok(());
+    }
     let loads: String =
         args.opt_value_from_str("--loads")?.unwrap_or_else(|| DEFAULT_LOADS.to_owned());
     let loads: Result<Vec<f64>, _> = loads.split(',').map(str::parse).collect();
@@ -82,6 +89,35 @@
     Ok(())
 }
 
+fn print_distribution_table() {
+    println!("| hosts | routes | changes | old: last host, ms | old: MB | last host, ms | MB |");
+    println!("| ---: | ---: | --- | ---: | ---: | ---: | ---: |");
+    let cases =
+        [("one", vec![1_000]), ("six in series", vec![1_000, 3_000, 3_400, 3_800, 4_200, 4_600])];
+    for hosts in [79, 300] {
+        for routes in [0, 100, 1_400, 5_000] {
+            for (name, changes_at_ms) in &cases {
+                let columns = [Rules::Whole, Rules::Differences].map(|rules| {
+                    let changes_at_ms = changes_at_ms.clone();
+                    let spread = distribution::simulate(distribution::Scenario {
+                        hosts,
+                        routes,
+                        changes_at_ms,
+                        host_traffic: 0.5,
+                        region_traffic: 0.9,
+                        rules,
+                    });
+                    let time = spread
+                        .last_host_ms
+                        .map_or("not within 30 s".to_owned(), |ms| ms.to_string());
+                    format!("{time} | {:.1}", spread.bytes / 1e6)
+                });
+                println!("| {hosts} | {routes} | {name} | {} |", columns.join(" | "));
+            }
+        }
+    }
+}
+
 fn print_crash_table(seed: u64) {
     println!(
         "| hosts | upstreams | scenario | ended | sends after {} ms | after {} ms | other requests | refused | popular one refused for ms |",
