Pass the crash histories of requests on to the other hosts of the daemon

A request that crashes upstreams went on ending them in the daemon: the host that held the key recorded the first crash, another one held it next, knew of none and ran the request again. Nothing called Quarantine::histories and merge.

The holder that sees a crash sends the histories of the requests in flight to all live hosts, which merge them; the next holder takes the request for a suspect and refuses it after the second crash.

Test: outcomes quarantine (a next holder quarantines at the second crash).

--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -9,7 +9,7 @@
     Config, HostEntry, HostListEntry, HostState, HostView, Input, Membership, Output,
 };
 use skylarkdock_peer::PeerError;
-use skylarkdock_peer::message::{Packet, Payload};
+use skylarkdock_peer::message::{Crashes, Packet, Payload};
 use skylarkdock_placement::LiveHost;
 use skylarkdock_timeline::kind::EventKind;
 use skylarkdock_timeline::reasons::PeerReason;
@@ -179,6 +179,11 @@
             Payload::Records(records) => self.handle_records(&from.host, records),
             Payload::StatePart(part) => self.handle_state_part(&from.host, part),
             Payload::Memory(part) => self.handle_memory_part(part),
+            Payload::Crashes(Crashes { service, histories }) => {
+                if let Some(service) = self.deps.table.load().services.get(&service) {
+                    service.shared.quarantine().merge(&histories, clock::wall_time());
+                }
+            }
         }
     }
 }
--- a/crates/daemon/src/control/serving.rs
+++ b/crates/daemon/src/control/serving.rs
@@ -9,6 +9,7 @@
 use crate::shared_state::TrafficReport;
 use crate::upstream_queue::UpstreamQueue;
 use skylarkdock_grants::{CallOutcome, FencedRange, GrantManager, GrantPhase};
+use skylarkdock_peer::message::{Crashes, Payload};
 use skylarkdock_policy::slots::RangeShare;
 use skylarkdock_timeline::kind::{EventKind, Fingerprint};
 use skylarkdock_timeline::reasons::AssignReason;
@@ -493,6 +494,15 @@
                     deaths: QUARANTINE_DEATHS,
                 });
             }
+            TrafficReport::Crashed { service, histories } => {
+                for host in self.live_hosts() {
+                    if host.member != self.deps.me {
+                        let crashes =
+                            Crashes { service: service.clone(), histories: histories.clone() };
+                        self.send(&host.member.host, None, Payload::Crashes(crashes));
+                    }
+                }
+            }
             TrafficReport::UpstreamDraining { service, upstream } => {
                 self.set_draining(&(service, upstream), true);
                 self.schedule_plan();
--- a/crates/daemon/src/proxy/crash_tracking.rs
+++ b/crates/daemon/src/proxy/crash_tracking.rs
@@ -4,7 +4,9 @@
 use crate::proxy::guarded_body::GuardedBody;
 use crate::proxy::refusal::{Reason, Refusal};
 use crate::proxy::request::ProxyRequest;
+use crate::proxy::router::Router;
 use crate::routing_table::{ServiceTable, SharedServiceState};
+use crate::shared_state::TrafficReport;
 use crate::upstream_queue::UpstreamQueue;
 use async_io::Timer;
 use http::header::{HOST, HeaderValue};
@@ -14,7 +16,7 @@
 use skylarkdock_httppath::pool::{NotSent, Pool, ResponseLost, SendError};
 use skylarkdock_outcomes::fingerprint::Fingerprint;
 use skylarkdock_outcomes::quarantine::Admission;
-use skylarkdock_units::ids::UpstreamId;
+use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::{Millis, WallTime};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,6 +32,7 @@
 /// A request in flight on an upstream. The quarantine counts it until it is answered, lost or dropped.
 pub struct TrackedRequest {
     shared: Arc<SharedServiceState>,
+    service: ServiceName,
     upstream: UpstreamId,
     fingerprint: Fingerprint,
     ended: bool,
@@ -60,25 +63,34 @@
             };
         }
         let (shared, upstream) = (Arc::clone(&service.shared), queue.upstream.clone());
-        Ok(Self { shared, upstream, fingerprint, ended: false })
+        let service = service.service.name.clone();
+        Ok(Self { shared, service, upstream, fingerprint, ended: false })
     }
 
     /// Handles the loss of the request's connection. The request counts as the cause of a crash only if the upstream's
     /// process has ended; the upstream may also have closed the connection for another reason.
-    pub async fn connection_lost(self, pool: &Pool, upstream: SocketAddr) {
+    pub async fn connection_lost(self, router: &Router, upstream: SocketAddr) {
         // A process that ends closes its connections before it stops listening, so it is probed more than once.
         for _ in 0..HEALTH_PROBES {
-            if has_ended(pool, upstream).await {
-                return self.record_crash();
+            if has_ended(&router.upstreams, upstream).await {
+                return self.record_crash(router);
             }
             Timer::after(PROBE_DELAY_MS.duration()).await;
         }
     }
 
-    fn record_crash(mut self) {
+    fn record_crash(mut self, router: &Router) {
         self.end_once(|tracked| {
             let now = clock::wall_time();
-            tracked.shared.quarantine().lost(&tracked.upstream, now);
+            let mut quarantine = tracked.shared.quarantine();
+            let lost = quarantine.lost(&tracked.upstream, now);
+            let histories = quarantine.histories().select(&lost);
+            drop(quarantine);
+            // The range gets another holder now, which would run the request again.
+            if !histories.is_empty() {
+                let service = tracked.service.clone();
+                router.report(TrafficReport::Crashed { service, histories });
+            }
         });
     }
 
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -318,7 +318,7 @@
         }
         Err(FailedSend { error: SendError::Unknown(reason), .. }) => {
             if matches!(reason, ResponseLost::Closed(_)) {
-                tracked.connection_lost(&router.upstreams, lease.upstream_queue.addr).await;
+                tracked.connection_lost(router, lease.upstream_queue.addr).await;
             }
             report_failure(router, lease);
             SendResult::Unknown
--- a/crates/daemon/src/shared_state.rs
+++ b/crates/daemon/src/shared_state.rs
@@ -2,6 +2,7 @@
 //! depend on this module and not on each other.
 
 use skylarkdock_admin::status::ServingState;
+use skylarkdock_outcomes::crash_history::CrashHistories;
 use skylarkdock_outcomes::fingerprint::Fingerprint;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::requests::RequestId;
@@ -53,6 +54,13 @@
         /// Fingerprint of the request.
         fingerprint: Fingerprint,
     },
+    /// An upstream crashed with requests in flight.
+    Crashed {
+        /// The service.
+        service: ServiceName,
+        /// Crash histories of these requests.
+        histories: CrashHistories,
+    },
     /// An upstream refused a request because it is draining.
     UpstreamDraining {
         /// The service.
--- a/crates/outcomes/src/crash_history.rs
+++ b/crates/outcomes/src/crash_history.rs
@@ -138,6 +138,14 @@
         self.by_request.get(&fingerprint).map_or(Verdict::Clean, |history| history.verdict(now))
     }
 
+    /// Returns the histories of some requests.
+    pub fn select(&self, fingerprints: &[Fingerprint]) -> Self {
+        let known = fingerprints.iter().filter_map(|fingerprint| {
+            Some((*fingerprint, self.by_request.get(fingerprint)?.clone()))
+        });
+        Self { by_request: known.collect() }
+    }
+
     /// Adds a death to a request's crash history.
     pub fn add(&mut self, fingerprint: Fingerprint, death: Death) {
         self.by_request.entry(fingerprint).or_default().add(death);
--- a/crates/outcomes/tests/quarantine.rs
+++ b/crates/outcomes/tests/quarantine.rs
@@ -218,3 +218,19 @@
         prop_assert_eq!(pruned.len(), a.len().min(max));
     }
 }
+
+/// The next holder of a range knew of no crash, and ran the request again.
+#[test]
+fn a_holder_that_merges_the_histories_of_a_crash_quarantines_at_the_next() {
+    let (mut former, mut next) = (Quarantine::default(), Quarantine::default());
+    for other in [fingerprint(7), fingerprint(1)] {
+        former.admit(&upstream(1), other, NOW);
+    }
+    let lost = former.lost(&upstream(1), NOW);
+    next.merge(&former.histories().select(&lost), NOW);
+    assert_eq!(next.verdict(fingerprint(1), NOW), Verdict::Suspect);
+    assert_eq!(next.admit(&upstream(2), fingerprint(1), NOW), Admission::Run);
+    next.lost(&upstream(2), NOW);
+    assert!(matches!(next.verdict(fingerprint(1), NOW), Verdict::Quarantined(_)));
+    assert_eq!(former.histories().select(&[fingerprint(9)]), CrashHistories::default());
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,10 +3,11 @@
 use crate::error::PeerError;
 use serde::{Deserialize, Serialize};
 use skylarkdock_membership::Gossip;
+use skylarkdock_outcomes::crash_history::CrashHistories;
 use skylarkdock_outcomes::handover;
 use skylarkdock_ownership::Message;
 use skylarkdock_timeline::clock::Stamp;
-use skylarkdock_units::ids::{Offset, RangeId};
+use skylarkdock_units::ids::{Offset, RangeId, ServiceName};
 
 /// A message with a timestamp of the sender's hybrid logical clock.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -36,6 +37,8 @@
     Ping,
     /// Response to a [`Ping`](Payload::Ping).
     Pong,
+    /// Crash histories of requests. The next holder of a range needs them to refuse a request that crashes upstreams.
+    Crashes(Crashes),
 }
 
 /// Requests the records after an offset, or the state if those records are no longer kept.
@@ -45,6 +48,15 @@
     pub applied: Offset,
 }
 
+/// Crash histories of requests to a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crashes {
+    /// The service.
+    pub service: ServiceName,
+    /// Histories of the requests that were in flight at a crash.
+    pub histories: CrashHistories,
+}
+
 /// Consecutive records of the log, as read by the sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Records {
