--- a/crates/emulator/src/crashes.rs
+++ b/crates/emulator/src/crashes.rs
@@ -2,8 +2,7 @@
 //!
 //! Hosts in two regions share upstreams that crash, stay away for some seconds and return at the same address under a
 //! new id. Each host has the real [`CrashTracker`](skylarkdock_dispatch::crash_tracker::CrashTracker) and learns only
-//! what it sees itself and what others report; [`knowledge`] connects the two as a real host does. Callers send the
-//! same requests again and again.
+//! what it sees itself and what others report. Callers send the same requests again and again.
 
 mod knowledge;
 
