Split the crash tracker into records, assessment and digests

The file had 600 lines with three jobs. Functions and constants are moved and nothing else; the emulator's table of all scenarios is the same to the digit, and the tests pass.

--- a/crates/dispatch/src/crash_tracker.rs
+++ b/crates/dispatch/src/crash_tracker.rs
@@ -17,8 +17,13 @@
 //! start of an upstream has a hash of its own. Hosts that missed the reports learn of refused requests from digests.
 
 mod answers;
+mod assessment;
+mod digest;
+
+pub use crate::crash_tracker::digest::Digest;
 
 use crate::crash_tracker::answers::RecentAnswers;
+use crate::crash_tracker::assessment::Assessment;
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::{HostTime, Millis};
@@ -28,12 +33,6 @@
 const NEEDED_CRASHES: usize = 3;
 /// The same for a request that was alone in flight at each of them.
 const NEEDED_CRASHES_ALONE: usize = 2;
-/// The same for a request that is probably not the cause: it was answered shortly before the first of them, or several
-/// others were in flight at all of them. The difference is the number of sends that the users' rules allow after the
-/// third crash.
-const NEEDED_CRASHES_IF_DOUBTFUL: usize = 6;
-/// Other requests in flight at all crashes of a request, and never answered, that make it doubtful which is the cause.
-const DOUBTFUL_RIVALS: usize = 3;
 /// Time for which an answer speaks for a request at a later crash.
 const ANSWER_LIFETIME: Millis = Millis(30_000);
 /// Time after the last crash for which a request is refused that caused it for certain. A shorter time would let a
@@ -42,12 +41,6 @@
 /// Time after the last crash for which a request is refused that may have been in flight by chance. Longer than
 /// upstreams take to return.
 const UNCERTAIN_PAUSE: Millis = Millis(3_000);
-/// Largest difference between the times of crashes that count as simultaneous.
-const SIMULTANEOUS: Millis = Millis(2_000);
-/// Simultaneous crashes without a known cause that make it uncertain whether a request caused its own.
-const UNEXPLAINED_CRASHES: usize = 2;
-/// Time after the last crash from which its assessment no longer changes, and other hosts are told.
-const SETTLING_TIME: Millis = Millis(3_000);
 /// Longest time between the end of an attempt without an answer and the proof that the upstream ended. The proof that
 /// comes last is that its entry in the registry lapsed.
 const PROOF_WINDOW: Millis = Millis(6_000);
@@ -56,8 +49,6 @@
 const SILENCE: Millis = Millis(2_000);
 /// Time for which a crash is included in reports; long enough for two reports to other regions.
 const REPORT_PERIOD: Millis = Millis(1_700);
-/// Time after a crash for which other hosts are told of answers to the requests in it.
-const ANSWERS_PERIOD: Millis = Millis(8_000);
 /// Largest numbers of known crashes, of requests kept for each, of crashes in one report and of requests for each of
 /// them, of suspects, of refused requests, and of entries of each kind in a digest.
 const MAX_CRASHES: usize = 256;
@@ -114,22 +105,6 @@
     Uncertain(Millis),
 }
 
-/// What a host tells others of requests whose crashes they may not know.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Digest {
-    /// Requests that certainly crash upstreams, and the times since their last crashes.
-    pub refused: Vec<(Fingerprint, Millis)>,
-    /// Requests in flight at several recent crashes that were answered before or since, and the times since the answers.
-    pub answered: Vec<(Fingerprint, Millis)>,
-}
-
-impl Digest {
-    /// Returns whether there is nothing to tell.
-    pub const fn is_empty(&self) -> bool {
-        self.refused.is_empty() && self.answered.is_empty()
-    }
-}
-
 /// Attempt that has no answer yet.
 #[derive(Debug, Clone, Copy)]
 struct Sent {
@@ -173,13 +148,6 @@
     assessment: Option<Assessment>,
 }
 
-/// Assessment of a request that was in flight at enough crashes to be refused.
-#[derive(Debug, Clone, Copy)]
-struct Assessment {
-    last_crash_at: HostTime,
-    is_certain: bool,
-}
-
 /// Attempts, crashes and suspects, as known to one host.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
@@ -396,55 +364,6 @@
         self.crashes.iter().any(|known| now.since(known.updated_at) < period)
     }
 
-    /// Returns what hosts that missed reports need to know.
-    pub fn digest(&mut self, now: HostTime) -> Digest {
-        self.expire(now);
-        self.settle(now);
-        let mut refused: Vec<(Fingerprint, Millis)> =
-            self.refused.iter().map(|(fingerprint, at)| (*fingerprint, now.since(*at))).collect();
-        refused.sort_unstable_by_key(|(fingerprint, age)| (*age, *fingerprint));
-        refused.truncate(MAX_DIGEST_ENTRIES);
-        Digest { refused, answered: self.answered_in_flight(now) }
-    }
-
-    /// Returns the answers to requests that were in flight at several recent crashes, latest first.
-    fn answered_in_flight(&self, now: HostTime) -> Vec<(Fingerprint, Millis)> {
-        let recent = self.crashes.iter().filter(|known| now.since(known.at) < ANSWERS_PERIOD);
-        let mut counts: FastMap<Fingerprint, usize> = FastMap::default();
-        for fingerprint in recent.flat_map(|known| &known.crash.in_flight) {
-            *counts.entry(*fingerprint).or_default() += 1;
-        }
-        let several = counts.into_iter().filter(|(_, count)| *count >= NEEDED_CRASHES_ALONE);
-        let answered = several.filter_map(|(fingerprint, _)| {
-            let age = now.since(self.answers.get(fingerprint)?);
-            (age < ANSWER_LIFETIME).then_some((fingerprint, age))
-        });
-        let mut answered: Vec<(Fingerprint, Millis)> = answered.collect();
-        answered.sort_unstable_by_key(|(fingerprint, age)| (*age, *fingerprint));
-        answered.truncate(MAX_DIGEST_ENTRIES);
-        answered
-    }
-
-    /// Applies the digest of another host.
-    pub fn on_digest(&mut self, digest: &Digest, now: HostTime) {
-        let at = |age: Millis| HostTime(now.0.saturating_sub(age.0));
-        for (fingerprint, age) in &digest.answered {
-            self.clear(*fingerprint, at(*age), now);
-        }
-        for (fingerprint, age) in &digest.refused {
-            let crashed_at = at(*age);
-            let is_cleared =
-                self.answers.get(*fingerprint).is_some_and(|answer| answer >= crashed_at);
-            if is_cleared || *age >= REFUSAL_LIFETIME {
-                continue;
-            }
-            if self.refused.len() < MAX_REFUSED || self.refused.contains_key(fingerprint) {
-                let known = self.refused.entry(*fingerprint).or_insert(crashed_at);
-                *known = (*known).max(crashed_at);
-            }
-        }
-    }
-
     /// Records an answer: the request did not cause the crashes before it, and probably not those soon after it.
     fn clear(&mut self, fingerprint: Fingerprint, answered_at: HostTime, now: HostTime) {
         self.answers.record(fingerprint, answered_at);
@@ -465,103 +384,6 @@
         }
     }
 
-    /// Assesses the suspects again after a change of what is known.
-    fn assess(&mut self, now: HostTime) {
-        for known in &mut self.crashes {
-            known.is_explained = false;
-        }
-        let causes = self.suspects.values();
-        let causes = causes.filter(|s| !s.was_answered && s.crashes.len() >= NEEDED_CRASHES);
-        for number in causes.flat_map(|suspect| &suspect.crashes) {
-            let index = number.checked_sub(self.first_crash).map(usize::try_from);
-            if let Some(known) = index.and_then(Result::ok).and_then(|i| self.crashes.get_mut(i)) {
-                known.is_explained = true;
-            }
-        }
-        let candidates = self.suspects.iter();
-        let candidates = candidates.filter(|(_, s)| s.crashes.len() >= NEEDED_CRASHES_ALONE);
-        let assessed: Vec<(Fingerprint, Option<Assessment>)> =
-            candidates.map(|(fp, suspect)| (*fp, self.assessment(*fp, suspect))).collect();
-        for (fingerprint, assessment) in assessed {
-            if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-                suspect.assessment = assessment;
-            }
-        }
-        self.settle(now);
-    }
-
-    /// Assesses a suspect; returns `None` if it is not refused.
-    fn assessment(&self, fingerprint: Fingerprint, suspect: &Suspect) -> Option<Assessment> {
-        let known = |number: &u64| known_crash(&self.crashes, self.first_crash, *number);
-        let own: Vec<&KnownCrash> = suspect.crashes.iter().filter_map(known).collect();
-        let is_alone = |known: &&KnownCrash| known.crash.load <= 1;
-        let is_doubtful =
-            suspect.was_answered || self.rivals(fingerprint, suspect).count() >= DOUBTFUL_RIVALS;
-        let needed = if is_doubtful {
-            NEEDED_CRASHES_IF_DOUBTFUL
-        } else if own.iter().all(is_alone) {
-            NEEDED_CRASHES_ALONE
-        } else {
-            NEEDED_CRASHES
-        };
-        let mut rivals = self.rivals(fingerprint, suspect);
-        let is_explained = rivals.any(|rival| rival.crashes.len() > suspect.crashes.len());
-        if own.len() < needed || is_explained {
-            return None;
-        }
-        let last_crash_at = own.iter().map(|known| known.at).max()?;
-        // A doubtful one has to crash upstreams again after a pause.
-        let mut times: Vec<HostTime> = own.iter().map(|known| known.at).collect();
-        times.sort_unstable();
-        let came_again = times.windows(2).any(|pair| pair[1].since(pair[0]) > SIMULTANEOUS);
-        let is_certain = (!is_doubtful || came_again)
-            && own.iter().any(|known| self.is_alone_in_time(known, fingerprint));
-        Some(Assessment { last_crash_at, is_certain })
-    }
-
-    /// Returns the other suspects that were in flight at all crashes of a suspect, and were not answered before.
-    fn rivals<'a>(
-        &'a self,
-        fingerprint: Fingerprint,
-        suspect: &'a Suspect,
-    ) -> impl Iterator<Item = &'a Suspect> {
-        let first = suspect.crashes.first();
-        let first = first.and_then(|number| known_crash(&self.crashes, self.first_crash, *number));
-        let others = first.into_iter().flat_map(|known| &known.crash.in_flight);
-        let others = others.filter(move |other| **other != fingerprint);
-        others.filter_map(|other| self.suspects.get(other)).filter(|rival| {
-            !rival.was_answered
-                && suspect.crashes.iter().all(|number| rival.crashes.contains(number))
-        })
-    }
-
-    /// Returns whether few upstreams ended for unknown reasons at the time of a crash of a request.
-    fn is_alone_in_time(&self, crash: &KnownCrash, fingerprint: Fingerprint) -> bool {
-        let others = self.crashes.iter().filter(|other| {
-            let distance = other.at.since(crash.at).max(crash.at.since(other.at));
-            distance <= SIMULTANEOUS
-                && !other.is_explained
-                && !other.crash.in_flight.contains(&fingerprint)
-        });
-        others.count() < UNEXPLAINED_CRASHES
-    }
-
-    /// Makes the certain assessments final that no longer change.
-    fn settle(&mut self, now: HostTime) {
-        for (fingerprint, suspect) in &self.suspects {
-            let Some(assessment) = suspect.assessment.filter(|assessment| assessment.is_certain)
-            else {
-                continue;
-            };
-            let is_settled = now.since(assessment.last_crash_at) >= SETTLING_TIME;
-            if is_settled
-                && (self.refused.len() < MAX_REFUSED || self.refused.contains_key(fingerprint))
-            {
-                self.refused.insert(*fingerprint, assessment.last_crash_at);
-            }
-        }
-    }
-
     /// Forgets what is too old.
     fn expire(&mut self, now: HostTime) {
         self.refused.retain(|_, at| now.since(*at) < REFUSAL_LIFETIME);
