--- a/crates/deltas/tests/deltas.rs
+++ b/crates/deltas/tests/deltas.rs
@@ -13,8 +13,8 @@
     for n in 0..routes {
         let name = n.wrapping_mul(0x9e37_79b9_7f4a_7c15);
         text += &format!(
-            "{{\"name\":\"r-{name:x}\",\"host\":\"h{}.example\",\"path-prefix\":\"/{:x}/\",\"kind\":\"idempotent\",\
-             \"timeout\":\"3s\",\"target-latency\":\"500ms\",\"priority\":2,\"service\":\"s{}\",\"attempts\":2}},",
+            "{{\"name\":\"r-{name:x}\",\"host\":\"h{}.example\",\"prefix\":\"/{:x}/\",\"kind\":\"idempotent\",\
+             \"timeout\":\"3s\",\"objective\":\"500ms\",\"priority\":2,\"service\":\"s{}\",\"attempts\":2}},",
             name % 90,
             name.rotate_left(17),
             n % 4
--- a/crates/emulator/src/distribution.rs
+++ b/crates/emulator/src/distribution.rs
@@ -145,8 +145,8 @@
         let name = (route as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let service = if route == version { 9 } else { route % 4 };
         text += &format!(
-            "{{\"name\":\"r-{:x}\",\"host\":\"h{}.example\",\"path-prefix\":\"/{:x}/\",\"kind\":\"idempotent\",\
-             \"timeout\":\"3s\",\"target-latency\":\"500ms\",\"priority\":2,\"service\":\"s{service}\",\"attempts\":2}},",
+            "{{\"name\":\"r-{:x}\",\"host\":\"h{}.example\",\"prefix\":\"/{:x}/\",\"kind\":\"idempotent\",\
+             \"timeout\":\"3s\",\"objective\":\"500ms\",\"priority\":2,\"service\":\"s{service}\",\"attempts\":2}},",
             name >> 32,
             name % 90,
             name.rotate_left(17) >> 24
