Log who reads the store and who stands for election, and why

Logs could not tell whether nobody stood for election after the loss of a leader or too many did, nor which hosts read the store themselves.

A line is written when a host begins or ends to take part in the election, when its heartbeats have another result, and when it begins or ends to read a topic of the store itself, with the age of what it knows and, at the end, the calls and bytes. Bytes of own reads are also counted in a metric.

--- a/crates/edge/src/control/election.rs
+++ b/crates/edge/src/control/election.rs
@@ -50,6 +50,7 @@
     /// stays the only member of the group, and hosts that start or stop don't cause another election.
     async fn take_part_in_election(self: Rc<Self>) {
         let mut is_member = false;
+        let mut last_outcome = None;
         let mut without_leader_since = clock::now();
         loop {
             let now = clock::now();
@@ -59,12 +60,23 @@
                 without_leader_since = now;
                 if is_member {
                     is_member = false;
+                    log::info!("fleet: leaves the election");
                     self.leave_group().await;
                 }
             } else if self.is_leader.get() || now.since(without_leader_since) >= self.join_delay() {
+                if !is_member {
+                    self.log_candidacy(now);
+                    last_outcome = None;
+                }
                 is_member = true;
                 counter!("skylarkdock_store_calls_total", "call" => "join").increment(1);
-                match (self.store.join)().await {
+                let joined = (self.store.join)().await;
+                let outcome = joined.as_ref().ok().copied();
+                if last_outcome.replace(outcome) != Some(outcome) {
+                    let took = clock::now().since(now);
+                    log::info!(leads:? = outcome, took:% = took; "fleet: heartbeats for the election have another result");
+                }
+                match joined {
                     Ok(true) => {
                         self.accepted_as_leader_at.set(now);
                         self.fleet.borrow_mut().known_records.record_leader(now);
@@ -83,6 +95,15 @@
         }
     }
 
+    fn log_candidacy(&self, now: HostTime) {
+        let lacks_leader = self.lacks_leader(now);
+        let fleet = self.fleet.borrow();
+        let leader_age = fleet.known_records.leader_seen_at().map(|at| now.since(at).0);
+        let age = now.since(fleet.known_records.proof_at(Topic::Upstreams));
+        let has_source = fleet.known_records.has_source();
+        log::info!(lacks_leader, leader_age_ms:? = leader_age, age:% = age, has_source; "fleet: takes part in the election");
+    }
+
     /// Returns whether the store has accepted no heartbeat of a leader for so long, as far as this host knows, that another
     /// should lead. Keepers notice it first, as each further candidate may move leadership.
     pub(super) fn lacks_leader(&self, now: HostTime) -> bool {
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -82,6 +82,24 @@
     }
 }
 
+/// Reads of a topic that a host makes itself, as no other host keeps it up to date.
+#[derive(Default)]
+struct OwnReads {
+    calls: u32,
+    bytes: usize,
+}
+
+impl OwnReads {
+    fn add(&mut self, topic: Topic, page: &Page) {
+        let sizes = page.records.iter().map(|record| record.key.len() + record.value.len());
+        let bytes: usize = sizes.sum();
+        self.calls += 1;
+        self.bytes += bytes;
+        counter!("skylarkdock_store_read_bytes_total", "topic" => format!("{topic:?}").to_lowercase())
+            .increment(bytes as u64);
+    }
+}
+
 /// Starts one task for each topic that keeps its records up to date.
 pub(super) fn start(control: &Rc<Control>) {
     for topic in [Topic::Config, Topic::Upstreams, Topic::Fleet] {
@@ -94,8 +112,12 @@
     async fn read_topic(self: Rc<Self>, topic: Topic) {
         let mut cursor: Option<u64> = None;
         let mut backoff = Backoff::new(topic);
+        let mut own_reads: Option<OwnReads> = None;
         loop {
             if self.is_updated_by_peer(topic) {
+                if let Some(OwnReads { calls, bytes }) = own_reads.take() {
+                    log::info!(topic:? = topic, calls, bytes; "store: another host keeps this one up to date again");
+                }
                 cursor = self.fleet.borrow().known_records.next(topic);
                 if topic == Topic::Upstreams {
                     self.fleet.borrow_mut().known_records.set_reads_fail(false);
@@ -104,6 +126,13 @@
                 continue;
             }
             let asked_at = clock::now();
+            if own_reads.is_none() {
+                let fleet = self.fleet.borrow();
+                let age = asked_at.since(fleet.known_records.proof_at(topic));
+                let has_source = fleet.known_records.has_source();
+                log::info!(topic:? = topic, age:% = age, has_source, leads = self.is_leader.get(), is_whole = cursor.is_none(); "store: this host reads it itself");
+            }
+            let reads = own_reads.get_or_insert_default();
             counter!("skylarkdock_store_calls_total", "call" => "read").increment(1);
             let read = match cursor {
                 None => (self.store.newest)(topic).await,
@@ -112,6 +141,7 @@
             match read {
                 Ok(page) => {
                     backoff.on_success();
+                    reads.add(topic, &page);
                     if topic == Topic::Upstreams {
                         let latency = clock::now().since(asked_at);
                         self.min_store_latency.set(self.min_store_latency.get().min(latency));
