Let the hosts of a zone take turns when they lose their source of updates

Each host that lost the one which kept it up to date acted as if it were alone: it read the store itself, whole records first, and stood for election. Dozens of hosts behind one link between regions did so within a second of each other. Their reads filled the link, so none ended in time, so all went on; and the election's group had dozens of members, of which one that could not hear the store held the leadership. The failing test shows both at once: nine of nine hosts read the store and stood.

The hosts of an availability zone now take turns by rules in a new pure crate, freshness, which derives all limits: the keeper or else the largest host reads at 55 % of the time for a change, further ones 5 % later each, four times that for large records. A host asks the largest host of its zone after the keeper and before the leader, and passes over one that is late and can't read. A host that starts learns the other hosts first. Only hosts that read the store successfully stand for election, 2.2 s after the last known heartbeat of a leader; one whose heartbeat got no answer stops, so that its membership ends.

--- a/crates/edge/src/control/election.rs
+++ b/crates/edge/src/control/election.rs
@@ -4,9 +4,9 @@
 
 use super::Control;
 use crate::clock;
-use crate::store::Topic;
 use async_io::Timer;
 use metrics::counter;
+use skylarkdock_freshness::election::{self, Candidate};
 use skylarkdock_spans::leader::Leader;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::rc::Rc;
@@ -15,11 +15,8 @@
 const JOIN_INTERVAL: Millis = Millis(600);
 /// Time after the last heartbeat that the store accepted, from which another host may lead.
 const LEADERSHIP_LIFETIME: Millis = Millis(1_900);
-/// Time after the last heartbeat of a leader from which keepers take part in the election. Longer than the lifetime of
-/// leadership by the time that news of a heartbeat takes to reach them.
-const KEEPER_LEADER_TIMEOUT: Millis = Millis(3_000);
-/// Time after which the other hosts do. It leaves a keeper time to become leader and to tell the others.
-const LEADER_TIMEOUT: Millis = Millis(8_000);
+/// Time between the checks of a host that sends no heartbeats whether it should stand for election.
+const CANDIDACY_CHECK_INTERVAL: Millis = Millis(150);
 /// Time between a leader's checks whether to hand over, and during a handover between checks for pending moves.
 const HANDOVER_CHECK_INTERVAL: Millis = Millis(100);
 /// Time between the checks of a host that does not lead whether it was told to stop.
@@ -32,12 +29,6 @@
 const RESIGNATION_TIME: Millis = Millis(3_000);
 /// Shortest time between two resignations in favour of a larger host, in case that host can't lead.
 const MIN_RESIGNATION_INTERVAL: Millis = Millis(60_000);
-/// Latency of a store call from which the store counts as being in another region.
-const REMOTE_STORE_LATENCY: Millis = Millis(15);
-/// Delay before a host of another region than the store's joins the election.
-const REMOTE_JOIN_DELAY: Millis = Millis(1_500);
-/// Additional delay before a host joins the election if its region has a much larger one.
-const SMALL_JOIN_DELAY: Millis = Millis(1_000);
 
 /// Starts the tasks that take part in the election and hand leadership over.
 pub(super) fn start(control: &Rc<Control>) {
@@ -46,70 +37,86 @@
 }
 
 impl Control {
-    /// Takes part in the election, unless this host receives updates of the fleet topic and a leader is known. So the leader
-    /// stays the only member of the group, and hosts that start or stop don't cause another election.
+    /// Takes part in the election while no leader is known, if this host could lead. So the leader stays the only member
+    /// of the group, and hosts that start, stop or are late don't cause another election.
     async fn take_part_in_election(self: Rc<Self>) {
         let mut is_member = false;
         let mut last_outcome = None;
-        let mut without_leader_since = clock::now();
+        let mut paused_until = HostTime(0);
         loop {
             let now = clock::now();
-            if now < self.resigned_until.get() {
-                is_member = false;
-            } else if !self.lacks_leader(now) && self.is_updated_by_peer(Topic::Fleet) {
-                without_leader_since = now;
-                if is_member {
-                    is_member = false;
-                    log::info!("fleet: leaves the election");
+            let is_paused = now < self.resigned_until.get() || now < paused_until;
+            let candidate = self.candidate(now);
+            let takes_part = !is_paused && (self.is_leader.get() || election::stands(&candidate));
+            if is_member != takes_part {
+                log::info!(candidate:? = candidate; "fleet: {} the election", if takes_part { "takes part in" } else { "leaves" });
+                if !takes_part && !is_paused {
                     self.leave_group().await;
                 }
-            } else if self.is_leader.get() || now.since(without_leader_since) >= self.join_delay() {
-                if !is_member {
-                    self.log_candidacy(now);
-                    last_outcome = None;
-                }
-                is_member = true;
-                counter!("skylarkdock_store_calls_total", "call" => "join").increment(1);
-                let joined = (self.store.join)().await;
-                let outcome = joined.as_ref().ok().copied();
+                last_outcome = None;
+            }
+            is_member = takes_part;
+            if is_member {
+                let outcome = self.send_heartbeat(now).await;
                 if last_outcome.replace(outcome) != Some(outcome) {
                     let took = clock::now().since(now);
                     log::info!(leads:? = outcome, took:% = took; "fleet: heartbeats for the election have another result");
                 }
-                match joined {
-                    Ok(true) => {
-                        self.accepted_as_leader_at.set(now);
-                        self.fleet.borrow_mut().known_records.record_leader(now);
-                        self.set_leader(true);
-                    }
-                    Ok(false) => {}
-                    Err(e) => log::debug!(
-                        "fleet: store did not accept a heartbeat for the leader election: {e}"
-                    ),
+                if outcome.is_none() && !self.is_leader.get() {
+                    paused_until = clock::now() + election::FAILED_PAUSE;
                 }
             }
             if clock::now().since(self.accepted_as_leader_at.get()) > LEADERSHIP_LIFETIME {
                 self.set_leader(false);
             }
-            Timer::after(JOIN_INTERVAL.duration()).await;
+            let interval = if is_member { JOIN_INTERVAL } else { CANDIDACY_CHECK_INTERVAL };
+            Timer::after(interval.duration()).await;
         }
     }
 
-    fn log_candidacy(&self, now: HostTime) {
-        let lacks_leader = self.lacks_leader(now);
+    /// Sends a heartbeat to the store's group. Returns whether the store made this host the leader; `None` if it did not
+    /// answer.
+    async fn send_heartbeat(&self, now: HostTime) -> Option<bool> {
+        counter!("skylarkdock_store_calls_total", "call" => "join").increment(1);
+        match (self.store.join)().await {
+            Ok(leads) => {
+                if leads {
+                    self.accepted_as_leader_at.set(now);
+                    self.fleet.borrow_mut().known_records.record_leader(now);
+                    self.set_leader(true);
+                }
+                Some(leads)
+            }
+            Err(e) => {
+                log::debug!("fleet: store did not accept a heartbeat for the leader election: {e}");
+                None
+            }
+        }
+    }
+
+    fn candidate(&self, now: HostTime) -> Candidate {
+        let turn = self.turn();
         let fleet = self.fleet.borrow();
-        let leader_age = fleet.known_records.leader_seen_at().map(|at| now.since(at).0);
-        let age = now.since(fleet.known_records.proof_at(Topic::Upstreams));
-        let has_source = fleet.known_records.has_source();
-        log::info!(lacks_leader, leader_age_ms:? = leader_age, age:% = age, has_source; "fleet: takes part in the election");
+        let is_small = fleet.hosts.values().any(|record| {
+            record.region == self.settings.region
+                && record.size.is_much_larger_than(self.settings.size)
+        });
+        Candidate {
+            leader_age: fleet.known_records.leader_seen_at().map(|seen_at| now.since(seen_at)),
+            uptime: now.since(self.started_at),
+            read_age: self.registry_read_at.get().map(|read_at| now.since(read_at)),
+            min_latency: self.min_store_latency.get(),
+            knows_hosts: fleet.hosts.values().any(|record| record.host != self.settings.host),
+            is_small,
+            turn,
+        }
     }
 
     /// Returns whether the store has accepted no heartbeat of a leader for so long, as far as this host knows, that another
-    /// should lead. Keepers notice it first, as each further candidate may move leadership.
+    /// should lead.
     pub(super) fn lacks_leader(&self, now: HostTime) -> bool {
         let seen_at = self.fleet.borrow().known_records.leader_seen_at();
-        let timeout = if self.is_keeper() { KEEPER_LEADER_TIMEOUT } else { LEADER_TIMEOUT };
-        seen_at.is_some_and(|seen_at| now.since(seen_at) > timeout)
+        election::lacks_leader(seen_at.map(|seen_at| now.since(seen_at)))
     }
 
     async fn leave_group(&self) {
@@ -176,22 +183,6 @@
             })
     }
 
-    /// Returns how long this host waits for another leader before it joins the election. A leader near the store reads
-    /// it at less cost, and a large one has more capacity for sending updates to the others.
-    fn join_delay(&self) -> Millis {
-        let delay = if self.min_store_latency.get() < REMOTE_STORE_LATENCY {
-            Millis(0)
-        } else {
-            REMOTE_JOIN_DELAY
-        };
-        let fleet = self.fleet.borrow();
-        let is_small = fleet.hosts.values().any(|record| {
-            record.region == self.settings.region
-                && record.size.is_much_larger_than(self.settings.size)
-        });
-        if is_small { delay + SMALL_JOIN_DELAY } else { delay }
-    }
-
     fn set_leader(&self, is_leader: bool) {
         let now = clock::now();
         let is_leader = is_leader && now >= self.resigned_until.get();
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -30,6 +30,7 @@
 use registry::Registry;
 use serde::{Deserialize, Serialize};
 use skylarkdock_dispatch::key_owners::KeyMap;
+use skylarkdock_freshness::reading::Limits;
 use skylarkdock_spans::leader::{Leader, SpanId};
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::renewal::Renewals;
@@ -94,6 +95,16 @@
     changed: Event,
     /// When the heartbeat was sent that the store last accepted from this host as leader.
     accepted_as_leader_at: Cell<HostTime>,
+    /// When this host sent its last read of the registry that succeeded; `None` if none has.
+    registry_read_at: Cell<Option<HostTime>>,
+    /// Limits of the age of what this host knows.
+    limits: Limits,
+    /// Until when each host that gave no usable updates is avoided as a source of them.
+    avoided: RefCell<FastMap<SocketAddr, HostTime>>,
+    /// When each host last requested updates from this one.
+    followers: RefCell<FastMap<HostId, HostTime>>,
+    /// Number of hosts that request updates from this host's source.
+    source_followers: Cell<u32>,
     /// Shortest read of the registry so far. Shows whether the store is in this host's region.
     min_store_latency: Cell<Millis>,
     status: Arc<Status>,
@@ -186,6 +197,7 @@
         let hold = GRANT_LIFETIME.min(settings.max_hold);
         let timing = Timing { hold, call_timeout: CALL_TIMEOUT, proof_lifetime: PROOF_LIFETIME };
         let fleet = RefCell::new(FleetState::new(settings.heartbeat));
+        let limits = Limits::new(settings.apply_time, settings.drain_time);
         let detour_server = DetourServer::new(protocol, settings.drain_time);
         let control = Rc::new(Self {
             settings,
@@ -201,6 +213,11 @@
             is_leader: Cell::new(false),
             changed: Event::new(),
             accepted_as_leader_at: Cell::new(HostTime(0)),
+            registry_read_at: Cell::default(),
+            limits,
+            avoided: RefCell::default(),
+            followers: RefCell::default(),
+            source_followers: Cell::default(),
             min_store_latency: Cell::new(Millis(u64::MAX)),
             status,
             resigned_until: Cell::default(),
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -8,6 +8,7 @@
 use crate::view::Config;
 use async_io::Timer;
 use metrics::counter;
+use skylarkdock_freshness::reading::{self, Knowledge, Records};
 use skylarkdock_spans::leader::Leader;
 use skylarkdock_spans::renewal::Renewals;
 use skylarkdock_spans::table::Table;
@@ -22,14 +23,11 @@
 const FLEET_WAIT: Millis = Millis(1_500);
 /// Time between reads of the registry. They don't wait for a record, as the upstreams' heartbeats arrive all the time.
 const REGISTRY_INTERVAL: Millis = Millis(300);
-/// Age of records received from another host at which this host reads the store itself, in percent of the time in which a
-/// configuration has to be in force, or of that after which a leaving upstream must get no new requests if it is shorter.
-/// Updates that pass through two hosts are 0.9 s old, and there must still be time to read the store.
-const MAX_AGE_PERCENT: u64 = 55;
 /// Pause after a read of the fleet topic, as all hosts write their records there when they start together.
 const FLEET_PAUSE: Millis = Millis(100);
-/// Age of records of the fleet topic at which this host reads that topic itself. It is read less often than the others.
-const MAX_FLEET_AGE: Millis = Millis(4_000);
+/// Time after its start within which a host reads the fleet topic before it reads others, to learn which hosts it can ask
+/// for them.
+const FIRST_FLEET_TIME: Millis = Millis(400);
 /// Time between checks of the age of records received from another host.
 const AGE_CHECK_INTERVAL: Millis = Millis(150);
 /// Pause after the first failed call; it doubles with each further failure, as each call is charged for even while the
@@ -130,7 +128,8 @@
                 let fleet = self.fleet.borrow();
                 let age = asked_at.since(fleet.known_records.proof_at(topic));
                 let has_source = fleet.known_records.has_source();
-                log::info!(topic:? = topic, age:% = age, has_source, leads = self.is_leader.get(), is_whole = cursor.is_none(); "store: this host reads it itself");
+                let turn = self.turn();
+                log::info!(topic:? = topic, age:% = age, has_source, turn:% = turn, leads = self.is_leader.get(), is_whole = cursor.is_none(); "store: this host reads it itself");
             }
             let reads = own_reads.get_or_insert_default();
             counter!("skylarkdock_store_calls_total", "call" => "read").increment(1);
@@ -144,6 +143,7 @@
                     reads.add(topic, &page);
                     if topic == Topic::Upstreams {
                         let latency = clock::now().since(asked_at);
+                        self.registry_read_at.set(Some(asked_at));
                         self.min_store_latency.set(self.min_store_latency.get().min(latency));
                         self.fleet.borrow_mut().known_records.set_reads_fail(false);
                         if self.fleet.borrow().known_records.proof_at(topic) > asked_at {
@@ -180,12 +180,6 @@
         }
     }
 
-    /// Returns the age of records received from another host at which this host reads the store itself.
-    pub(super) fn max_age(&self) -> Millis {
-        let effect_time = self.settings.apply_time.min(self.settings.drain_time);
-        Millis(effect_time.0 * MAX_AGE_PERCENT / 100)
-    }
-
     /// Returns whether another host keeps this one up to date on a topic, so that it need not read the store itself. After
     /// a read of its own, it gives other hosts some time to do so.
     pub(super) fn is_updated_by_peer(&self, topic: Topic) -> bool {
@@ -203,15 +197,38 @@
         let replaces_leader = topic != Topic::Fleet
             && self.is_keeper()
             && (self.fleet.borrow().known_records.source_reads_fail() || self.lacks_leader(now));
-        let max_age = self.max_age();
-        let fleet = self.fleet.borrow();
-        let age = |topic| now.since(fleet.known_records.proof_at(topic));
+        let records = match topic {
+            Topic::Config => Records::Config,
+            Topic::Upstreams => Records::Registry,
+            Topic::Fleet => Records::Fleet,
+        };
         !needs_heartbeats
             && !self.is_leader.get()
             && !replaces_leader
-            && fleet.known_records.has_source()
-            && age(Topic::Upstreams) < max_age
-            && age(topic) < if topic == Topic::Fleet { MAX_FLEET_AGE } else { max_age }
+            && (self.waits_for_fleet(topic, now)
+                || !reading::reads_store(self.limits, records, &self.knowledge(topic, now)))
+    }
+
+    /// Returns whether this host has just started and does not know yet which hosts it can ask for a topic.
+    fn waits_for_fleet(&self, topic: Topic, now: HostTime) -> bool {
+        topic != Topic::Fleet
+            && now.since(self.started_at) < FIRST_FLEET_TIME
+            && self.fleet.borrow().known_records.proof_at(Topic::Fleet).0 == 0
+    }
+
+    fn knowledge(&self, topic: Topic, now: HostTime) -> Knowledge {
+        let turn = self.turn();
+        let fleet = self.fleet.borrow();
+        let known = &fleet.known_records;
+        let age = |topic| now.since(known.proof_at(topic).max(self.started_at));
+        Knowledge {
+            age: age(topic),
+            registry_age: age(Topic::Upstreams),
+            is_known: known.proof_at(topic).0 > 0,
+            leader_age: known.leader_seen_at().map(|seen_at| now.since(seen_at)),
+            has_source: known.has_source(),
+            turn,
+        }
     }
 
     /// Applies a page of a topic, of which the store had no newer records at `asked_at`: the time at which this host
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -22,9 +22,9 @@
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
 use skylarkdock_deltas::{self as deltas, DeltaError};
+use skylarkdock_freshness::reading::Turn;
 use skylarkdock_spans::leader::SpanId;
 use skylarkdock_spans::renewal::Renewals;
-use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{HostId, ServiceName};
 use skylarkdock_units::times::{HostTime, Millis};
 use std::net::SocketAddr;
@@ -49,8 +49,8 @@
 const HOSTS_PER_MILLI: u64 = 4;
 /// Longest pause between two requests. Two of them fit the time in which a configuration has to be in force.
 const MAX_REQUEST_PAUSE: Millis = Millis(250);
-/// Time that a host gets to read the store itself, after its updates became too old, before it counts as isolated.
-const ISOLATION_MARGIN: Millis = Millis(500);
+/// Time for which a host that requested updates counts as a follower.
+const FOLLOWER_TIME: Millis = Millis(2_000);
 
 /// Additional pause between requests while a host is isolated or gets older updates than it already has.
 const ISOLATED_PAUSE: Millis = Millis(400);
@@ -62,6 +62,9 @@
 /// Request for updates. It is answered once there are some or `wait` has passed.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct UpdateRequest {
+    /// Host that requests updates; `None` for a host of an earlier version.
+    #[serde(default)]
+    host: Option<HostId>,
     /// Run of the source to which `version` belongs; zero to get all entries of the registry.
     run: u64,
     /// Version of the registry up to which the requesting host has the changes.
@@ -123,6 +126,9 @@
     leader_age: Option<Millis>,
     /// Spans that the answering host knows to be granted although they are not recorded as granted.
     granted: Vec<(ServiceName, SpanId)>,
+    /// Number of hosts that request updates from the answering host.
+    #[serde(default)]
+    followers: u32,
 }
 
 /// Reason for which an answer to a request for updates can't be read.
@@ -219,6 +225,7 @@
     /// that its followers look for another source.
     pub(super) async fn on_update_request(&self, request: UpdateRequest) -> Option<UpdateResponse> {
         let asked_at = clock::now();
+        let followers = self.record_follower(request.host.as_ref(), asked_at);
         let until = asked_at + request.wait.min(UPDATE_WAIT);
         loop {
             let listener = self.changed.listen();
@@ -270,19 +277,27 @@
             fleet: fleet_topic,
             leader_age: known.leader_seen_at.map(|seen_at| now.since(seen_at)),
             granted: self.owners.borrow().unrecorded_grants(),
+            followers,
         })
     }
 
+    /// Records that a host requests updates. Returns the number of hosts that do.
+    fn record_follower(&self, host: Option<&HostId>, now: HostTime) -> u32 {
+        let mut followers = self.followers.borrow_mut();
+        followers.retain(|_, asked_at| now.since(*asked_at) < FOLLOWER_TIME);
+        followers.extend(host.map(|host| (host.clone(), now)));
+        u32::try_from(followers.len()).unwrap_or(u32::MAX)
+    }
+
     /// Requests updates in an endless loop, one request at a time. While there is no source, searches for one at
     /// intervals.
     async fn poll_updates(self: Rc<Self>) {
         let mut caller: Option<ControlClient> = None;
         let mut known = (0, 0);
-        let mut avoided: FastMap<SocketAddr, HostTime> = FastMap::default();
         loop {
             let now = clock::now();
-            avoided.retain(|_, until| now < *until);
-            let Some(addr) = self.source(&avoided, now) else {
+            self.avoided.borrow_mut().retain(|_, until| now < *until);
+            let Some(addr) = self.source(now) else {
                 self.fleet.borrow_mut().known_records.has_source = false;
                 caller = None;
                 Timer::after(SOURCE_INTERVAL.duration()).await;
@@ -298,6 +313,8 @@
             match body.map(|body| UpdateResponse::decode(&body)) {
                 Ok(Ok(response)) => {
                     let received = (response.run, response.version);
+                    self.source_followers.set(response.followers);
+                    let is_stale = response.reads_fail && response.age > self.limits.max_age();
                     // Changes older than what this host knows were not applied, so the next request asks for all
                     // entries.
                     let is_newer = self.apply_updates(response, now);
@@ -307,14 +324,17 @@
                         // Another request would be answered at once with the same records.
                         Timer::after(ISOLATED_PAUSE.duration()).await;
                     }
+                    if is_stale && !self.is_leader.get() {
+                        self.avoid(addr);
+                    }
                 }
                 Ok(Err(e)) => {
                     log::warn!(peer:% = addr, error:% = e; "news: can't decode the updates of another host");
-                    avoided.insert(addr, clock::now() + AVOID_TIME);
+                    self.avoid(addr);
                 }
                 Err(e) => {
                     log::info!(peer:% = addr, error:% = e; "news: request for updates failed");
-                    avoided.insert(addr, clock::now() + AVOID_TIME);
+                    self.avoid(addr);
                     caller = None;
                     Timer::after(RETRY_PAUSE.duration()).await;
                 }
@@ -322,6 +342,10 @@
         }
     }
 
+    fn avoid(&self, addr: SocketAddr) {
+        self.avoided.borrow_mut().insert(addr, clock::now() + AVOID_TIME);
+    }
+
     /// Returns the pause before the next request. In a large fleet it lets several changes be sent in one answer.
     fn request_pause(&self) -> Millis {
         let hosts = self.fleet.borrow().hosts.len() as u64;
@@ -331,6 +355,7 @@
     fn update_request(&self, (run, version): (u64, u64)) -> UpdateRequest {
         let fleet = self.fleet.borrow();
         UpdateRequest {
+            host: Some(self.settings.host.clone()),
             run,
             version,
             config: fleet.known_records.config.next,
@@ -346,45 +371,66 @@
         }
     }
 
-    /// Returns the address of the host to request updates from; `None` if this host should read the store instead. A
-    /// leader whose reads fail learns from others whether the store is unavailable or refuses only the leader.
-    fn source(&self, avoided: &FastMap<SocketAddr, HostTime>, now: HostTime) -> Option<SocketAddr> {
+    /// Returns the address of the host to request updates from; `None` if there is none. A leader whose reads fail learns
+    /// from others whether the store is unavailable or refuses only the leader.
+    fn source(&self, now: HostTime) -> Option<SocketAddr> {
         if self.is_leader.get() {
             let reads_fail = self.fleet.borrow().known_records.reads_fail;
-            return if reads_fail { self.random_peer(avoided) } else { None };
+            return if reads_fail { self.random_peer() } else { None };
         }
         if self.is_isolated(now) {
-            return self.random_peer(avoided);
+            return self.random_peer();
         }
-        let sources = self.sources(avoided).into_iter().filter_map(|host| self.peer_addr(&host));
-        sources.into_iter().find(|addr| !avoided.contains_key(addr))
+        self.sources().into_iter().find_map(|host| self.usable_addr(&host))
     }
 
-    /// Returns the hosts to request updates from, in order of preference: the keeper of this availability zone, or its
-    /// largest host while it has no keeper, then the leader. A keeper requests updates only from the leader.
-    fn sources(&self, avoided: &FastMap<SocketAddr, HostTime>) -> Vec<HostId> {
-        let (own, zone) = (&self.settings.host, &self.settings.zone);
+    /// Returns the address of a host, unless it is unknown or avoided.
+    fn usable_addr(&self, host: &HostId) -> Option<SocketAddr> {
+        self.peer_addr(host).filter(|addr| !self.avoided.borrow().contains_key(addr))
+    }
+
+    /// Returns the hosts to request updates from, in order of preference: the keeper of this availability zone, its
+    /// largest host, then the leader. A keeper requests updates only from the leader.
+    fn sources(&self) -> Vec<HostId> {
+        let own = &self.settings.host;
+        let near = self.zone_keeper();
+        let relay = if near.as_ref() == Some(own) { None } else { self.relay() };
+        let mut sources: Vec<HostId> = near.into_iter().chain(relay).collect();
         let owners = self.owners.borrow();
-        let Some(table) = owners.renewals.values().filter_map(Renewals::table).next() else {
-            return self.relay(avoided).into_iter().collect();
-        };
-        let near = table.keepers.iter().find(|keeper| keeper.zone == *zone);
-        let mut sources = match near {
-            Some(keeper) if keeper.host == *own => Vec::new(),
-            Some(keeper) => vec![keeper.host.clone()],
-            None => self.relay(avoided).into_iter().collect(),
-        };
-        sources.push(table.leader.clone());
+        let table = owners.renewals.values().filter_map(Renewals::table).next();
+        sources.extend(table.map(|table| table.leader.clone()));
         sources.retain(|host| host != own);
         sources
     }
 
+    /// Returns the keeper of this availability zone, which may be this host.
+    fn zone_keeper(&self) -> Option<HostId> {
+        let owners = self.owners.borrow();
+        let table = owners.renewals.values().filter_map(Renewals::table).next()?;
+        let keeper = table.keepers.iter().find(|keeper| keeper.zone == self.settings.zone)?;
+        Some(keeper.host.clone())
+    }
+
+    /// Returns this host's place in the order in which the hosts of its availability zone read the store: the first one
+    /// for the host that the others ask for updates.
+    pub(super) fn turn(&self) -> Turn {
+        let own = &self.settings.host;
+        let keeper = self.zone_keeper();
+        let is_keeper = keeper.as_ref() == Some(own);
+        let has_keeper = keeper.is_some_and(|keeper| self.usable_addr(&keeper).is_some());
+        if is_keeper || (!has_keeper && self.relay().is_none()) {
+            Turn::FIRST
+        } else {
+            Turn::of_follower(own, self.source_followers.get())
+        }
+    }
+
     /// Returns whether the registry or the configuration known to this host is too old, although the host has had time
     /// to read the store.
     fn is_isolated(&self, now: HostTime) -> bool {
         let fleet = self.fleet.borrow();
         let age = |topic| now.since(fleet.known_records.proof_at(topic));
-        let isolated_after = self.max_age() + ISOLATION_MARGIN;
+        let isolated_after = self.limits.isolation_age();
         let min_uptime = if fleet.config.is_none() { FIRST_READ_TIME } else { isolated_after };
         now.since(self.started_at) > min_uptime
             && (age(Topic::Upstreams) > isolated_after
@@ -474,10 +520,12 @@
         }
     }
 
-    /// Returns the host of this availability zone that relays updates while the zone has no keeper.
-    fn relay(&self, avoided: &FastMap<SocketAddr, HostTime>) -> Option<HostId> {
+    /// Returns the largest host of this availability zone, unless it is this one. It relays updates while the zone has no
+    /// keeper.
+    fn relay(&self) -> Option<HostId> {
         let settings = &self.settings;
         let fleet = self.fleet.borrow();
+        let avoided = self.avoided.borrow();
         let others = fleet.hosts.values().filter(|record| {
             record.zone == settings.zone
                 && record.host != settings.host
@@ -491,7 +539,8 @@
 
     /// Returns the address of another host, or a configured one if no host is known yet. Only keepers ask hosts of other
     /// regions, as the links between regions can't carry the whole registry to all hosts at once.
-    fn random_peer(&self, avoided: &FastMap<SocketAddr, HostTime>) -> Option<SocketAddr> {
+    fn random_peer(&self) -> Option<SocketAddr> {
+        let avoided = self.avoided.borrow();
         let fleet = self.fleet.borrow();
         let own = &self.settings.host;
         let is_keeper = self.is_keeper();
--- /dev/null
+++ b/crates/freshness/src/lib.rs
@@ -0,0 +1,10 @@
+//! Rules by which hosts stay up to date, without I/O: which hosts read the store and when, and who stands for election
+//! when the leader is lost. The time limits of these rules are derived here.
+//!
+//! Load pattern: many hosts lose the one that kept them up to date at the same time. If each of them read the store
+//! itself, their reads would fill the links that all of them need, none would end in time, and the late hosts would
+//! keep each other late. So the hosts of an availability zone take turns: the first one reads at once, each further one
+//! only if the state is still too old at the time of its turn.
+
+pub mod election;
+pub mod reading;
