Keep the turns of hosts when their sources fail, and leave elections to first hosts

A host whose sources had failed took the first turn of its zone, and over a full link the sources of all fail. 52 reads of the configuration far from the store began with the first turn. Such hosts read the store and so stood for election as well: nine far ones were members of the group at the same time, none of which heard the store's answers, while those near it got nothing.

Only the keeper of a zone, or without one its largest known host, has the first turn, whatever it reaches. The host that is asked for updates numbers those that ask it, which gives each a turn of its own without knowing the others: most of 79 hosts are not recorded. A host that is sent updates leaves large records to earlier turns for three times as long, and one that is sent old updates by a host whose reads fail prefers other sources, but does not count as alone. Further hosts of a zone stand 0.4 s later each, those of another region 4 s later.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -42,6 +42,7 @@
 use skylarkdock_units::times::{HostTime, Millis};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -56,6 +57,9 @@
 /// Time without a sample from another host after which the leader no longer counts it as available.
 const HOST_TIMEOUT: Millis = Millis(2_500);
 
+/// Number of hosts among which one that has had no source of updates yet takes a random turn.
+const UNKNOWN_FOLLOWERS: u32 = 8;
+
 /// Label of each topic in metrics.
 const TOPIC_LABELS: [(Topic, &str); 3] =
     [(Topic::Config, "config"), (Topic::Upstreams, "upstreams"), (Topic::Fleet, "fleet")];
@@ -101,10 +105,12 @@
     limits: Limits,
     /// Until when each host that gave no usable updates is avoided as a source of them.
     avoided: RefCell<FastMap<SocketAddr, HostTime>>,
+    /// Until when each host whose updates were too old, as its reads fail, is asked only if there is no other source.
+    stale_sources: RefCell<FastMap<SocketAddr, HostTime>>,
     /// When each host last requested updates from this one.
-    followers: RefCell<FastMap<HostId, HostTime>>,
-    /// Number of hosts that request updates from this host's source.
-    source_followers: Cell<u32>,
+    followers: RefCell<BTreeMap<HostId, HostTime>>,
+    /// Number of this host among those that request updates from its source; random before it has one.
+    follower_number: Cell<u32>,
     /// Shortest read of the registry so far. Shows whether the store is in this host's region.
     min_store_latency: Cell<Millis>,
     status: Arc<Status>,
@@ -216,8 +222,9 @@
             registry_read_at: Cell::default(),
             limits,
             avoided: RefCell::default(),
+            stale_sources: RefCell::default(),
             followers: RefCell::default(),
-            source_followers: Cell::default(),
+            follower_number: Cell::new(fastrand::u32(..UNKNOWN_FOLLOWERS)),
             min_store_latency: Cell::new(Millis(u64::MAX)),
             status,
             resigned_until: Cell::default(),
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -126,9 +126,9 @@
     leader_age: Option<Millis>,
     /// Spans that the answering host knows to be granted although they are not recorded as granted.
     granted: Vec<(ServiceName, SpanId)>,
-    /// Number of hosts that request updates from the answering host.
+    /// Number of the requesting host among those that request updates from the answering one, from zero.
     #[serde(default)]
-    followers: u32,
+    number: u32,
 }
 
 /// Reason for which an answer to a request for updates can't be read.
@@ -225,7 +225,7 @@
     /// that its followers look for another source.
     pub(super) async fn on_update_request(&self, request: UpdateRequest) -> Option<UpdateResponse> {
         let asked_at = clock::now();
-        let followers = self.record_follower(request.host.as_ref(), asked_at);
+        let number = self.number_follower(request.host.as_ref(), asked_at);
         let until = asked_at + request.wait.min(UPDATE_WAIT);
         loop {
             let listener = self.changed.listen();
@@ -277,16 +277,17 @@
             fleet: fleet_topic,
             leader_age: known.leader_seen_at.map(|seen_at| now.since(seen_at)),
             granted: self.owners.borrow().unrecorded_grants(),
-            followers,
+            number,
         })
     }
 
-    /// Records that a host requests updates. Returns the number of hosts that do.
-    fn record_follower(&self, host: Option<&HostId>, now: HostTime) -> u32 {
+    /// Records that a host requests updates. Returns its number among those that do.
+    fn number_follower(&self, host: Option<&HostId>, now: HostTime) -> u32 {
+        let Some(host) = host else { return 0 };
         let mut followers = self.followers.borrow_mut();
         followers.retain(|_, asked_at| now.since(*asked_at) < FOLLOWER_TIME);
-        followers.extend(host.map(|host| (host.clone(), now)));
-        u32::try_from(followers.len()).unwrap_or(u32::MAX)
+        followers.insert(host.clone(), now);
+        u32::try_from(followers.range(..host).count()).unwrap_or(u32::MAX)
     }
 
     /// Requests updates in an endless loop, one request at a time. While there is no source, searches for one at
@@ -297,6 +298,7 @@
         loop {
             let now = clock::now();
             self.avoided.borrow_mut().retain(|_, until| now < *until);
+            self.stale_sources.borrow_mut().retain(|_, until| now < *until);
             let Some(addr) = self.source(now) else {
                 self.fleet.borrow_mut().known_records.has_source = false;
                 caller = None;
@@ -313,7 +315,7 @@
             match body.map(|body| UpdateResponse::decode(&body)) {
                 Ok(Ok(response)) => {
                     let received = (response.run, response.version);
-                    self.source_followers.set(response.followers);
+                    self.follower_number.set(response.number);
                     let is_stale = response.reads_fail && response.age > self.limits.max_age();
                     // Changes older than what this host knows were not applied, so the next request asks for all
                     // entries.
@@ -324,8 +326,9 @@
                         // Another request would be answered at once with the same records.
                         Timer::after(ISOLATED_PAUSE.duration()).await;
                     }
-                    if is_stale && !self.is_leader.get() {
-                        self.avoid(addr);
+                    if is_stale {
+                        let until = clock::now() + AVOID_TIME;
+                        self.stale_sources.borrow_mut().insert(addr, until);
                     }
                 }
                 Ok(Err(e)) => {
@@ -381,12 +384,13 @@
         if self.is_isolated(now) {
             return self.random_peer();
         }
-        self.sources().into_iter().find_map(|host| self.usable_addr(&host))
-    }
-
-    /// Returns the address of a host, unless it is unknown or avoided.
-    fn usable_addr(&self, host: &HostId) -> Option<SocketAddr> {
-        self.peer_addr(host).filter(|addr| !self.avoided.borrow().contains_key(addr))
+        let sources = self.sources().into_iter().filter_map(|host| self.peer_addr(&host));
+        let avoided = self.avoided.borrow();
+        let mut usable: Vec<SocketAddr> =
+            sources.filter(|addr| !avoided.contains_key(addr)).collect();
+        let stale = self.stale_sources.borrow();
+        usable.sort_by_key(|addr| stale.contains_key(addr));
+        usable.first().copied()
     }
 
     /// Returns the hosts to request updates from, in order of preference: the keeper of this availability zone, its
@@ -415,14 +419,12 @@
     /// for the host that the others ask for updates.
     pub(super) fn turn(&self) -> Turn {
         let own = &self.settings.host;
-        let keeper = self.zone_keeper();
-        let is_keeper = keeper.as_ref() == Some(own);
-        let has_keeper = keeper.is_some_and(|keeper| self.usable_addr(&keeper).is_some());
-        if is_keeper || (!has_keeper && self.relay().is_none()) {
-            Turn::FIRST
-        } else {
-            Turn::of_follower(own, self.source_followers.get())
-        }
+        // Whether others could be reached does not count: over a full link all would take the first turn.
+        let is_first = match self.zone_keeper() {
+            Some(keeper) => keeper == *own,
+            None => self.larger_host(|_| true).is_none(),
+        };
+        if is_first { Turn::FIRST } else { Turn::of_follower(self.follower_number.get()) }
     }
 
     /// Returns whether the registry or the configuration known to this host is too old, although the host has had time
@@ -520,16 +522,19 @@
         }
     }
 
-    /// Returns the largest host of this availability zone, unless it is this one. It relays updates while the zone has no
-    /// keeper.
+    /// Returns the largest host of this availability zone that is not avoided, unless it is this one. It relays updates
+    /// while the zone's keeper does not.
     fn relay(&self) -> Option<HostId> {
+        let avoided = self.avoided.borrow();
+        self.larger_host(|addr| !avoided.contains_key(&addr))
+    }
+
+    /// Returns the largest host of this availability zone at an address that fits, if it is larger than this one.
+    fn larger_host(&self, fits: impl Fn(SocketAddr) -> bool) -> Option<HostId> {
         let settings = &self.settings;
         let fleet = self.fleet.borrow();
-        let avoided = self.avoided.borrow();
         let others = fleet.hosts.values().filter(|record| {
-            record.zone == settings.zone
-                && record.host != settings.host
-                && !avoided.contains_key(&record.peers)
+            record.zone == settings.zone && record.host != settings.host && fits(record.peers)
         });
         let own = Rank::of(&settings.host, settings.size);
         let relay =
--- a/crates/freshness/src/election.rs
+++ b/crates/freshness/src/election.rs
@@ -14,14 +14,15 @@
 const MAX_READ_AGE: Millis = Millis(1_000);
 /// Latency of a store call from which the store counts as being in another region.
 const REMOTE_STORE_LATENCY: Millis = Millis(15);
-/// Additional delay of a candidate of another region than the store's.
-const REMOTE_DELAY: Millis = Millis(1_500);
+/// Additional delay of a candidate of another region than the store's. Over a full link it may hold the leadership without
+/// hearing of it.
+const REMOTE_DELAY: Millis = Millis(4_000);
 /// Additional delay of a candidate whose region has a much larger host.
 const SMALL_DELAY: Millis = Millis(300);
-/// Additional delay of a candidate for each turn after the first, so that the one before it can make itself known, and
-/// its upper limit.
-const TURN_DELAY: Millis = Millis(20);
-const MAX_TURN_DELAY: Millis = Millis(200);
+/// Additional delay of a candidate for each turn after the first, so that the first hosts of the zones can make
+/// themselves known, and its upper limit.
+const TURN_DELAY: Millis = Millis(400);
+const MAX_TURN_DELAY: Millis = Millis(6_000);
 /// Time after its start for which a host that knows of other hosts waits for news of a leader.
 const FIRST_NEWS_TIME: Millis = Millis(500);
 /// Time for which a candidate whose heartbeat got no answer does not stand: its membership must end, as the store may
--- a/crates/freshness/src/reading.rs
+++ b/crates/freshness/src/reading.rs
@@ -1,9 +1,7 @@
 //! Who reads the store, and from which age of the known records on.
 
-use skylarkdock_units::ids::HostId;
 use skylarkdock_units::times::Millis;
 use std::fmt;
-use xxhash_rust::xxh3;
 
 /// Age of records received from another host at which the first host of an availability zone reads the store itself, in
 /// percent of the time within which changes must have an effect. Updates that pass through two hosts are 0.9 s old,
@@ -12,9 +10,10 @@
 /// Time between the turns of two hosts of an availability zone, in percent of the same time. Longer than a read of the
 /// registry takes on a free link between regions, so that a host usually gets the result of the one before it.
 const TURN_PERCENT: u64 = 5;
-/// Turns that a host of an availability zone lets pass for each one of the registry before it reads the configuration
-/// or the fleet topic. Their records are large, and hosts that have them send differences.
-const BULK_TURNS: u64 = 4;
+/// Factors of that time for the configuration and the fleet topic, whose records are large. Hosts that have them send
+/// differences, so one that is sent updates leaves it to the first hosts for longer.
+const BULK_FACTOR: u64 = 4;
+const SOURCED_BULK_FACTOR: u64 = 12;
 /// Age of records of the fleet topic at which the first host of a zone reads that topic. It is read less often than the
 /// others.
 const MAX_FLEET_AGE: Millis = Millis(4_000);
@@ -32,11 +31,9 @@
     /// Turn of the host that the others of its zone ask.
     pub const FIRST: Self = Self(0);
 
-    /// Returns the turn of a host that asks another one, which is asked by `followers` hosts. Few of them have the same
-    /// turn, although they need not know each other.
-    pub fn of_follower(host: &HostId, followers: u32) -> Self {
-        let hash = xxh3::xxh3_64(host.as_str().as_bytes());
-        Self(1 + hash % u64::from(followers.max(1)))
+    /// Returns the turn of a host that another one numbered among those which ask it for updates.
+    pub const fn of_follower(number: u32) -> Self {
+        Self(1 + number as u64)
     }
 }
 
@@ -76,13 +73,15 @@
         Millis(self.effect_time.0 * MAX_AGE_PERCENT / 100)
     }
 
-    /// Returns the additional time after which a host reads records itself, by its turn.
-    pub const fn wait_for_turn(self, turn: Turn, records: Records) -> Millis {
-        let turns = match records {
-            Records::Registry => turn.0,
-            Records::Config | Records::Fleet => turn.0 * BULK_TURNS,
+    /// Returns the additional time after which a host reads records itself, by its turn and by whether another host sends
+    /// it updates.
+    pub const fn wait_for_turn(self, turn: Turn, records: Records, has_source: bool) -> Millis {
+        let factor = match records {
+            Records::Registry => 1,
+            Records::Config | Records::Fleet if has_source => SOURCED_BULK_FACTOR,
+            Records::Config | Records::Fleet => BULK_FACTOR,
         };
-        Millis(self.effect_time.0 * TURN_PERCENT / 100 * turns)
+        Millis(self.effect_time.0 * TURN_PERCENT / 100 * turn.0 * factor)
     }
 
     /// Returns the age of the registry at which a host counts as isolated and asks any other host.
@@ -110,14 +109,15 @@
 
 /// Returns whether a host should read records of the store itself. Leaders do so in any case.
 pub fn reads_store(limits: Limits, records: Records, known: &Knowledge) -> bool {
-    let wait = limits.wait_for_turn(known.turn, records);
+    let wait = limits.wait_for_turn(known.turn, records, known.has_source);
     if !known.is_known {
         return known.age >= wait;
     }
     if !known.has_source && known.turn == Turn::FIRST {
         return true;
     }
-    let is_unled = known.leader_age.is_some_and(|age| age >= UNLED_READ_AGE + wait);
+    let unled_wait = limits.wait_for_turn(known.turn, Records::Config, known.has_source);
+    let is_unled = known.leader_age.is_some_and(|age| age >= UNLED_READ_AGE + unled_wait);
     if records == Records::Registry && is_unled {
         return true;
     }
