Send one copy at a time of a request that may crash upstreams

The request is for one key. After each end of the key's owner the key has no owner for about 3 s; callers come back and wait at several hosts, and the next owner got all their copies at once. Nothing limited the copies of a suspect.

After the first end, a host now asks the coordinator of the request before it sends a copy, right after an upstream is chosen. All hosts that know the same hosts have the same coordinator, which admits one copy at a time: the next one after an answer or after 0.7 s, in which hosts learn of a second end. The others wait for up to half of their time, or are told when to come back. An answer frees all hosts at once. A host that gets no reply in 0.12 s asks the next coordinator, so parts of hosts that can't hear each other have a copy each. Requests that are no suspects are not affected.

--- a/crates/dispatch/src/crash_tracker.rs
+++ b/crates/dispatch/src/crash_tracker.rs
@@ -4,8 +4,8 @@
 //! it. Upstreams return after seconds, at the same address under a new id. At the same time upstreams end for other
 //! reasons, with popular requests in flight at many of them.
 //!
-//! Each request without an answer from an upstream that ended is a suspect. It is refused once it is one at three
-//! crashes, or alone at two, and no answer to it arrived since; the load does not matter. Three things keep requests
+//! Each request without an answer from an upstream that ended is a suspect. It is refused once it is one at two crashes
+//! that have no other suspect in common, or else at three, and no answer to it arrived since; the load does not matter. Three things keep requests
 //! that cause no crash from being refused for long: an answer on any host clears a request, a request whose crashes are
 //! all explained by another with more of them is served, and a suspect is refused for a short pause only if it was
 //! answered before the crashes or many upstreams end at the same time for no known request.
@@ -31,7 +31,7 @@
 
 /// Crashes at which a request must have been in flight to be refused.
 const NEEDED_CRASHES: usize = 3;
-/// The same for a request that was alone in flight at each of them.
+/// The same for a request that was alone in flight at each of them, or is the only suspect of all of them.
 const NEEDED_CRASHES_ALONE: usize = 2;
 /// Time for which an answer speaks for a request at a later crash.
 const ANSWER_LIFETIME: Millis = Millis(30_000);
@@ -343,6 +343,17 @@
         (left > 0).then_some(Refusal::Uncertain(Millis(left)))
     }
 
+    /// Returns whether a request may be the cause of a crash and was not answered before or since. At most one copy of
+    /// such a request should be under way.
+    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.get(&fingerprint).is_some_and(|suspect| !suspect.was_answered)
+    }
+
+    /// Records that another host got an answer to a request some time ago.
+    pub fn on_answered_elsewhere(&mut self, fingerprint: Fingerprint, age: Millis, now: HostTime) {
+        self.clear(fingerprint, HostTime(now.0.saturating_sub(age.0)), now);
+    }
+
     /// Returns the number of crashes at which a request was in flight since its last answer.
     pub fn crash_count(&self, fingerprint: Fingerprint) -> usize {
         self.suspects.get(&fingerprint).map_or(0, |suspect| suspect.crashes.len())
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,7 +5,8 @@
 //! limits retries over all hosts, [`retry_after`] sets the delay that a refused caller is told, [`peer_load`] holds the
 //! load reported by other hosts, [`paths`] knows which upstreams can be reached and over which hosts, [`permits`] keeps
 //! all hosts together within the limit of an upstream, [`notices`] holds what upstreams asked of this host, and
-//! [`crash_tracker`] refuses requests that crash upstreams.
+//! [`crash_tracker`] refuses requests that crash upstreams, and [`trials`] lets hosts send one copy at a time of those
+//! that may.
 
 mod arrivals;
 pub mod crash_tracker;
@@ -20,4 +21,5 @@
 pub mod routing;
 pub mod service;
 pub mod traffic_split;
+pub mod trials;
 pub mod upstream;
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -309,6 +309,7 @@
             upstreams: fleet.registry.listed().cloned().collect(),
             keys: keys.collect(),
             peers: (fleet.fleet_end > 0).then(|| peers.collect()),
+            is_recorded: fleet.hosts.contains_key(&self.settings.host),
         };
         self.changed.notify(usize::MAX);
         let is_ready = view.config.is_some() && !view.upstreams.is_empty();
--- a/crates/edge/src/traffic/history.rs
+++ b/crates/edge/src/traffic/history.rs
@@ -17,6 +17,8 @@
     pub(super) misdirected: u32,
     /// Number of attempts that were not made, as their upstreams rest or leave.
     pub(super) withheld: u32,
+    /// Whether the request waited for the end of another copy of it.
+    waited_for_trial: bool,
     /// Upstreams that may have run the request.
     pub(super) ran: Vec<UpstreamId>,
     /// Upstreams that further attempts avoid.
@@ -46,6 +48,14 @@
         self.steps.push(format!("{id}:{result}@{elapsed_ms}ms"));
     }
 
+    /// Adds to the steps that the request waits for the end of another copy, unless it did before.
+    pub(super) fn record_trial_wait(&mut self, arrived: HostTime, now: HostTime) {
+        if !self.waited_for_trial {
+            self.waited_for_trial = true;
+            self.steps.push(format!("trial:waits@{}ms", now.since(arrived).0));
+        }
+    }
+
     /// Records an attempt on an upstream that may have run the request.
     pub(super) fn record_may_have_run(&mut self, id: &UpstreamId) {
         self.sent += 1;
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod replaced_configs;
 mod reports;
 mod request;
+mod trials;
 mod waiting;
 
 use crate::clock;
@@ -28,6 +29,7 @@
 use skylarkdock_dispatch::retry_budget::{self, RetryBudget};
 use skylarkdock_dispatch::routing::RoutingDecision;
 use skylarkdock_dispatch::service::Service;
+use skylarkdock_dispatch::trials::{TrialAsker, TrialDesk};
 use skylarkdock_dispatch::upstream::{Distance, UpstreamInfo};
 use skylarkdock_units::collections::{FastMap, FastSet};
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
@@ -72,7 +74,9 @@
     /// Notified when a request starts to wait.
     has_waiting: Event,
     crash_tracker: RefCell<CrashTracker>,
-    /// Notified when more may be known of requests that crash upstreams.
+    trial_asker: RefCell<TrialAsker>,
+    trial_desk: RefCell<TrialDesk>,
+    /// Notified when more may be known of requests that crash upstreams, or of their trials.
     crashes_changed: Event,
     /// When it was last checked whether the upstream at an address has ended.
     end_checked_at: RefCell<FastMap<SocketAddr, HostTime>>,
@@ -125,6 +129,8 @@
             waiters: RefCell::default(),
             has_waiting: Event::new(),
             crash_tracker: RefCell::default(),
+            trial_asker: RefCell::default(),
+            trial_desk: RefCell::default(),
             crashes_changed: Event::new(),
             end_checked_at: RefCell::default(),
             route_counts: RefCell::default(),
--- a/crates/edge/src/traffic/permits.rs
+++ b/crates/edge/src/traffic/permits.rs
@@ -265,7 +265,7 @@
         peers.find(|peer| NameHash::of(peer.as_str()) == host).cloned()
     }
 
-    fn peer_addr(&self, host: &HostId) -> Option<SocketAddr> {
+    pub(super) fn peer_addr(&self, host: &HostId) -> Option<SocketAddr> {
         let view = self.view.borrow();
         view.peers.iter().flatten().find(|peer| peer.host == *host).map(|peer| peer.reports)
     }
--- a/crates/edge/src/traffic/reports.rs
+++ b/crates/edge/src/traffic/reports.rs
@@ -6,7 +6,7 @@
 //! load of all other hosts that it knows of. The number of datagrams thus grows linearly with the number of hosts.
 
 use super::crash_reports::{self, CrashReport};
-use super::{Traffic, permits};
+use super::{Traffic, permits, trials};
 use crate::clock;
 use crate::relays::{self, Rank};
 use crate::view::PeerInfo;
@@ -163,6 +163,9 @@
             Ok((len, from)) if permits::is_message(&buf[..len]) => {
                 traffic.on_permit_message(&buf[..len], from);
             }
+            Ok((len, from)) if trials::is_message(&buf[..len]) => {
+                traffic.on_trial_message(&buf[..len], from);
+            }
             Ok((len, _)) if crash_reports::is_digest(&buf[..len]) => {
                 traffic.apply_digest(&buf[..len]);
             }
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -4,6 +4,7 @@
 use super::history::{History, RequestEnd};
 use super::race::{Either, either};
 use super::rejection::{Rejection, STARTUP_RETRY_AFTER};
+use super::trials::{Admission, Trial};
 use super::{Traffic, refusal};
 use crate::client::{Outgoing, Reply};
 use crate::clock;
@@ -18,6 +19,7 @@
 use skylarkdock_dispatch::retry_after;
 use skylarkdock_dispatch::routes::{Idempotency, Route};
 use skylarkdock_dispatch::routing::{RoutingDecision, RoutingRequest};
+use skylarkdock_dispatch::trials::TrialEnd;
 use skylarkdock_dispatch::upstream::AttemptOutcome;
 use skylarkdock_http1::head::Headers;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
@@ -39,6 +41,10 @@
 /// Number of attempts that may be withheld before a request is given up. Each time the upstream is known to rest or leave
 /// from then on, so that another is chosen.
 const MAX_WITHHELD: u32 = 3;
+/// Time between two checks whether another copy of a request that may crash upstreams has ended.
+const TRIAL_CHECK_INTERVAL: Millis = Millis(100);
+/// Expected time until the end of another copy is known; basis of the `Retry-After` of a request that waited for it.
+const TRIAL_RETRY_AFTER: Millis = Millis(400);
 /// Time reserved before the deadline for the host's own final answer.
 const ANSWER_MARGIN: Millis = Millis(15);
 
@@ -59,6 +65,16 @@
     jitter_per_mille: u32,
 }
 
+/// What to do with a request for which an upstream is chosen.
+enum SendStart {
+    /// Send it, as the given trial if it may crash upstreams.
+    Send(Option<Trial>),
+    /// Choose an upstream again, as another copy of the request is under way.
+    ChooseAgain,
+    /// Give the final answer.
+    End((Answer, RequestEnd)),
+}
+
 impl Traffic {
     pub(super) async fn serve(self: Rc<Self>, incoming: Incoming) -> Answer {
         let arrived = clock::now();
@@ -245,22 +261,22 @@
                 }
             };
             if let Err(withheld) = self.check_notices(&req.service, &id) {
-                let reason = NotRun::Withheld(withheld);
-                history.record_step(req.arrived, &id, &AttemptResult::NotRun(reason));
-                history.record_not_run(reason, &id, req.key.is_some());
-                if history.withheld > MAX_WITHHELD || clock::now() >= req.deadline {
-                    return self.give_up_withheld(req, history, withheld);
+                if let Some(end) = self.record_withheld(req, history, &id, withheld) {
+                    return end;
                 }
                 continue;
             }
             if !history.may_run_on(&id, req.route.attempts) {
                 return self.give_up(req, history, "attempts_used");
             }
-            if history.sent > 0 && !self.spend_retry(req) {
-                return self.give_up(req, history, "budget_spent");
-            }
+            let trial = match self.prepare_send(req, history).await {
+                SendStart::Send(trial) => trial,
+                SendStart::ChooseAgain => continue,
+                SendStart::End(end) => return end,
+            };
             let outcome = self.attempt_hedged(req, &id, history).await;
             history.record_step(req.arrived, &id, &outcome);
+            end_trial(trial, &outcome);
             match outcome {
                 AttemptResult::Answered(reply) => {
                     if reply.head.status < 500 || is_once {
@@ -305,6 +321,45 @@
         }
     }
 
+    /// Records that nothing is sent to a chosen upstream. Returns the final answer if this happened too often.
+    fn record_withheld(
+        &self,
+        req: &Request,
+        history: &mut History,
+        id: &UpstreamId,
+        withheld: Withheld,
+    ) -> Option<(Answer, RequestEnd)> {
+        let reason = NotRun::Withheld(withheld);
+        history.record_step(req.arrived, id, &AttemptResult::NotRun(reason));
+        history.record_not_run(reason, id, req.key.is_some());
+        let is_last = history.withheld > MAX_WITHHELD || clock::now() >= req.deadline;
+        is_last.then(|| self.give_up_withheld(req, history, withheld))
+    }
+
+    /// Gets what an attempt needs: the admission of a copy if the request may crash upstreams, and a retry from the budget.
+    /// While another copy is under way, waits a little, after which another upstream may be the one to choose.
+    async fn prepare_send(self: &Rc<Self>, req: &Request, history: &mut History) -> SendStart {
+        let trial = match self.admit(req.fingerprint).await {
+            Admission::NotNeeded => None,
+            Admission::Admitted(trial) => Some(trial),
+            Admission::Busy if clock::now() < req.trial_wait_end() => {
+                let wait_started = clock::now();
+                history.record_trial_wait(req.arrived, wait_started);
+                self.until_trials_change(wait_started + TRIAL_CHECK_INTERVAL).await;
+                history.waited = history.waited + clock::now().since(wait_started);
+                return SendStart::ChooseAgain;
+            }
+            Admission::Busy => return SendStart::End(self.refuse_untried(req, history)),
+        };
+        if history.sent > 0 && !self.spend_retry(req) {
+            if let Some(trial) = trial {
+                trial.end(TrialEnd::NotRun);
+            }
+            return SendStart::End(self.give_up(req, history, "budget_spent"));
+        }
+        SendStart::Send(trial)
+    }
+
     /// Makes an attempt. If the answer to an idempotent request is late, sends it to a second upstream as well, if one
     /// has capacity. The first successful answer is used and the other attempt is cancelled.
     async fn attempt_hedged(
@@ -353,7 +408,7 @@
         first: &UpstreamId,
         history: &History,
     ) -> Option<UpstreamId> {
-        if self.crash_refusal(req.fingerprint).is_some() {
+        if self.crash_refusal(req.fingerprint).is_some() || self.is_suspect(req.fingerprint) {
             return None;
         }
         let mut request = self.routing_request(req, history);
@@ -467,6 +522,13 @@
         self.final_answer(req, history, retry_after, "crashes_upstreams")
     }
 
+    /// Returns the final answer to a request of which another copy was under way for too long.
+    fn refuse_untried(&self, req: &Request, history: &mut History) -> (Answer, RequestEnd) {
+        let remaining = req.deadline.since(clock::now());
+        let retry_after = retry_after::delay(TRIAL_RETRY_AFTER, remaining, req.jitter_per_mille);
+        self.final_answer(req, history, retry_after, "trial_under_way")
+    }
+
     /// Returns a refusal if no upstream can have run the request, and otherwise the last failure or a gateway error.
     fn final_answer(
         &self,
@@ -497,6 +559,12 @@
 }
 
 impl Request {
+    /// Returns until when the request waits for the end of another copy: half of its time, so that its caller can come
+    /// back.
+    fn trial_wait_end(&self) -> HostTime {
+        self.arrived + Millis(self.deadline.since(self.arrived).0 / 2)
+    }
+
     fn attempt<'a>(&'a self, id: &'a UpstreamId) -> Attempt<'a> {
         let is_once = self.route.idempotency == Idempotency::Once;
         Attempt {
@@ -510,11 +578,28 @@
 }
 
 impl AttemptResult {
+    /// Returns what the attempt shows of a request that may crash upstreams. One that reports a failure may be about to
+    /// end.
+    fn trial_end(&self) -> TrialEnd {
+        match self {
+            Self::Answered(_) if self.is_good() => TrialEnd::Answered,
+            Self::NotRun(_) => TrialEnd::NotRun,
+            Self::Answered(_) | Self::Unknown(_) => TrialEnd::Unanswered,
+        }
+    }
+
     fn is_good(&self) -> bool {
         matches!(self, Self::Answered(reply) if reply.head.status < 500)
     }
 }
 
+/// Ends the trial of an attempt, if it was one.
+fn end_trial(trial: Option<Trial>, outcome: &AttemptResult) {
+    if let Some(trial) = trial {
+        trial.end(outcome.trial_end());
+    }
+}
+
 /// Parses a number of milliseconds, of which a fraction is cut off.
 fn parse_deadline(text: &str) -> Option<Millis> {
     let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -103,4 +103,6 @@
     pub keys: Vec<(ServiceName, KeyMap)>,
     /// The other hosts; `None` until the host records have been read.
     pub peers: Option<Vec<PeerInfo>>,
+    /// Whether the store has a record of this host, so that the others know it.
+    pub is_recorded: bool,
 }
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -196,6 +196,7 @@
         upstreams: upstreams.collect(),
         keys: Vec::new(),
         peers: Some(Vec::new()),
+        is_recorded: true,
     }
 }
 
