--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod distribution;
 pub mod limits;
 pub mod policy;
+pub mod recovery;
 pub mod shape;
 pub mod simulation;
 pub mod stats;
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -6,6 +6,7 @@
 use skylarkdock_emulator::crashes::{self, Scenario};
 use skylarkdock_emulator::distribution::{self, Rules};
 use skylarkdock_emulator::policy::Policy;
+use skylarkdock_emulator::recovery;
 use skylarkdock_emulator::shape::Shape;
 use skylarkdock_emulator::simulation;
 use skylarkdock_emulator::stats::RunStats;
@@ -18,6 +19,7 @@
 Usage: skylarkdock-emulator SHAPE... [OPTIONS]
        skylarkdock-emulator --crashes [--seed N]
        skylarkdock-emulator --distribution
+       skylarkdock-emulator --recovery [--seed N]
 
 Options:
   --seed N          seed of the random number generator [1]
@@ -27,6 +29,7 @@
   --html FILE       write charts to a self-contained HTML page
   --crashes         simulate requests that crash upstreams, with 12 to 300 hosts
   --distribution    simulate how configurations reach 79 and 300 hosts
+  --recovery        simulate how 12 to 300 hosts come up to date after a loss
 
 Examples:
   skylarkdock-emulator crates/emulator/shapes/slow-part.json
@@ -59,6 +62,10 @@
         print_distribution_table();
         return Ok(());
     }
+    if args.contains("--recovery") {
+        print_recovery_table(seed);
+        return Ok(());
+    }
     let loads: String =
         args.opt_value_from_str("--loads")?.unwrap_or_else(|| DEFAULT_LOADS.to_owned());
     let loads: Result<Vec<f64>, _> = loads.split(',').map(str::parse).collect();
@@ -118,6 +125,32 @@
     }
 }
 
+fn print_recovery_table(seed: u64) {
+    println!(
+        "| hosts | lost | rules | leader, ms | leaving upstream known, ms | configuration known, ms | MB between regions | store calls |"
+    );
+    println!("| ---: | --- | --- | ---: | ---: | ---: | ---: | ---: |");
+    for hosts in [12, 79, 300] {
+        for (name, lost) in [("the leader", 0.0), ("40 %", 0.4)] {
+            for (rules_name, rules) in
+                [("alone", recovery::Rules::Alone), ("turns", recovery::Rules::Turns)]
+            {
+                let scenario = recovery::Scenario { hosts, lost, configs: 12, rules, seed };
+                let recovery = recovery::simulate(scenario);
+                let leader =
+                    recovery.leader_ms.map_or("none in 30 s".to_owned(), |ms| ms.to_string());
+                println!(
+                    "| {hosts} | {name} | {rules_name} | {leader} | {} | {} | {:.1} | {} |",
+                    recovery.registry_ms,
+                    recovery.config_ms,
+                    recovery.far_bytes / 1e6,
+                    recovery.store_calls
+                );
+            }
+        }
+    }
+}
+
 fn print_crash_table(seed: u64) {
     println!(
         "| hosts | upstreams | scenario | ended | sends after {} ms | after {} ms | other requests | refused | popular one refused for ms |",
