Send load reports and crashes to hosts that are not recorded

A request that crashes upstreams was sent by hosts that the others don't know, as their records were not written: hosts that start together conflict, and make no further attempt once they get updates. Such hosts send reports but got none, so they neither refused such requests nor saw the load of others.

A host that reports directly is sent reports as well, recorded or not. Many hosts report over relays, which answer whoever reports to them already.

--- a/crates/edge/src/traffic/reports.rs
+++ b/crates/edge/src/traffic/reports.rs
@@ -39,6 +39,9 @@
 const RELAY_AVOID_TIME: Millis = Millis(5_000);
 /// Time without reports after which a member gets no more reports.
 const MAX_MEMBER_SILENCE: Millis = Millis(1_200);
+/// Time without reports after which a host that is not recorded gets no more reports. Idle hosts send none, and must still
+/// learn of crashes.
+const MAX_UNRECORDED_SILENCE: Millis = Millis(60_000);
 /// Number of crashes in one report; with more of them it would not fit in a packet.
 const MAX_CRASHES_PER_PART: usize = 4;
 /// Index of a part that has crashes only, above those of all parts with load.
@@ -96,6 +99,8 @@
     /// Upstreams by the hash of their id.
     names: FastMap<UpstreamHash, (ServiceName, UpstreamId)>,
     members: FastMap<NameHash, (SocketAddr, HostTime)>,
+    /// Hosts that report directly to this one although it knows no record of them, and when they last did.
+    unrecorded: FastMap<SocketAddr, HostTime>,
     /// Relay that this host uses for each availability zone, and since when.
     relays: FastMap<Zone, (HostId, HostTime)>,
     avoided_until: FastMap<HostId, HostTime>,
@@ -140,7 +145,7 @@
         let outgoing = if is_direct && is_idle && was_idle {
             Vec::new()
         } else if is_direct {
-            traffic.direct_reports(&peers, own, includes_far)
+            traffic.direct_reports(&peers, own, includes_far, now)
         } else {
             traffic.relayed_reports(&peers, &own, includes_far, now)
         };
@@ -191,16 +196,25 @@
             .collect()
     }
 
-    /// Returns the reports to send if all hosts report to each other directly.
+    /// Returns the reports to send if all hosts report to each other directly. Those that are not recorded get them as
+    /// well, once they were heard.
     fn direct_reports(
         &self,
         peers: &[PeerInfo],
         own: Loads,
         includes_far: bool,
+        now: HostTime,
     ) -> Vec<(SocketAddr, Scope, Loads)> {
+        let mut reports = self.reports.borrow_mut();
+        let is_peer = |addr: &SocketAddr| peers.iter().any(|peer| peer.reports == *addr);
+        reports
+            .unrecorded
+            .retain(|addr, at| now.since(*at) < MAX_UNRECORDED_SILENCE && !is_peer(addr));
         let receivers =
             peers.iter().filter(|peer| includes_far || peer.region == self.settings.region);
-        receivers.map(|peer| (peer.reports, Scope::Own, own.clone())).collect()
+        let receivers =
+            receivers.map(|peer| peer.reports).chain(reports.unrecorded.keys().copied());
+        receivers.map(|addr| (addr, Scope::Own, own.clone())).collect()
     }
 
     /// Returns the reports to send if reports are relayed.
@@ -301,6 +315,10 @@
             if report.scope == Scope::Member {
                 reports.members.insert(report.host, (from, now));
             }
+            // One that is recorded is removed before the next reports.
+            if report.scope == Scope::Own && reports.unrecorded.len() < MAX_DIRECT_HOSTS {
+                reports.unrecorded.insert(from, now);
+            }
             reports.peer_load.apply_report(
                 (report.host, report.scope, report.part),
                 report.load,
