Leave retries to the former process of a host in the first window

Each process keeps to its part of the budget, but a host has two in such a window: the former one may have spent what it had saved up in 10 s just before it was killed, and the next one begins with a part of its own.

A process uses 15 % of its part in its first window. With all hosts restarted the retries of both then stay within the limit, which leaves 15 % unused for such cases.

--- a/crates/dispatch/src/retry_budget.rs
+++ b/crates/dispatch/src/retry_budget.rs
@@ -23,6 +23,10 @@
     pub window: Millis,
 }
 
+/// Percentage of its part that a process uses in its first window. It does not know what an earlier process of its host
+/// spent within the same window, which may be all.
+const START_PERCENT: u64 = 15;
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Bucket {
     number: u64,
@@ -35,13 +39,21 @@
 pub struct RetryBudget {
     limits: RetryLimits,
     hosts: u32,
+    /// When the process started, if another one may have run before.
+    started_at: Option<HostTime>,
     buckets: VecDeque<Bucket>,
 }
 
 impl RetryBudget {
     /// Creates the part of one of `hosts` hosts.
     pub fn new(limits: RetryLimits, hosts: u32) -> Self {
-        Self { limits, hosts: hosts.max(1), buckets: VecDeque::new() }
+        Self { limits, hosts: hosts.max(1), started_at: None, buckets: VecDeque::new() }
+    }
+
+    /// Sets when the process started, if another one may have run before it.
+    pub const fn with_start(mut self, started_at: HostTime) -> Self {
+        self.started_at = Some(started_at);
+        self
     }
 
     /// Sets the number of hosts among which the constant is divided.
@@ -70,7 +82,11 @@
         let retries: u64 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let ratio_part = requests * u64::from(self.limits.per_mille) / 1000;
         let constant = u64::from(self.limits.constant / self.hosts);
-        ((ratio_part + constant) * USED_PERCENT / 100).saturating_sub(retries)
+        let is_starting =
+            self.started_at.is_some_and(|started_at| now.since(started_at) < self.limits.window);
+        let used_percent =
+            if is_starting { USED_PERCENT * START_PERCENT / 100 } else { USED_PERCENT };
+        ((ratio_part + constant) * used_percent / 100).saturating_sub(retries)
     }
 
     /// Returns the bucket of `now`, after dropping the buckets that have left the window.
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -115,6 +115,51 @@
     }
 }
 
+/// Processes that had saved up their retries spend them, are killed, and start anew without knowing it. With 40 % of the
+/// hosts of a grown site killed at once, 3,736 of 3,625 allowed retries were sent.
+#[rstest]
+fn the_retry_budget_holds_when_processes_restart(
+    #[values(8, 79)] hosts: u32,
+    #[values(0.4, 1.0)] restarted: f64,
+) {
+    const BURST_MS: u64 = 14_500;
+    const KILL_MS: u64 = 15_000;
+    const START_MS: u64 = 15_700;
+    let limits = RetryLimits { constant: 198, ..LIMITS };
+    let mut budgets: Vec<RetryBudget> =
+        (0..hosts).map(|_| RetryBudget::new(limits, hosts)).collect();
+    let mut events: Vec<(u64, bool)> = Vec::new();
+    for now in (0..30_000).step_by(10) {
+        for (index, budget) in budgets.iter_mut().enumerate() {
+            let is_restarted = (index as f64) < f64::from(hosts) * restarted;
+            if is_restarted && now == START_MS {
+                *budget = RetryBudget::new(limits, hosts).with_start(HostTime(START_MS));
+            }
+            if is_restarted && (KILL_MS..START_MS).contains(&now) {
+                continue;
+            }
+            budget.on_request(HostTime(now));
+            events.push((now, false));
+            while now >= BURST_MS && budget.try_spend(HostTime(now)) {
+                events.push((now, true));
+            }
+        }
+    }
+    let count = |from: u64, is_retry: bool| {
+        let of_window = events
+            .iter()
+            .filter(|(at, retry)| *retry == is_retry && *at >= from && *at < from + 10_000);
+        of_window.count() as f64
+    };
+    for start in (10_000..20_000).step_by(100) {
+        // The platform takes the most requests of the window, the one before it and the one half a window before it.
+        let windows = [start, start - 5_000, start - 10_000];
+        let requests = windows.map(|from| count(from, false)).into_iter().fold(0.0, f64::max);
+        let (retries, allowed) = (count(start, true), requests * 0.2 + 198.0);
+        assert!(retries <= allowed, "{retries} of {allowed} from {start} on");
+    }
+}
+
 /// A host that does not know the number of hosts sets it to `u32::MAX`, so its part of the constant is zero.
 #[test]
 fn an_unknown_number_of_hosts_gets_no_constant() {
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -91,6 +91,7 @@
     datagrams: RefCell<Option<Rc<Async<UdpSocket>>>>,
     /// Number that tells this process from others of the same host.
     run: u32,
+    started_at: HostTime,
     sample: RefCell<Sample>,
     last_ticket: Cell<u64>,
 }
@@ -140,6 +141,7 @@
             path_checked_at: RefCell::default(),
             datagrams: RefCell::default(),
             run: fastrand::u32(..),
+            started_at: clock::now(),
             sample: RefCell::default(),
             last_ticket: Cell::new(0),
         });
@@ -176,7 +178,7 @@
         for info in names {
             let state = services.entry(info.name.clone()).or_insert_with(|| ServiceState {
                 service: Service::default(),
-                budget: RetryBudget::new(self.budget_limits(), hosts),
+                budget: RetryBudget::new(self.budget_limits(), hosts).with_start(self.started_at),
                 max_idle: 1,
             });
             state.max_idle = pool::max_idle(info.connection_limit, hosts);
