Divide the constant of the retry budget by all hosts, recorded or not

With 79 hosts of which some 20 are recorded, 3,219 retries were sent to a service within 10 s, and 3,212 are allowed. The constant is divided by the number of recorded hosts, and 79 x 198 / 20 is four times the constant.

The leader hears all hosts, as each sends it samples. It counts those of the last 12 s, and the number goes to all hosts with the updates; a new leader keeps the number that it was told until it has heard everybody. Where there is no sharded service no leader is known, and recorded hosts count as before.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -57,6 +57,9 @@
 /// Time without a sample from another host after which the leader no longer counts it as available.
 const HOST_TIMEOUT: Millis = Millis(2_500);
 
+/// Time for which a host counts after its last sample. Longer than the window of the retry budget, in which it may have
+/// sent retries before it ended.
+const COUNTING_TIME: Millis = Millis(12_000);
 /// Number of hosts among which one that has had no source of updates yet takes a random turn.
 const UNKNOWN_FOLLOWERS: u32 = 8;
 
@@ -105,6 +108,8 @@
     limits: Limits,
     /// Until when each host that gave no usable updates is avoided as a source of them.
     avoided: RefCell<FastMap<SocketAddr, HostTime>>,
+    /// Number of hosts, recorded or not, as counted by the leader; zero if not known.
+    host_count: Cell<u32>,
     /// Until when each host whose updates were too old, as its reads fail, is asked only if there is no other source.
     stale_sources: RefCell<FastMap<SocketAddr, HostTime>>,
     /// When each host last requested updates from this one.
@@ -222,6 +227,7 @@
             registry_read_at: Cell::default(),
             limits,
             avoided: RefCell::default(),
+            host_count: Cell::default(),
             stale_sources: RefCell::default(),
             followers: RefCell::default(),
             follower_number: Cell::new(fastrand::u32(..UNKNOWN_FOLLOWERS)),
@@ -309,6 +315,7 @@
             upstreams: fleet.registry.listed().cloned().collect(),
             keys: keys.collect(),
             peers: (fleet.fleet_end > 0).then(|| peers.collect()),
+            host_count: self.host_count.get(),
             is_recorded: fleet.hosts.contains_key(&self.settings.host),
         };
         self.changed.notify(usize::MAX);
@@ -319,6 +326,25 @@
         }
     }
 
+    /// Counts the hosts that sent this leader samples. Tells the traffic thread of another number.
+    fn count_hosts(&self, now: HostTime) {
+        let heard = {
+            let fleet = self.fleet.borrow();
+            let sampled = fleet.last_sample_at.values();
+            sampled.filter(|at| now.since(**at) < COUNTING_TIME).count() + 1
+        };
+        let heard = u32::try_from(heard).unwrap_or(u32::MAX);
+        // A new leader has not heard all yet.
+        let is_new = now.since(self.leader_since.get()) < COUNTING_TIME;
+        self.set_host_count(if is_new { heard.max(self.host_count.get()) } else { heard });
+    }
+
+    fn set_host_count(&self, count: u32) {
+        if self.host_count.replace(count) != count {
+            self.publish();
+        }
+    }
+
     /// Returns the hosts, possibly including this one, that seem to reach no upstream.
     fn cut_off_hosts(&self) -> Vec<HostId> {
         let fleet = self.fleet.borrow();
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -63,6 +63,7 @@
             self.resume_holders();
             self.send_due_renewals(now);
             if self.is_leader.get() {
+                self.count_hosts(now);
                 self.tick_leaders(now);
             }
         }
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -126,6 +126,9 @@
     leader_age: Option<Millis>,
     /// Spans that the answering host knows to be granted although they are not recorded as granted.
     granted: Vec<(ServiceName, SpanId)>,
+    /// Number of hosts as counted by the leader; zero if not known.
+    #[serde(default)]
+    hosts: u32,
     /// Number of the requesting host among those that request updates from the answering one, from zero.
     #[serde(default)]
     number: u32,
@@ -277,6 +280,7 @@
             fleet: fleet_topic,
             leader_age: known.leader_seen_at.map(|seen_at| now.since(seen_at)),
             granted: self.owners.borrow().unrecorded_grants(),
+            hosts: self.host_count.get(),
             number,
         })
     }
@@ -482,6 +486,9 @@
             is_decoded &= self.apply_topic_update(topic, update, proof);
         }
         self.needs_whole_records.set(!is_decoded);
+        if response.hosts > 0 && !self.is_leader.get() {
+            self.set_host_count(response.hosts);
+        }
         let previous =
             std::mem::replace(&mut self.owners.borrow_mut().reported_grants, response.granted);
         if previous != self.owners.borrow().reported_grants {
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -182,7 +182,7 @@
                 max_idle: 1,
             });
             state.max_idle = pool::max_idle(info.connection_limit, hosts);
-            state.budget.set_hosts(hosts);
+            state.budget.set_hosts(hosts.max(view.host_count));
             state.service.set_host_counts(hosts, hosts_in_region);
             state.service.set_drain_time(self.settings.drain_time);
             let keys = view.keys.iter().find(|(service, _)| *service == info.name);
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -103,6 +103,8 @@
     pub keys: Vec<(ServiceName, KeyMap)>,
     /// The other hosts; `None` until the host records have been read.
     pub peers: Option<Vec<PeerInfo>>,
+    /// Number of hosts, recorded or not; zero if not known.
+    pub host_count: u32,
     /// Whether the store has a record of this host, so that the others know it.
     pub is_recorded: bool,
 }
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -196,6 +196,7 @@
         upstreams: upstreams.collect(),
         keys: Vec::new(),
         peers: Some(Vec::new()),
+        host_count: 0,
         is_recorded: true,
     }
 }
