Ask other hosts of the region while the source can't read the store

A host whose source is late and can't read asks any other host of its region from 0.55 T on, which costs a difference, and does not count as sent updates when its turn is found.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -112,6 +112,8 @@
     host_count: Cell<u32>,
     /// Until when each host whose updates were too old, as its reads fail, is asked only if there is no other source.
     stale_sources: RefCell<FastMap<SocketAddr, HostTime>>,
+    /// Whether the last updates were too old, as the reads of their source fail.
+    is_source_late: Cell<bool>,
     /// When each host last requested updates from this one.
     followers: RefCell<BTreeMap<HostId, HostTime>>,
     /// Number of this host among those that request updates from its source; random before it has one.
@@ -229,6 +231,7 @@
             avoided: RefCell::default(),
             host_count: Cell::default(),
             stale_sources: RefCell::default(),
+            is_source_late: Cell::default(),
             followers: RefCell::default(),
             follower_number: Cell::new(fastrand::u32(..UNKNOWN_FOLLOWERS)),
             min_store_latency: Cell::new(Millis(u64::MAX)),
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -16,9 +16,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Longest time that a read of the configuration waits for a record. Well within the time in which a configuration has
-/// to be in force, in case the store does not answer as soon as there is a record.
-pub(super) const CONFIG_WAIT: Millis = Millis(250);
 /// Longest time that a read of the fleet topic waits for a record.
 const FLEET_WAIT: Millis = Millis(1_500);
 /// Time between reads of the registry. They don't wait for a record, as the upstreams' heartbeats arrive all the time.
@@ -43,7 +40,7 @@
 /// Returns how long a read of a topic waits for a record.
 const fn max_wait(topic: Topic) -> Millis {
     match topic {
-        Topic::Config => CONFIG_WAIT,
+        Topic::Config => reading::CONFIG_WAIT,
         Topic::Upstreams => Millis(0),
         Topic::Fleet => FLEET_WAIT,
     }
@@ -226,7 +223,7 @@
             registry_age: age(Topic::Upstreams),
             is_known: known.proof_at(topic).0 > 0,
             leader_age: known.leader_seen_at().map(|seen_at| now.since(seen_at)),
-            has_source: known.has_source(),
+            has_source: known.has_source() && !self.is_source_late.get(),
             turn,
         }
     }
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -22,7 +22,7 @@
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
 use skylarkdock_deltas::{self as deltas, DeltaError};
-use skylarkdock_freshness::reading::Turn;
+use skylarkdock_freshness::reading::{self, Turn};
 use skylarkdock_spans::leader::SpanId;
 use skylarkdock_spans::renewal::Renewals;
 use skylarkdock_units::ids::{HostId, ServiceName};
@@ -326,10 +326,11 @@
                     let is_newer = self.apply_updates(response, now);
                     known = if is_newer { received } else { (0, 0) };
                     Timer::after(self.request_pause().duration()).await;
-                    if !is_newer || self.is_isolated(clock::now()) {
+                    if !is_newer || self.is_isolated(clock::now(), false) {
                         // Another request would be answered at once with the same records.
                         Timer::after(ISOLATED_PAUSE.duration()).await;
                     }
+                    self.is_source_late.set(is_stale);
                     if is_stale {
                         let until = clock::now() + AVOID_TIME;
                         self.stale_sources.borrow_mut().insert(addr, until);
@@ -385,7 +386,7 @@
             let reads_fail = self.fleet.borrow().known_records.reads_fail;
             return if reads_fail { self.random_peer() } else { None };
         }
-        if self.is_isolated(now) {
+        if self.is_isolated(now, false) {
             return self.random_peer();
         }
         let sources = self.sources().into_iter().filter_map(|host| self.peer_addr(&host));
@@ -394,7 +395,9 @@
             sources.filter(|addr| !avoided.contains_key(addr)).collect();
         let stale = self.stale_sources.borrow();
         usable.sort_by_key(|addr| stale.contains_key(addr));
-        usable.first().copied()
+        let first = usable.first().copied();
+        let is_late = first.is_some_and(|addr| stale.contains_key(&addr));
+        if is_late && self.is_isolated(now, true) { self.random_peer().or(first) } else { first }
     }
 
     /// Returns the hosts to request updates from, in order of preference: the keeper of this availability zone, its
@@ -442,15 +445,15 @@
     }
 
     /// Returns whether the registry or the configuration known to this host is too old, although the host has had time
-    /// to read the store.
-    fn is_isolated(&self, now: HostTime) -> bool {
+    /// to read the store, or its source is late as well.
+    fn is_isolated(&self, now: HostTime, is_source_late: bool) -> bool {
         let fleet = self.fleet.borrow();
         let age = |topic| now.since(fleet.known_records.proof_at(topic));
-        let isolated_after = self.limits.isolation_age();
-        let min_uptime = if fleet.config.is_none() { FIRST_READ_TIME } else { isolated_after };
+        let min_uptime =
+            if fleet.config.is_none() { FIRST_READ_TIME } else { self.limits.isolation_age() };
+        let (registry_age, config_age) = (age(Topic::Upstreams), age(Topic::Config));
         now.since(self.started_at) > min_uptime
-            && (age(Topic::Upstreams) > isolated_after
-                || age(Topic::Config) > isolated_after + super::store_sync::CONFIG_WAIT)
+            && reading::asks_any_host(self.limits, registry_age, config_age, is_source_late)
     }
 
     /// Applies updates. Returns `false` if those of the registry were older than what is known, and so were not
@@ -565,6 +568,7 @@
         let avoided = self.avoided.borrow();
         let fleet = self.fleet.borrow();
         let own = &self.settings.host;
+        let stale = self.stale_sources.borrow();
         let is_keeper = self.is_keeper();
         let others = fleet.hosts.values().filter(|record| {
             record.host != *own && (is_keeper || record.region == self.settings.region)
@@ -574,6 +578,9 @@
             addrs.extend(&self.settings.seeds);
         }
         addrs.retain(|addr| *addr != self.settings.peers && !avoided.contains_key(addr));
+        if addrs.iter().any(|addr| !stale.contains_key(addr)) {
+            addrs.retain(|addr| !stale.contains_key(addr));
+        }
         (!addrs.is_empty()).then(|| addrs[fastrand::usize(..addrs.len())])
     }
 }
--- a/crates/freshness/src/reading.rs
+++ b/crates/freshness/src/reading.rs
@@ -20,6 +20,9 @@
 /// Time without a known heartbeat of a leader from which hosts read the registry to find out whether they could lead. The
 /// keepers, which do so before, may all be unable to.
 const UNLED_READ_AGE: Millis = Millis(5_000);
+/// Longest time that a read of the configuration waits for a record. Well within the time in which a configuration has
+/// to be in force, in case the store does not answer as soon as there is a record.
+pub const CONFIG_WAIT: Millis = Millis(250);
 /// Time that a host gets to read the store itself, after its updates became too old, before it counts as isolated.
 const ISOLATION_MARGIN: Millis = Millis(500);
 
@@ -101,7 +104,7 @@
     pub is_known: bool,
     /// Time since the latest known heartbeat of a leader that the store accepted; `None` if none is known.
     pub leader_age: Option<Millis>,
-    /// Whether another host sends this one updates.
+    /// Whether another host sends this one updates that are young enough, or could be.
     pub has_source: bool,
     /// The host's turn.
     pub turn: Turn,
@@ -125,3 +128,16 @@
     // A host whose registry is too old has no source that works, so its other records will be too old as well.
     known.age >= max_age + wait || known.registry_age >= limits.max_age() + wait
 }
+
+/// Returns whether a host asks any other host for updates, as its registry or configuration is too old. If its source is
+/// late as well and can't read the store, it does not wait until it could have read the store itself: others of the region
+/// may be up to date, and send differences.
+pub fn asks_any_host(
+    limits: Limits,
+    registry_age: Millis,
+    config_age: Millis,
+    is_source_late: bool,
+) -> bool {
+    let limit = if is_source_late { limits.max_age() } else { limits.isolation_age() };
+    registry_age > limit || config_age > limit + CONFIG_WAIT
+}
--- a/crates/freshness/tests/reading.rs
+++ b/crates/freshness/tests/reading.rs
@@ -102,3 +102,15 @@
     assert!(reading::reads_store(limits, Records::Registry, &unled(7_000)));
     assert!(!reading::reads_store(limits, Records::Config, &unled(7_000)));
 }
+
+/// A keeper that the store refuses answers its followers, which waited for their turns or until they counted as isolated.
+/// With 2 s for a configuration they had it 2.0 s after it was published.
+#[test]
+fn a_host_whose_source_can_not_read_asks_others_while_there_is_time() {
+    for effect_time in EFFECT_TIMES {
+        let limits = Limits::new(effect_time, effect_time);
+        let asks = |age| reading::asks_any_host(limits, Millis(0), Millis(age), true);
+        assert!(asks(effect_time.0 * 7 / 10));
+        assert!(!asks(limits.max_age().0));
+    }
+}
