--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod owners;
 mod peers;
 pub mod registry;
+mod sources;
 mod store_sync;
 mod updates;
 
