Pause between requests for updates while all sources are late

In an outage of the store all hosts are late and their sources can't read it. Since hosts ask any other one of their region then, each would ask one after the other without a pause, and get the whole registry each time, until it counts as isolated 0.5 s later.

After a second late answer in a row a host waits 0.4 s, as one that is isolated does; the first one goes on without a pause, so that a host whose keeper alone is refused by the store is up to date in time.

--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -314,19 +314,19 @@
                     let received = (response.run, response.version);
                     self.follower_number.set(response.number);
                     let is_stale = response.reads_fail && response.age > self.limits.max_age();
+                    let is_late_again = self.is_source_late.replace(is_stale) && is_stale;
+                    if is_stale {
+                        self.mark_stale(addr);
+                    }
                     // Changes older than what this host knows were not applied, so the next request asks for all
                     // entries.
                     let is_newer = self.apply_updates(response, now);
                     known = if is_newer { received } else { (0, 0) };
                     Timer::after(self.request_pause().duration()).await;
-                    if !is_newer || self.is_isolated(clock::now(), false) {
-                        // Another request would be answered at once with the same records.
+                    if !is_newer || is_late_again || self.is_isolated(clock::now(), false) {
+                        // Another request would be answered at once, and probably with the same records.
                         Timer::after(ISOLATED_PAUSE.duration()).await;
                     }
-                    self.is_source_late.set(is_stale);
-                    if is_stale {
-                        self.mark_stale(addr);
-                    }
                 }
                 Ok(Err(e)) => {
                     log::warn!(peer:% = addr, error:% = e; "news: can't decode the updates of another host");
