Read the registry in time whatever the turn, and ask others earlier

The hosts are near the store. Turns reach 19 in a zone of 20 hosts, so the last ones waited for 4.5 s to read the registry if nobody else had it.

A host reads the registry at 0.75 T at the latest: 43 reads of 85 KB take half a second of the link, while configurations, which made the loop, still wait. A host asks any other one from 0.7 T on instead of 0.55 T + 0.5 s, which left 0.15 s at T = 2 s. Three of the new cases fail with the limits before.

--- a/crates/freshness/src/reading.rs
+++ b/crates/freshness/src/reading.rs
@@ -10,6 +10,9 @@
 /// Time between the turns of two hosts of an availability zone, in percent of the same time. Longer than a read of the
 /// registry takes on a free link between regions, so that a host usually gets the result of the one before it.
 const TURN_PERCENT: u64 = 5;
+/// Longest wait for a turn to read the registry, in percent of the same time. An upstream that leaves must get no more
+/// requests in time also where no other host has helped; the reads of all hosts of a region take a part of a second.
+const MAX_REGISTRY_WAIT_PERCENT: u64 = 20;
 /// Factors of that time for the configuration and the fleet topic, whose records are large. Hosts that have them send
 /// differences, so one that is sent updates leaves it to the first hosts for longer.
 const BULK_FACTOR: u64 = 4;
@@ -23,8 +26,9 @@
 /// Longest time that a read of the configuration waits for a record. Well within the time in which a configuration has
 /// to be in force, in case the store does not answer as soon as there is a record.
 pub const CONFIG_WAIT: Millis = Millis(250);
-/// Time that a host gets to read the store itself, after its updates became too old, before it counts as isolated.
-const ISOLATION_MARGIN: Millis = Millis(500);
+/// Time that a host gets to read the store itself, after its updates became too old, before it counts as isolated, in
+/// percent of the same time. Another host's answer must still arrive in time.
+const ISOLATION_PERCENT: u64 = 15;
 
 /// Place of a host in the order in which the hosts of an availability zone read the store. The first one has place 0.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
@@ -79,17 +83,19 @@
     /// Returns the additional time after which a host reads records itself, by its turn and by whether another host sends
     /// it updates.
     pub const fn wait_for_turn(self, turn: Turn, records: Records, has_source: bool) -> Millis {
-        let factor = match records {
-            Records::Registry => 1,
-            Records::Config | Records::Fleet if has_source => SOURCED_BULK_FACTOR,
-            Records::Config | Records::Fleet => BULK_FACTOR,
+        let percent = TURN_PERCENT * turn.0;
+        let percent = match records {
+            Records::Registry if percent > MAX_REGISTRY_WAIT_PERCENT => MAX_REGISTRY_WAIT_PERCENT,
+            Records::Registry => percent,
+            Records::Config | Records::Fleet if has_source => percent * SOURCED_BULK_FACTOR,
+            Records::Config | Records::Fleet => percent * BULK_FACTOR,
         };
-        Millis(self.effect_time.0 * TURN_PERCENT / 100 * turn.0 * factor)
+        Millis(self.effect_time.0 * percent / 100)
     }
 
     /// Returns the age of the registry at which a host counts as isolated and asks any other host.
     pub fn isolation_age(self) -> Millis {
-        self.max_age() + ISOLATION_MARGIN
+        self.max_age() + Millis(self.effect_time.0 * ISOLATION_PERCENT / 100)
     }
 }
 
--- a/crates/freshness/tests/reading.rs
+++ b/crates/freshness/tests/reading.rs
@@ -51,6 +51,26 @@
     }
 }
 
+/// On a grown site hosts of the last turns sent requests to an upstream 3.3 s after it had said that it leaves: they
+/// waited 4.5 s for their turns, and no other host had the registry.
+#[rstest]
+fn every_host_reads_the_registry_in_time(#[values(0, 1, 5, 19, 149)] turn: u64) {
+    for effect_time in EFFECT_TIMES {
+        let age = read_age(Limits::new(effect_time, effect_time), Records::Registry, Turn(turn));
+        assert!(age * 10 <= effect_time.0 * 8, "{age} of {effect_time}");
+    }
+}
+
+/// Asking another host costs little, and its answer must arrive in time.
+#[test]
+fn a_host_asks_any_other_one_while_there_is_time() {
+    for effect_time in EFFECT_TIMES {
+        let limits = Limits::new(effect_time, effect_time);
+        let asks = |age| reading::asks_any_host(limits, Millis(0), Millis(age), false);
+        assert!(asks(effect_time.0 * 85 / 100));
+    }
+}
+
 /// With all hosts late at the same time, their reads of a 0.4 MB configuration must leave half of a link of 60 Mbit/s
 /// free, whatever the number of hosts behind it.
 #[rstest]
