--- a/crates/dispatch/src/key_owners.rs
+++ b/crates/dispatch/src/key_owners.rs
@@ -6,21 +6,27 @@
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::{HostTime, Millis};
+use std::sync::Arc;
 
 /// Time for which no requests are sent to an owner that answered that it does not hold a key, unless a new owner is
 /// known earlier. A release and the next grant take about as long.
 const HANDOVER_PAUSE: Millis = Millis(250);
 
-/// Owner of each span of a service's keys, in key order.
+/// Owner of each span of a service's keys, in key order. Clones share the spans.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct KeyMap {
-    spans: Vec<(u16, Option<UpstreamId>)>,
+    spans: Arc<Vec<(u16, Option<UpstreamId>)>>,
 }
 
 impl KeyMap {
     /// Builds the map from the last key and the owner, if any, of each span. The spans must be in key order.
-    pub const fn new(spans: Vec<(u16, Option<UpstreamId>)>) -> Self {
-        Self { spans }
+    pub fn new(spans: Vec<(u16, Option<UpstreamId>)>) -> Self {
+        Self { spans: Arc::new(spans) }
+    }
+
+    /// Returns whether this map is a clone of the other one, without a comparison of their spans.
+    pub fn is_clone_of(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.spans, &other.spans)
     }
 
     /// Returns the owner of the span that contains a key.
@@ -51,6 +57,9 @@
 
     /// Replaces the key map. Handovers of spans with unchanged last key and owner are kept.
     pub(crate) fn replace(&mut self, map: KeyMap) {
+        if map.is_clone_of(&self.map) {
+            return;
+        }
         self.map = map;
         let map = &self.map;
         self.handovers.retain(|last_key, (owner, _)| {
--- a/crates/dispatch/src/notices.rs
+++ b/crates/dispatch/src/notices.rs
@@ -92,6 +92,18 @@
         }
     }
 
+    /// Iterates over the incarnations that asked for something: their ids, the times of their starts, the ends of rests
+    /// that have not ended, and the times of their first notices that they leave.
+    pub fn iter(
+        &self,
+        now: HostTime,
+    ) -> impl Iterator<Item = (&UpstreamId, u64, Option<HostTime>, Option<HostTime>)> {
+        self.asked.iter().map(move |((id, born), asked)| {
+            let rest_until = (now < asked.rest_until).then_some(asked.rest_until);
+            (id, *born, rest_until, asked.leaving_since)
+        })
+    }
+
     /// Forgets the incarnations that `is_listed` does not accept.
     pub fn retain(&mut self, is_listed: impl Fn(&UpstreamId, u64) -> bool) {
         self.asked.retain(|(id, born), _| is_listed(id, *born));
--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -36,7 +36,7 @@
 /// Paths from one host.
 #[derive(Debug, Default)]
 pub struct Paths {
-    /// Addresses of the listed upstreams.
+    /// Addresses of the listed upstreams, sorted.
     upstreams: Vec<SocketAddr>,
     failed: FastMap<SocketAddr, FailedPath>,
     /// Number of paths that failed since one last worked.
@@ -103,11 +103,27 @@
     }
 
     /// Sets the addresses of the listed upstreams, and forgets the paths to others.
-    pub fn set_upstreams(&mut self, upstreams: Vec<SocketAddr>) {
-        self.failed.retain(|upstream, _| upstreams.contains(upstream));
+    pub fn set_upstreams(&mut self, mut upstreams: Vec<SocketAddr>) {
+        upstreams.sort();
+        self.failed.retain(|upstream, _| upstreams.binary_search(upstream).is_ok());
         self.upstreams = upstreams;
     }
 
+    /// Adds the address of an upstream that was not listed before.
+    pub fn add_upstream(&mut self, upstream: SocketAddr) {
+        if let Err(index) = self.upstreams.binary_search(&upstream) {
+            self.upstreams.insert(index, upstream);
+        }
+    }
+
+    /// Removes the address of an upstream that is no longer listed, and forgets the path to it.
+    pub fn remove_upstream(&mut self, upstream: SocketAddr) {
+        if let Ok(index) = self.upstreams.binary_search(&upstream) {
+            self.upstreams.remove(index);
+        }
+        self.failed.remove(&upstream);
+    }
+
     /// Returns the intermediary for a request to an upstream, `None` if there is none left that may reach it.
     /// Intermediaries of this region come first; `seed` selects among them, so that their load is even.
     pub fn pick_detour(
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -99,6 +99,8 @@
 #[derive(Debug)]
 pub struct Service {
     upstreams: FastMap<UpstreamId, Upstream>,
+    /// Upstreams that are no longer listed and still have requests in flight.
+    removed: FastSet<UpstreamId>,
     keys: Option<KeyOwners>,
     waiting: Vec<RoutingRequest>,
     arrivals: ArrivalRates,
@@ -120,6 +122,7 @@
     fn default() -> Self {
         Self {
             upstreams: FastMap::default(),
+            removed: FastSet::default(),
             keys: None,
             waiting: Vec::new(),
             arrivals: ArrivalRates::default(),
@@ -137,25 +140,43 @@
     /// Replaces the upstreams. Measurements of upstreams that stay are kept; a removed upstream with requests in flight
     /// stays as leaving.
     pub fn set_upstreams(&mut self, infos: Vec<UpstreamInfo>) {
-        let listed_ids: FastSet<UpstreamId> = infos.iter().map(|info| info.id.clone()).collect();
-        self.upstreams.retain(|id, upstream| upstream.in_flight() > 0 || listed_ids.contains(id));
-        for (id, upstream) in &mut self.upstreams {
-            if !listed_ids.contains(id) {
-                let info = UpstreamInfo { is_leaving: true, ..upstream.info().clone() };
-                upstream.set_info(info);
-            }
+        let listed_ids: FastSet<&UpstreamId> = infos.iter().map(|info| &info.id).collect();
+        let known_ids = self.upstreams.keys();
+        let missing: Vec<UpstreamId> =
+            known_ids.filter(|id| !listed_ids.contains(id)).cloned().collect();
+        for id in missing {
+            self.remove_upstream(&id);
         }
         for info in infos {
-            match self.upstreams.get_mut(&info.id) {
-                Some(upstream) => upstream.set_info(info),
-                None => {
-                    self.upstreams.insert(info.id.clone(), Upstream::new(info));
-                }
-            }
+            self.put_upstream(info);
         }
         self.update_mean_service_ms();
     }
 
+    /// Adds an upstream, or replaces the registered properties of a known one and keeps its measurements.
+    pub fn put_upstream(&mut self, info: UpstreamInfo) {
+        self.removed.remove(&info.id);
+        match self.upstreams.get_mut(&info.id) {
+            Some(upstream) => upstream.set_info(info),
+            None => {
+                self.upstreams.insert(info.id.clone(), Upstream::new(info));
+            }
+        }
+    }
+
+    /// Removes an upstream. One with requests in flight stays as leaving until they have ended.
+    pub fn remove_upstream(&mut self, id: &UpstreamId) {
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        if upstream.in_flight() > 0 {
+            let info = UpstreamInfo { is_leaving: true, ..upstream.info().clone() };
+            upstream.set_info(info);
+            self.removed.insert(id.clone());
+        } else {
+            self.upstreams.remove(id);
+            self.removed.remove(id);
+        }
+    }
+
     /// Sets the owners of the keys; `None` for a service without sharding.
     pub fn set_keys(&mut self, map: Option<KeyMap>) {
         match (&mut self.keys, map) {
@@ -323,8 +344,12 @@
         outcome: AttemptOutcome,
         now: HostTime,
     ) {
-        let upstream = self.upstreams.get_mut(id);
-        if let Some(ratio) = upstream.and_then(|upstream| upstream.on_end(started, outcome, now)) {
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        let ratio = upstream.on_end(started, outcome, now);
+        if upstream.in_flight() == 0 && self.removed.remove(id) {
+            self.upstreams.remove(id);
+        }
+        if let Some(ratio) = ratio {
             self.deviation +=
                 ((ratio - 1.0).abs().min(MAX_DEVIATION) - self.deviation) * DEVIATION_WEIGHT;
             self.answers_since_mean += 1;
--- a/crates/dispatch/tests/service.rs
+++ b/crates/dispatch/tests/service.rs
@@ -6,7 +6,7 @@
 use skylarkdock_dispatch::routes::Idempotency;
 use skylarkdock_dispatch::routing::{RefusalReason, RoutingDecision, RoutingRequest};
 use skylarkdock_dispatch::service::Service;
-use skylarkdock_dispatch::upstream::{AttemptOutcome, Distance, UpstreamInfo};
+use skylarkdock_dispatch::upstream::{AttemptOutcome, Distance, Upstream, UpstreamInfo};
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::measures::RequestRate;
 use skylarkdock_units::times::{HostTime, Millis};
@@ -349,3 +349,36 @@
     assert_eq!(service.choose_hedge(&again, START), None);
     assert_ne!(service.decide(again, START), RoutingDecision::Send(id("limited")));
 }
+
+/// An upstream ends its registration while it works on a request: the request's end is recorded, no other is sent to it,
+/// and it is forgotten with its last request.
+#[test]
+fn a_removed_upstream_stays_until_its_requests_have_ended() {
+    let mut service = Service::default();
+    service.set_upstreams(vec![info("a", Distance::Zone)]);
+    service.on_start(&id("a"), START);
+    service.on_start(&id("a"), START + Millis(1));
+    service.remove_upstream(&id("a"));
+    assert!(matches!(service.decide(request(1, 1, START), START), RoutingDecision::Refuse { .. }));
+    service.on_end(&id("a"), START, AttemptOutcome::Answered, START + Millis(100));
+    assert_eq!(service.upstream(&id("a")).map(Upstream::in_flight), Some(1));
+    service.on_end(&id("a"), START + Millis(1), AttemptOutcome::Answered, START + Millis(100));
+    assert!(service.upstream(&id("a")).is_none());
+}
+
+/// The same upstream is registered again before its last request has ended.
+#[test]
+fn an_upstream_that_is_listed_again_keeps_its_requests_and_measurements() {
+    let mut service = Service::default();
+    service.set_upstreams(vec![info("a", Distance::Zone)]);
+    service.on_start(&id("a"), START);
+    service.on_start(&id("a"), START);
+    service.on_end(&id("a"), START, AttemptOutcome::Answered, START + Millis(50));
+    let measured = service.upstream(&id("a")).and_then(Upstream::service_ms);
+    service.remove_upstream(&id("a"));
+    service.put_upstream(info("a", Distance::Zone));
+    let later = START + Millis(60);
+    assert_eq!(service.decide(request(1, 1, later), later), RoutingDecision::Send(id("a")));
+    service.on_end(&id("a"), START, AttemptOutcome::Cancelled, later);
+    assert_eq!(service.upstream(&id("a")).and_then(Upstream::service_ms), measured);
+}
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod election;
 pub mod encoded;
+pub mod key_maps;
 pub mod known_records;
 mod owners;
 mod peers;
@@ -21,21 +22,20 @@
 use crate::store::{Store, Topic};
 use crate::traffic::Sample;
 use crate::upstreams::Protocol;
-use crate::view::{Config, PeerInfo, View};
+use crate::view::{Config, PeerInfo, Publication, UpstreamChange, View};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_lock::Mutex;
 use event_listener::Event;
-use metrics::gauge;
+use metrics::{counter, gauge};
 use metrics_exporter_prometheus::PrometheusHandle;
 use registry::Registry;
 use serde::{Deserialize, Serialize};
-use skylarkdock_dispatch::key_owners::KeyMap;
 use skylarkdock_freshness::reading::Limits;
 use skylarkdock_spans::leader::{Leader, SpanId};
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::renewal::Renewals;
-use skylarkdock_spans::table::{Keeper, Table};
+use skylarkdock_spans::table::Keeper;
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::collections::{FastMap, FastSet};
 use skylarkdock_units::ids::{HostId, Region, ServiceName, UpstreamId, Zone};
@@ -92,7 +92,11 @@
     protocol: Protocol,
     store: Store,
     ex: Rc<LocalExecutor<'static>>,
-    views: Sender<Arc<View>>,
+    views: Sender<Publication>,
+    key_maps: RefCell<key_maps::KeyMaps>,
+    /// Whether changes are being applied that are published together, and whether there are any.
+    collects_changes: Cell<bool>,
+    has_unpublished: Cell<bool>,
     timing: Timing,
     started_at: HostTime,
     fleet: RefCell<FleetState>,
@@ -142,6 +146,8 @@
     config: Option<Arc<Config>>,
     registry: Registry,
     hosts: FastMap<HostId, HostRecord>,
+    /// The other hosts as published; `None` if the host records have changed since.
+    published_peers: Option<Arc<Vec<PeerInfo>>>,
     /// Offset after the last known record of the fleet topic; zero until the topic was read.
     fleet_end: u64,
     known_records: known_records::KnownRecords,
@@ -162,6 +168,7 @@
             config: None,
             registry: Registry::new(heartbeat),
             hosts: FastMap::default(),
+            published_peers: None,
             fleet_end: 0,
             known_records: known_records::KnownRecords::default(),
             last_sample_at: FastMap::default(),
@@ -170,6 +177,49 @@
             service_ms: FastMap::default(),
         }
     }
+
+    /// Returns the recorded hosts other than this one. Calls without a change in between share the list.
+    fn peers(&mut self, own_host: &HostId) -> Arc<Vec<PeerInfo>> {
+        if let Some(peers) = &self.published_peers {
+            return Arc::clone(peers);
+        }
+        let others = self.hosts.values().filter(|record| record.host != *own_host);
+        let peers = others.map(|record| PeerInfo {
+            host: record.host.clone(),
+            zone: record.zone.clone(),
+            region: record.region.clone(),
+            size: record.size,
+            reports: record.reports,
+            calls: record.peers,
+        });
+        let peers = Arc::new(peers.collect());
+        self.published_peers = Some(Arc::clone(&peers));
+        peers
+    }
+
+    /// Returns whether an incarnation of an upstream is listed.
+    fn is_listed(&self, id: &UpstreamId, born: u64) -> bool {
+        self.registry.entry(id).is_some_and(|entry| entry.born == born)
+    }
+
+    /// Stores the record of a host. Returns whether it was not known.
+    fn put_host(&mut self, record: HostRecord) -> bool {
+        if self.hosts.get(&record.host) == Some(&record) {
+            return false;
+        }
+        self.hosts.insert(record.host.clone(), record);
+        self.published_peers = None;
+        true
+    }
+
+    /// Removes the record of a host. Returns whether it was known.
+    fn remove_host(&mut self, host: &HostId) -> bool {
+        let is_known = self.hosts.remove(host).is_some();
+        if is_known {
+            self.published_peers = None;
+        }
+        is_known
+    }
 }
 
 /// This host's part in the ownership of keys: the grants that it renews and the services that it leads.
@@ -204,7 +254,7 @@
         protocol: Protocol,
         store: Store,
         ex: Rc<LocalExecutor<'static>>,
-        views: Sender<Arc<View>>,
+        views: Sender<Publication>,
         samples: Receiver<Sample>,
         status: Arc<Status>,
     ) -> Rc<Self> {
@@ -219,6 +269,9 @@
             store,
             ex: Rc::clone(&ex),
             views,
+            key_maps: RefCell::default(),
+            collects_changes: Cell::default(),
+            has_unpublished: Cell::default(),
             timing,
             started_at: clock::now(),
             fleet,
@@ -295,37 +348,53 @@
         }
     }
 
-    /// Sends the traffic thread a view of the known state, and wakes the hosts that wait for updates.
+    /// Applies several changes and publishes them at once.
+    fn publish_together<T>(&self, apply: impl FnOnce() -> T) -> T {
+        let is_outermost = !self.collects_changes.replace(true);
+        let result = apply();
+        if is_outermost {
+            self.collects_changes.set(false);
+            if self.has_unpublished.replace(false) {
+                self.publish();
+            }
+        }
+        result
+    }
+
+    /// Sends the traffic thread the known state, and wakes the hosts that wait for updates.
     fn publish(&self) {
-        let fleet = self.fleet.borrow();
+        if self.collects_changes.get() {
+            self.has_unpublished.set(true);
+            return;
+        }
+        let mut fleet = self.fleet.borrow_mut();
         let owners = self.owners.borrow();
-        let tables =
-            owners.renewals.iter().filter_map(|(name, renewals)| Some((name, renewals.table()?)));
+        let upstreams = fleet.registry.take_changes();
+        let changed: Vec<UpstreamId> = upstreams.iter().map(UpstreamChange::id).cloned().collect();
         let unrecorded_grants = owners.unrecorded_grants();
-        let keys = tables.map(|(name, table)| {
-            (name.clone(), key_map(table, &unrecorded_grants, &fleet.registry))
-        });
-        let others = fleet.hosts.values().filter(|record| record.host != self.settings.host);
-        let peers = others.map(|record| PeerInfo {
-            host: record.host.clone(),
-            zone: record.zone.clone(),
-            region: record.region.clone(),
-            size: record.size,
-            reports: record.reports,
-            calls: record.peers,
+        let grants_of = |name: &ServiceName| -> FastSet<SpanId> {
+            let grants = unrecorded_grants.iter().filter(|(service, _)| service == name);
+            grants.map(|(_, grant)| *grant).collect()
+        };
+        let mut key_maps = self.key_maps.borrow_mut();
+        let tables = owners.renewals.values().filter_map(Renewals::table);
+        let keys = tables.map(|table| {
+            let name = table.service.clone();
+            let grants = grants_of(&name);
+            (name, key_maps.update(table, grants, &fleet.registry, &changed))
         });
+        let keys = keys.collect();
         let view = View {
             config: fleet.config.clone(),
-            upstreams: fleet.registry.listed().cloned().collect(),
-            keys: keys.collect(),
-            peers: (fleet.fleet_end > 0).then(|| peers.collect()),
+            keys,
+            peers: (fleet.fleet_end > 0).then(|| fleet.peers(&self.settings.host)),
             host_count: self.host_count.get(),
             is_recorded: fleet.hosts.contains_key(&self.settings.host),
         };
         self.changed.notify(usize::MAX);
-        let is_ready = view.config.is_some() && !view.upstreams.is_empty();
-        self.status.set_ready(is_ready);
-        if self.views.try_send(Arc::new(view)).is_err() {
+        self.status.set_ready(view.config.is_some() && !fleet.registry.is_empty());
+        counter!("skylarkdock_views_total").increment(1);
+        if self.views.try_send(Publication { view, upstreams }).is_err() {
             log::error!("control: the traffic thread has ended");
         }
     }
@@ -396,23 +465,3 @@
         hosts
     }
 }
-
-/// Returns the owners that requests may be sent to. A later incarnation of an owner does not hold its keys.
-fn key_map(
-    table: &Table,
-    unrecorded_grants: &[(ServiceName, SpanId)],
-    registry: &Registry,
-) -> KeyMap {
-    let owner = |span: &skylarkdock_spans::table::Span| {
-        let entry = registry.entry(&span.owner.id)?;
-        let is_same_incarnation = entry.born == span.owner.born;
-        let is_unrecorded_grant = || {
-            unrecorded_grants.iter().any(|(service, key)| {
-                *service == table.service && *key == (span.first, span.last, span.fence)
-            })
-        };
-        ((span.is_granted || is_unrecorded_grant()) && is_same_incarnation)
-            .then(|| span.owner.id.clone())
-    };
-    KeyMap::new(table.spans.iter().map(|span| (span.last, owner(span))).collect())
-}
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -209,20 +209,28 @@
     /// Returns the listed upstreams that said that they leave, with the times of their starts.
     pub(super) fn leaving_upstreams(&self) -> Vec<(UpstreamId, u64)> {
         let fleet = self.fleet.borrow();
-        let listed = fleet.registry.listed().map(|listed| (&listed.entry.id, listed.entry.born));
-        let leaving = listed.filter(|(id, born)| self.status.notices().is_leaving(id, *born));
-        leaving.map(|(id, born)| (id.clone(), born)).collect()
+        let mut leaving = Vec::new();
+        self.status.notices().for_each(|id, born, _, since| {
+            if since.is_some() && fleet.is_listed(id, born) {
+                leaving.push((id.clone(), born));
+            }
+        });
+        leaving
     }
 
     /// Returns the listed upstreams that asked this host for rest, with the times of their starts and the remaining
     /// rests.
     pub(super) fn resting_upstreams(&self) -> Vec<(UpstreamId, u64, Millis)> {
-        let fleet = self.fleet.borrow();
-        let listed = fleet.registry.listed().map(|listed| (&listed.entry.id, listed.entry.born));
-        let resting = listed.filter_map(|(id, born)| {
-            Some((id.clone(), born, self.status.notices().remaining_rest(id, born)?))
+        let (fleet, now) = (self.fleet.borrow(), clock::now());
+        let mut resting = Vec::new();
+        self.status.notices().for_each(|id, born, until, _| {
+            if let Some(until) = until
+                && fleet.is_listed(id, born)
+            {
+                resting.push((id.clone(), born, until.since(now)));
+            }
         });
-        resting.collect()
+        resting
     }
 
     /// Returns the remaining rests that an upstream asked for, of all hosts that said so lately.
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -138,9 +138,11 @@
         }
         self.update_service_times(&sample.service_ms);
         self.count_keys(&sample.keys, now);
-        for (id, born) in &sample.leaving {
-            self.record_notices(id, *born, Notices { rest: None, is_leaving: true });
-        }
+        self.publish_together(|| {
+            for (id, born) in &sample.leaving {
+                self.record_notices(id, *born, Notices { rest: None, is_leaving: true });
+            }
+        });
         None
     }
 
--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -6,7 +6,7 @@
 //! refuse this host alone. An outage is a time in which this host's reads failed and no host is known to have read the
 //! store.
 
-use crate::view::{Entry, ListedUpstream};
+use crate::view::{Entry, ListedUpstream, UpstreamChange};
 use serde::{Deserialize, Serialize};
 use skylarkdock_units::collections::{FastMap, FastSet};
 use skylarkdock_units::ids::UpstreamId;
@@ -50,6 +50,8 @@
 #[derive(Debug)]
 pub struct Registry {
     upstreams: FastMap<UpstreamId, RegisteredUpstream>,
+    /// Upstreams that have changed since [`Registry::take_changes`] was last called.
+    changed: FastSet<UpstreamId>,
     /// Interval at which an upstream writes its entry.
     heartbeat: Millis,
     /// Latest time at which any host is known to have read the store; zero before anything was read.
@@ -64,8 +66,14 @@
     /// Creates an empty registry of upstreams that write their entries at intervals of `heartbeat`.
     pub fn new(heartbeat: Millis) -> Self {
         let never = HostTime(0);
-        let upstreams = FastMap::default();
-        Self { upstreams, heartbeat, read_at: never, failed_at: never, read_since: never }
+        Self {
+            upstreams: FastMap::default(),
+            changed: FastSet::default(),
+            heartbeat,
+            read_at: never,
+            failed_at: never,
+            read_since: never,
+        }
     }
 
     /// Records that a read which this host sent at `asked_at` failed.
@@ -212,6 +220,9 @@
             log::info!(upstream:% = entry.id, service:% = entry.service, seq = entry.seq, age:% = age; "registry: upstream is leaving");
         }
         let id = entry.id.clone();
+        if is_change || known.is_none_or(|known| known.listed.cold_until != cold_until) {
+            self.changed.insert(id.clone());
+        }
         self.upstreams.insert(
             id,
             RegisteredUpstream { listed: ListedUpstream { entry, cold_until }, kept_until: None },
@@ -233,6 +244,7 @@
     fn drop_deleted(&mut self, id: &UpstreamId, now: HostTime) -> bool {
         let is_known = self.upstreams.remove(id).is_some();
         if is_known {
+            self.changed.insert(id.clone());
             log::info!(upstream:% = id, age:% = self.age(now); "registry: entry dropped");
         }
         is_known
@@ -248,6 +260,7 @@
         for id in &expired {
             log::info!(upstream:% = id, age:% = self.age(now); "registry: kept entry dropped, as its upstream did not write it again");
             self.upstreams.remove(id);
+            self.changed.insert(id.clone());
         }
         expired
     }
@@ -256,6 +269,21 @@
         now.since(self.read_at)
     }
 
+    /// Returns the upstreams that were listed, changed in more than their heartbeats, or removed since the last call.
+    pub fn take_changes(&mut self) -> Vec<UpstreamChange> {
+        let changed = std::mem::take(&mut self.changed);
+        let change = |id: UpstreamId| match self.upstreams.get(&id) {
+            Some(known) => UpstreamChange::Listed(Box::new(known.listed.clone())),
+            None => UpstreamChange::Removed(id),
+        };
+        changed.into_iter().map(change).collect()
+    }
+
+    /// Returns whether no upstream is registered.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
     /// Returns the registered upstreams, including those that are shutting down, in no particular order.
     pub fn listed(&self) -> impl Iterator<Item = &ListedUpstream> {
         self.upstreams.values().map(|known| &known.listed)
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -352,15 +352,10 @@
     fn apply_fleet_record(&self, record: &Record) -> bool {
         if let Some(name) = record.key.strip_prefix(HOST_PREFIX) {
             if record.value.is_empty() {
-                return name
-                    .parse()
-                    .is_ok_and(|host| self.fleet.borrow_mut().hosts.remove(&host).is_some());
+                return name.parse().is_ok_and(|host| self.fleet.borrow_mut().remove_host(&host));
             }
             match serde_json::from_slice::<HostRecord>(&record.value) {
-                Ok(host) => {
-                    self.fleet.borrow_mut().hosts.insert(host.host.clone(), host);
-                    return true;
-                }
+                Ok(host) => return self.fleet.borrow_mut().put_host(host),
                 Err(e) => log::warn!(key = record.key.as_str(), error:% = e; "fleet: host ignored"),
             }
             return false;
@@ -369,10 +364,7 @@
             return false;
         }
         match serde_json::from_slice::<Table>(&record.value) {
-            Ok(table) if table.check().is_ok() => {
-                self.adopt_table(table);
-                true
-            }
+            Ok(table) if table.check().is_ok() => self.adopt_table(table),
             Ok(_) => {
                 log::error!(key = record.key.as_str(); "fleet: inconsistent table ignored");
                 false
@@ -384,15 +376,16 @@
         }
     }
 
-    /// Replaces the ownership table of a service if this one is newer. A newer table of another leader ends the
-    /// leadership of this host.
-    pub(super) fn adopt_table(&self, table: Table) {
+    /// Replaces the ownership table of a service if this one is newer, and returns whether it is. A newer table of another
+    /// leader ends the leadership of this host.
+    pub(super) fn adopt_table(&self, table: Table) -> bool {
         let is_led_by_other = table.leader != self.settings.host;
         let mut owners = self.owners.borrow_mut();
         let name = table.service.clone();
         let known =
             owners.renewals.get(&name).and_then(Renewals::table).map_or(0, |known| known.version);
-        if is_led_by_other && table.version > known && self.is_leader.replace(false) {
+        let is_newer = table.version > known;
+        if is_led_by_other && is_newer && self.is_leader.replace(false) {
             log::info!(leader:% = table.leader; "fleet: another host leads");
             owners.leaders.clear();
         }
@@ -404,6 +397,7 @@
             Renewals::new(host, region, self.timing, self.started_at)
         });
         renewals.adopt(table);
+        is_newer
     }
 
     /// Writes the record of this host, unless it is stored already, so that other hosts can call this one.
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -320,7 +320,7 @@
                     }
                     // Changes older than what this host knows were not applied, so the next request asks for all
                     // entries.
-                    let is_newer = self.apply_updates(response, now);
+                    let is_newer = self.publish_together(|| self.apply_updates(response, now));
                     known = if is_newer { received } else { (0, 0) };
                     Timer::after(self.request_pause().duration()).await;
                     if !is_newer || is_late_again || self.is_isolated(clock::now(), false) {
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -8,7 +8,7 @@
 use crate::store::Store;
 use crate::traffic::{Sample, Traffic};
 use crate::upstreams::Protocol;
-use crate::view::View;
+use crate::view::Publication;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -34,7 +34,7 @@
 
 /// Channels and state shared between the two threads.
 struct ThreadLinks {
-    views: (Sender<Arc<View>>, Receiver<Arc<View>>),
+    views: (Sender<Publication>, Receiver<Publication>),
     samples: (Sender<Sample>, Receiver<Sample>),
     status: Arc<Status>,
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod detour;
 mod framing;
 pub mod host;
+pub mod listing;
 pub mod logging;
 pub mod metrics;
 pub mod net;
--- a/crates/edge/src/notices.rs
+++ b/crates/edge/src/notices.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use skylarkdock_dispatch::notices::{HostNotices, Notices, Withheld};
 use skylarkdock_dispatch::upstream::Upstream;
-use skylarkdock_units::collections::{FastMap, FastSet};
+use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -18,6 +18,8 @@
     notices: HostNotices,
     /// When each incarnation that gave a notice was last listed, or gave one.
     seen_at: FastMap<(UpstreamId, u64), HostTime>,
+    /// Number of notices that were recorded.
+    count: u64,
 }
 
 /// Notices of upstreams, shared by the threads of a host. An incarnation of an upstream is an id and the time of its
@@ -41,6 +43,7 @@
         let was_resting = state.notices.resting_until(id, born, now).is_some();
         let was_leaving = state.notices.leaving_since(id, born).is_some();
         state.notices.record(id, born, notices, now);
+        state.count += 1;
         state.seen_at.insert((id.clone(), born), now);
         let until = state.notices.resting_until(id, born, now);
         let is_leaving = state.notices.leaving_since(id, born).is_some();
@@ -87,12 +90,28 @@
         }
     }
 
-    /// Forgets incarnations that have not been listed for `FORGET_AFTER`.
-    pub fn set_listed(&self, listed: &FastSet<(UpstreamId, u64)>) {
+    /// Calls `visit` with what each incarnation asked for, as [`HostNotices::iter`] returns it.
+    pub fn for_each(
+        &self,
+        mut visit: impl FnMut(&UpstreamId, u64, Option<HostTime>, Option<HostTime>),
+    ) {
+        for (id, born, rest_until, leaving_since) in self.lock().notices.iter(clock::now()) {
+            visit(id, born, rest_until, leaving_since);
+        }
+    }
+
+    /// Returns the number of notices that were recorded.
+    pub fn count(&self) -> u64 {
+        self.lock().count
+    }
+
+    /// Forgets incarnations that have not been listed for `FORGET_AFTER`. `is_listed` is given an id and the time of a
+    /// start.
+    pub fn forget_unlisted(&self, is_listed: impl Fn(&UpstreamId, u64) -> bool) {
         let now = clock::now();
-        let State { notices, seen_at } = &mut *self.lock();
-        seen_at.retain(|incarnation, at| {
-            if listed.contains(incarnation) {
+        let State { notices, seen_at, .. } = &mut *self.lock();
+        seen_at.retain(|(id, born), at| {
+            if is_listed(id, *born) {
                 *at = now;
             }
             now.since(*at) < FORGET_AFTER
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -147,7 +147,7 @@
         build: impl Fn(Millis) -> Outgoing,
     ) -> AttemptResult {
         let Attempt { service, id, fingerprint, .. } = attempt;
-        let (born, addr) = match self.known_upstreams.borrow().get(id) {
+        let (born, addr) = match self.listing.borrow().get(id) {
             Some(listed) => (listed.entry.born, listed.entry.addr),
             None => return AttemptResult::NotRun(NotRun::Unreachable),
         };
@@ -212,7 +212,7 @@
 
     /// Tells the state of an upstream what its incarnation `born` asked for, unless another one is known by now.
     fn apply_notices(&self, service: &ServiceName, id: &UpstreamId, born: u64) {
-        let known = self.known_upstreams.borrow();
+        let known = self.listing.borrow();
         let is_current = known.get(id).is_some_and(|listed| listed.entry.born == born);
         let mut services = self.services.borrow_mut();
         let state = services.get_mut(service).filter(|_| is_current);
@@ -232,7 +232,7 @@
         service: &ServiceName,
         id: &UpstreamId,
     ) -> Result<(), Withheld> {
-        let born = self.known_upstreams.borrow().get(id).map(|listed| listed.entry.born);
+        let born = self.listing.borrow().get(id).map(|listed| listed.entry.born);
         let Some(born) = born else { return Ok(()) };
         let checked = self.status.notices().may_send(id, born, self.settings.drain_time);
         if checked.is_err() {
@@ -269,6 +269,9 @@
         if !is_relevant {
             return;
         }
+        if limit.is_some() {
+            self.on_limit_known();
+        }
         let mut services = self.services.borrow_mut();
         let state = services.get_mut(attempt.service);
         let Some(upstream) = state.and_then(|state| state.service.upstream_mut(attempt.id)) else {
--- a/crates/edge/src/traffic/crash_reports.rs
+++ b/crates/edge/src/traffic/crash_reports.rs
@@ -5,14 +5,13 @@
 use crate::client::{Conn, Outgoing};
 use crate::clock;
 use crate::detour::{CONNECT_TIMEOUT, DetourError};
-use crate::view::{Entry, View};
+use crate::listing::ListingUpdate;
 use async_io::Timer;
 use metrics::{counter, gauge};
 use serde::{Deserialize, Serialize};
 use skylarkdock_dispatch::crash_tracker::{
     Crash, Digest, EndProof, Fingerprint, IncarnationHash, Refusal,
 };
-use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::Millis;
 use std::io::ErrorKind;
@@ -185,36 +184,15 @@
         self.crashes_changed.notify(usize::MAX);
     }
 
-    /// Records the upstreams that ended according to a view: of those known before and not leaving, the ones that are no
-    /// longer listed, and the ones that have a later incarnation or successor at their address.
-    pub(super) fn record_ends(&self, view: &View) {
-        let known = self.known_upstreams.borrow();
-        let listed = view.upstreams.iter().map(|listed| &listed.entry);
-        let is_known = |entry: &Entry| {
-            known.get(&entry.id).is_some_and(|known| known.entry.born == entry.born)
-        };
-        if known.len() == view.upstreams.len() && listed.clone().all(is_known) {
-            return;
-        }
-        let mut born: FastMap<&UpstreamId, u64> = FastMap::default();
-        let mut newest_at: FastMap<SocketAddr, u64> = FastMap::default();
-        for entry in listed {
-            born.insert(&entry.id, entry.born);
-            let newest = newest_at.entry(entry.addr).or_default();
-            *newest = entry.born.max(*newest);
+    /// Records the upstreams that have ended according to changes of the listed ones.
+    pub(super) fn record_ends(&self, update: &ListingUpdate) {
+        for end in &update.ended {
+            self.on_ended(&end.id, end.born, end.proof);
         }
-        for entry in known.values().map(|known| &known.entry).filter(|entry| !entry.is_leaving) {
-            let is_replaced = newest_at.get(&entry.addr).is_some_and(|newest| *newest > entry.born);
-            match born.get(&entry.id) {
-                _ if is_replaced => self.on_ended(&entry.id, entry.born, EndProof::Certain),
-                Some(now_born) if *now_born != entry.born => {
-                    self.on_ended(&entry.id, entry.born, EndProof::Certain);
-                }
-                Some(_) => {}
-                None => self.on_ended(&entry.id, entry.born, EndProof::Lapsed),
-            }
+        if !update.removed.is_empty() {
+            let listing = self.listing.borrow();
+            self.crash_tracker.borrow_mut().retain_upstreams(|id| listing.get(id).is_some());
         }
-        self.crash_tracker.borrow_mut().retain_upstreams(|id| born.contains_key(id));
     }
 
     /// Applies the crashes reported by another host.
--- a/crates/edge/src/traffic/detours.rs
+++ b/crates/edge/src/traffic/detours.rs
@@ -4,7 +4,8 @@
 use crate::client::{Failure, Outgoing, Reply};
 use crate::clock;
 use crate::detour::{self, DetourError};
-use crate::view::{PeerInfo, View};
+use crate::listing::ListingUpdate;
+use crate::view::PeerInfo;
 use async_io::Timer;
 use metrics::{counter, gauge};
 use skylarkdock_dispatch::paths::Intermediary;
@@ -16,6 +17,8 @@
 
 /// Interval at which due probes are sent.
 const PROBE_CHECK_INTERVAL: Millis = Millis(100);
+/// Number of those intervals between updates of the gauges.
+const GAUGES_EVERY: u64 = 10;
 /// Shortest time between two checks of a path whose answers are late.
 const PATH_CHECK_INTERVAL: Millis = Millis(2_000);
 
@@ -61,13 +64,13 @@
             addr: peer.calls,
             is_near: peer.region == self.settings.region,
         };
-        view.peers.iter().flatten().map(intermediary).collect()
+        view.peers().iter().map(intermediary).collect()
     }
 
     /// Checks the path to an upstream whose answer is late: a connection that lives on may have gone silent.
     pub(super) fn check_path(&self, id: &UpstreamId) {
-        let known = self.known_upstreams.borrow();
-        let Some(addr) = known.get(id).map(|listed| listed.entry.addr) else { return };
+        let listing = self.listing.borrow();
+        let Some(addr) = listing.get(id).map(|listed| listed.entry.addr) else { return };
         let now = clock::now();
         let mut checked_at = self.path_checked_at.borrow_mut();
         if checked_at.get(&addr).is_some_and(|at| now.since(*at) < PATH_CHECK_INTERVAL)
@@ -88,20 +91,24 @@
 
     /// Probes the paths that failed until they work again.
     pub(super) async fn probe_failed_paths(self: Rc<Self>) {
+        let mut round: u64 = 0;
         loop {
             Timer::after(PROBE_CHECK_INTERVAL.duration()).await;
+            round += 1;
             let (due, is_cut_off) = {
                 let mut paths = self.status.paths().lock();
                 (paths.take_due_probes(clock::now()), paths.is_cut_off())
             };
-            let resting = {
-                let (services, now) = (self.services.borrow(), clock::now());
-                let upstreams = services.values().flat_map(|state| state.service.upstreams());
-                let resting = upstreams.filter(|upstream| upstream.rest_until(now).is_some());
-                u32::try_from(resting.count()).unwrap_or(u32::MAX)
-            };
-            gauge!("skylarkdock_upstreams_resting").set(f64::from(resting));
-            gauge!("skylarkdock_cut_off").set(f64::from(u8::from(is_cut_off)));
+            if round.is_multiple_of(GAUGES_EVERY) {
+                let resting = {
+                    let (services, now) = (self.services.borrow(), clock::now());
+                    let upstreams = services.values().flat_map(|state| state.service.upstreams());
+                    let resting = upstreams.filter(|upstream| upstream.rest_until(now).is_some());
+                    u32::try_from(resting.count()).unwrap_or(u32::MAX)
+                };
+                gauge!("skylarkdock_upstreams_resting").set(f64::from(resting));
+                gauge!("skylarkdock_cut_off").set(f64::from(u8::from(is_cut_off)));
+            }
             for addr in due {
                 let traffic = Rc::clone(&self);
                 let probe = async move {
@@ -114,12 +121,19 @@
         }
     }
 
-    /// Sets the upstreams that a view lists, and forgets the paths to others.
-    pub(super) fn set_listed_paths(&self, view: &View) {
-        let mut listed: Vec<SocketAddr> =
-            view.upstreams.iter().map(|listed| listed.entry.addr).collect();
-        listed.sort();
-        self.path_checked_at.borrow_mut().retain(|addr, _| listed.binary_search(addr).is_ok());
-        self.status.paths().lock().set_upstreams(listed);
+    /// Adds the paths to newly listed upstreams, and forgets those to upstreams that are no longer listed.
+    pub(super) fn apply_paths(&self, update: &ListingUpdate) {
+        if update.added_addrs.is_empty() && update.removed_addrs.is_empty() {
+            return;
+        }
+        let mut checked_at = self.path_checked_at.borrow_mut();
+        let mut paths = self.status.paths().lock();
+        for addr in &update.added_addrs {
+            paths.add_upstream(*addr);
+        }
+        for addr in &update.removed_addrs {
+            checked_at.remove(addr);
+            paths.remove_upstream(*addr);
+        }
     }
 }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -15,12 +15,13 @@
 
 use crate::clock;
 use crate::detour::DetourClient;
+use crate::listing::{Listing, ListingUpdate};
 use crate::pool::{self, Pool};
 use crate::serve::{Answer, AnswerFuture, Incoming, ListenerState};
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::upstreams::Protocol;
-use crate::view::{ListedUpstream, View};
+use crate::view::{ListedUpstream, Publication, View};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -31,7 +32,7 @@
 use skylarkdock_dispatch::service::Service;
 use skylarkdock_dispatch::trials::{TrialAsker, TrialDesk};
 use skylarkdock_dispatch::upstream::{Distance, UpstreamInfo};
-use skylarkdock_units::collections::{FastMap, FastSet};
+use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::{HostTime, Millis};
 use std::cell::{Cell, RefCell};
@@ -41,6 +42,8 @@
 
 /// Interval at which waiting requests are reconsidered.
 const WAITING_INTERVAL: Millis = Millis(10);
+/// Shortest interval between checks of the age of idle connections.
+const POOL_CHECK_INTERVAL: Millis = Millis(500);
 /// Shortest interval between samples for the control thread.
 const MIN_SAMPLE_INTERVAL: Millis = Millis(350);
 /// Interval between samples per known host, so that the leader of up to 125 hosts gets at most 125 samples a second.
@@ -68,7 +71,9 @@
     view: RefCell<Arc<View>>,
     replaced_configs: RefCell<replaced_configs::ReplacedConfigs>,
     services: RefCell<FastMap<ServiceName, ServiceState>>,
-    known_upstreams: RefCell<FastMap<UpstreamId, ListedUpstream>>,
+    listing: RefCell<Listing>,
+    /// Number of notices of upstreams that were applied to their states.
+    applied_notices: Cell<u64>,
     pool: Rc<RefCell<Pool>>,
     waiters: RefCell<FastMap<u64, Sender<RoutingDecision>>>,
     /// Notified when a request starts to wait.
@@ -84,6 +89,10 @@
     route_counts: RefCell<FastMap<(Arc<str>, bool), u64>>,
     reports: RefCell<reports::Reports>,
     pools: RefCell<permits::Pools>,
+    /// Whether this host may know of a limit of an upstream. Without one, nothing is done about permits.
+    knows_limits: Cell<bool>,
+    /// Notified when a limit becomes known.
+    limit_known: Event,
     detour_client: DetourClient,
     /// When the path to an upstream was last checked because an answer was late.
     path_checked_at: RefCell<FastMap<SocketAddr, HostTime>>,
@@ -94,6 +103,8 @@
     started_at: HostTime,
     sample: RefCell<Sample>,
     last_ticket: Cell<u64>,
+    /// When idle connections were last checked for their age.
+    pool_checked_at: Cell<HostTime>,
 }
 
 /// Service with its retry budget.
@@ -113,7 +124,7 @@
         ex: Rc<LocalExecutor<'static>>,
         shared: Rc<ListenerState>,
         status: Arc<Status>,
-        views: Receiver<Arc<View>>,
+        views: Receiver<Publication>,
         samples: Sender<Sample>,
     ) -> Rc<Self> {
         let traffic = Rc::new(Self {
@@ -125,7 +136,8 @@
             view: RefCell::default(),
             replaced_configs: RefCell::default(),
             services: RefCell::default(),
-            known_upstreams: RefCell::default(),
+            listing: RefCell::default(),
+            applied_notices: Cell::default(),
             pool: Rc::default(),
             waiters: RefCell::default(),
             has_waiting: Event::new(),
@@ -137,6 +149,8 @@
             route_counts: RefCell::default(),
             reports: RefCell::default(),
             pools: RefCell::default(),
+            knows_limits: Cell::default(),
+            limit_known: Event::new(),
             detour_client: DetourClient::default(),
             path_checked_at: RefCell::default(),
             datagrams: RefCell::default(),
@@ -144,8 +158,9 @@
             started_at: clock::now(),
             sample: RefCell::default(),
             last_ticket: Cell::new(0),
+            pool_checked_at: Cell::default(),
         });
-        ex.spawn(Rc::clone(&traffic).apply_views(views)).detach();
+        ex.spawn(Rc::clone(&traffic).apply_publications(views)).detach();
         ex.spawn(Rc::clone(&traffic).poll_waiting()).detach();
         ex.spawn(Rc::clone(&traffic).send_samples(samples)).detach();
         reports::start(&traffic);
@@ -160,26 +175,55 @@
         Box::pin(Rc::clone(self).serve(req))
     }
 
-    /// Applies the views that the control thread publishes.
-    async fn apply_views(self: Rc<Self>, views: Receiver<Arc<View>>) {
-        while let Ok(view) = views.recv().await {
-            self.apply(view);
+    /// Applies what the control thread publishes. Publications that arrived meanwhile are applied at once.
+    async fn apply_publications(self: Rc<Self>, publications: Receiver<Publication>) {
+        while let Ok(mut publication) = publications.recv().await {
+            while let Ok(next) = publications.try_recv() {
+                publication.view = next.view;
+                publication.upstreams.extend(next.upstreams);
+            }
+            self.apply(publication);
             self.decide_waiting();
         }
     }
 
-    fn apply(&self, view: Arc<View>) {
+    fn apply(&self, publication: Publication) {
+        let view = publication.view;
         if let Some(config) = &view.config {
             self.shared.limits.set(Some(config.limits));
         }
+        let update = self.listing.borrow_mut().apply(publication.upstreams);
+        self.record_ends(&update);
+        self.apply_services(&view);
+        self.apply_upstreams(&update);
+        self.apply_new_notices();
+        self.apply_paths(&update);
+        if self.pool_checked_at.get() + POOL_CHECK_INTERVAL <= clock::now() {
+            self.pool_checked_at.set(clock::now());
+            self.pool.borrow_mut().close_expired();
+        }
+        self.replaced_configs.borrow_mut().update(
+            self.view.borrow().config.as_ref(),
+            view.config.as_ref(),
+            self.settings.apply_time,
+            clock::now(),
+        );
+        *self.view.borrow_mut() = Arc::new(view);
+    }
+
+    /// Applies the configuration, the number of hosts and the owners of keys to the services. A new service starts with
+    /// all upstreams that are listed for it.
+    fn apply_services(&self, view: &View) {
+        let (hosts, hosts_in_region) = self.count_hosts(view);
         let mut services = self.services.borrow_mut();
-        let (hosts, hosts_in_region) = self.count_hosts(&view);
-        let names = view.config.iter().flat_map(|config| &config.services);
-        for info in names {
-            let state = services.entry(info.name.clone()).or_insert_with(|| ServiceState {
-                service: Service::default(),
-                budget: RetryBudget::new(self.budget_limits(), hosts).with_start(self.started_at),
-                max_idle: 1,
+        for info in view.config.iter().flat_map(|config| &config.services) {
+            let state = services.entry(info.name.clone()).or_insert_with(|| {
+                let mut service = Service::default();
+                let listing = self.listing.borrow();
+                let own = listing.iter().filter(|listed| listed.entry.service == info.name);
+                service.set_upstreams(own.map(|listed| self.upstream_info(listed)).collect());
+                let budget = RetryBudget::new(self.budget_limits(), hosts);
+                ServiceState { service, budget: budget.with_start(self.started_at), max_idle: 1 }
             });
             state.max_idle = pool::max_idle(info.connection_limit, hosts);
             state.budget.set_hosts(hosts.max(view.host_count));
@@ -189,54 +233,71 @@
             let keys = keys.map(|(_, keys)| keys.clone());
             state.service.set_keys(info.is_sharded.then(|| keys.unwrap_or_default()));
         }
-        let listed = view.upstreams.iter().map(|listed| (&listed.entry.service, &listed.entry.id));
-        self.reports.borrow_mut().set_upstreams(listed);
-        self.record_ends(&view);
-        let mut known_upstreams = self.known_upstreams.borrow_mut();
-        let mut by_service: FastMap<&ServiceName, Vec<&ListedUpstream>> = FastMap::default();
-        for listed in &view.upstreams {
-            by_service.entry(&listed.entry.service).or_default().push(listed);
+    }
+
+    /// Applies changes of upstreams to their services and to the names that load reports refer to.
+    fn apply_upstreams(&self, update: &ListingUpdate) {
+        let listing = self.listing.borrow();
+        let mut services = self.services.borrow_mut();
+        let mut reports = self.reports.borrow_mut();
+        for (service, id) in &update.removed {
+            if let Some(state) = services.get_mut(service) {
+                state.service.remove_upstream(id);
+            }
+            reports.remove_upstream(id);
         }
-        for (name, state) in services.iter_mut() {
-            let mut infos = Vec::new();
-            for listed in by_service.remove(name).unwrap_or_default() {
-                infos.push(self.upstream_info(listed));
-                let known = known_upstreams.insert(listed.entry.id.clone(), listed.clone());
-                let is_restarted = known.is_some_and(|known| known.entry.born != listed.entry.born);
-                if is_restarted && let Some(upstream) = state.service.upstream_mut(&listed.entry.id)
-                {
-                    upstream.on_restart(clock::now());
-                }
+        for id in &update.changed {
+            let Some(listed) = listing.get(id) else { continue };
+            let entry = &listed.entry;
+            reports.put_upstream(&entry.service, id);
+            let Some(state) = services.get_mut(&entry.service) else { continue };
+            if update.restarted.contains(id)
+                && let Some(upstream) = state.service.upstream_mut(id)
+            {
+                upstream.on_restart(clock::now());
             }
-            state.service.set_upstreams(infos);
-            for upstream in state.service.upstreams_mut() {
-                if let Some(listed) = known_upstreams.get(&upstream.info().id) {
-                    self.status.notices().apply_to(upstream, listed.entry.born);
-                }
+            state.service.put_upstream(self.upstream_info(listed));
+            if let Some(upstream) = state.service.upstream_mut(id) {
+                self.status.notices().apply_to(upstream, entry.born);
             }
         }
-        let incarnations = view.upstreams.iter().map(|u| (u.entry.id.clone(), u.entry.born));
-        self.status.notices().set_listed(&incarnations.collect());
-        let listed_ids: FastSet<&UpstreamId> =
-            view.upstreams.iter().map(|listed| &listed.entry.id).collect();
-        known_upstreams.retain(|id, _| listed_ids.contains(id));
-        drop((services, known_upstreams));
-        self.pool.borrow_mut().close_expired();
-        self.set_listed_paths(&view);
-        self.replaced_configs.borrow_mut().update(
-            self.view.borrow().config.as_ref(),
-            view.config.as_ref(),
-            self.settings.apply_time,
-            clock::now(),
-        );
-        *self.view.borrow_mut() = view;
+    }
+
+    /// Tells the states of the upstreams what those have asked for, if there are notices since the last call, also of the
+    /// control thread.
+    fn apply_new_notices(&self) {
+        let listing = self.listing.borrow();
+        let notices = self.status.notices();
+        let count = notices.count();
+        if self.applied_notices.replace(count) != count {
+            let mut services = self.services.borrow_mut();
+            notices.for_each(|id, born, rest_until, leaving_since| {
+                let Some(entry) = listing.get(id).map(|listed| &listed.entry) else { return };
+                let state = services.get_mut(&entry.service).filter(|_| entry.born == born);
+                let Some(upstream) = state.and_then(|state| state.service.upstream_mut(id)) else {
+                    return;
+                };
+                if let Some(until) = rest_until {
+                    upstream.on_rest(until);
+                }
+                if let Some(since) = leaving_since {
+                    upstream.on_leaving_notice(since);
+                }
+            });
+        }
+        notices.forget_unlisted(|id, born| {
+            listing.get(id).is_some_and(|listed| listed.entry.born == born)
+        });
     }
 
     /// Returns the number of hosts and the number of those in this region, both including this host. While the other
     /// hosts are unknown, assumes the largest number of hosts, so that the retry budget has no constant part, and only
     /// this host in the region.
     fn count_hosts(&self, view: &View) -> (u32, u32) {
-        let Some(peers) = &view.peers else { return (u32::MAX, 1) };
+        if view.peers.is_none() {
+            return (u32::MAX, 1);
+        }
+        let peers = view.peers();
         let in_region = peers.iter().filter(|peer| peer.region == self.settings.region).count();
         let count = |others: usize| u32::try_from(others + 1).unwrap_or(u32::MAX);
         (count(peers.len()), count(in_region))
@@ -271,7 +332,7 @@
 
     async fn send_samples(self: Rc<Self>, samples: Sender<Sample>) {
         loop {
-            let hosts = self.view.borrow().peers.as_ref().map_or(0, Vec::len) as u64;
+            let hosts = self.view.borrow().peers().len() as u64;
             let interval = MIN_SAMPLE_INTERVAL.max(Millis(hosts * SAMPLE_INTERVAL_PER_HOST.0));
             Timer::after(interval.min(MAX_SAMPLE_INTERVAL).duration()).await;
             let mut sample = self.sample.take();
--- a/crates/edge/src/traffic/permits.rs
+++ b/crates/edge/src/traffic/permits.rs
@@ -69,13 +69,25 @@
 }
 
 impl Traffic {
-    /// Requests permits for the limited upstreams of a service, if it has any.
-    pub(super) fn request_permits(&self, service: &ServiceName) {
+    /// Records that this host knows of a limit of an upstream, or of a host that does.
+    pub(super) fn on_limit_known(&self) {
+        if !self.knows_limits.replace(true) {
+            self.limit_known.notify(1);
+        }
+    }
+
+    /// Requests permits for the limited upstreams of a service, if it has any. Returns whether it has.
+    pub(super) fn request_permits(&self, service: &ServiceName) -> bool {
+        if !self.knows_limits.get() {
+            return false;
+        }
         let now = clock::now();
+        let mut has_limited = false;
         let mut outgoing = Vec::new();
         let mut has_reply = false;
         if let Some(state) = self.services.borrow_mut().get_mut(service) {
             for (id, demand) in state.service.take_demands() {
+                has_limited = true;
                 let Some(upstream) = state.service.upstream_mut(&id) else { continue };
                 let permits = upstream.permits_mut();
                 let preferred = |avoided: &[HostId]| self.preferred_issuer(&id, avoided);
@@ -107,17 +119,23 @@
         if has_reply {
             self.decide_waiting();
         }
+        has_limited
     }
 
-    /// Renews memberships, repeats requests without an answer and announces limits.
+    /// Renews memberships, repeats requests without an answer and announces limits. Sleeps while no limit is known.
     pub(super) async fn keep_memberships(self: Rc<Self>) {
         let mut round: u64 = 0;
         loop {
+            let listener = self.limit_known.listen();
+            if !self.knows_limits.get() {
+                listener.await;
+            }
             Timer::after(REQUEST_INTERVAL.duration()).await;
             round += 1;
+            let mut has_limited = false;
             let services: Vec<ServiceName> = self.services.borrow().keys().cloned().collect();
             for service in services {
-                self.request_permits(&service);
+                has_limited |= self.request_permits(&service);
             }
             if round.is_multiple_of(ANNOUNCE_EVERY) {
                 self.announce_limits();
@@ -126,6 +144,9 @@
                 let limited = upstreams.filter(|upstream| upstream.permits().rate().is_some());
                 let count = u32::try_from(limited.count()).unwrap_or(u32::MAX);
                 gauge!("skylarkdock_upstreams_limited").set(f64::from(count));
+                if !has_limited && self.pools.borrow().is_empty() {
+                    self.knows_limits.set(false);
+                }
             }
         }
     }
@@ -139,6 +160,7 @@
                 return;
             }
         };
+        self.on_limit_known();
         let now = clock::now();
         let limit = message.limit.limit(now);
         match message.body {
@@ -234,7 +256,7 @@
         }
         let peers = self.view.borrow().peers.clone().unwrap_or_default();
         for (upstream, limit) in limited {
-            for peer in &peers {
+            for peer in peers.iter() {
                 let host = NameHash::of(peer.host.as_str());
                 let is_member = self
                     .pools
@@ -252,7 +274,7 @@
     /// Hosts with the same view choose the same one, and the upstreams are spread over the hosts.
     fn preferred_issuer(&self, id: &UpstreamId, avoided: &[HostId]) -> HostId {
         let view = self.view.borrow();
-        let peers = view.peers.iter().flatten().map(|peer| &peer.host);
+        let peers = view.peers().iter().map(|peer| &peer.host);
         let usable = peers.filter(|host| !avoided.contains(host)).chain([&self.settings.host]);
         let seed = u64::from(hash_of(id));
         let weight = |host: &&HostId| xxh3::xxh3_64_with_seed(host.as_str().as_bytes(), seed);
@@ -261,13 +283,13 @@
 
     fn peer_named(&self, host: NameHash) -> Option<HostId> {
         let view = self.view.borrow();
-        let mut peers = view.peers.iter().flatten().map(|peer| &peer.host);
+        let mut peers = view.peers().iter().map(|peer| &peer.host);
         peers.find(|peer| NameHash::of(peer.as_str()) == host).cloned()
     }
 
     pub(super) fn peer_addr(&self, host: &HostId) -> Option<SocketAddr> {
         let view = self.view.borrow();
-        view.peers.iter().flatten().find(|peer| peer.host == *host).map(|peer| peer.reports)
+        view.peers().iter().find(|peer| peer.host == *host).map(|peer| peer.reports)
     }
 
     fn own_process(&self) -> u64 {
--- a/crates/edge/src/traffic/reports.rs
+++ b/crates/edge/src/traffic/reports.rs
@@ -19,6 +19,7 @@
 use skylarkdock_units::times::{HostTime, Millis};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
+use std::sync::Arc;
 use xxhash_rust::xxh3;
 
 /// Number of hosts up to which all report to each other directly.
@@ -125,7 +126,8 @@
     let mut round: u64 = 0;
     let mut was_idle = false;
     loop {
-        let peers = traffic.view.borrow().peers.clone().unwrap_or_default();
+        let view = Arc::clone(&traffic.view.borrow());
+        let peers = view.peers();
         let is_direct = peers.len() < MAX_DIRECT_HOSTS;
         let interval = if is_direct { DIRECT_INTERVAL } else { RELAYED_INTERVAL };
         Timer::after(interval.duration()).await;
@@ -145,9 +147,9 @@
         let outgoing = if is_direct && is_idle && was_idle {
             Vec::new()
         } else if is_direct {
-            traffic.direct_reports(&peers, own, includes_far, now)
+            traffic.direct_reports(peers, own, includes_far, now)
         } else {
-            traffic.relayed_reports(&peers, &own, includes_far, now)
+            traffic.relayed_reports(peers, &own, includes_far, now)
         };
         was_idle = is_idle;
         for (addr, scope, loads) in outgoing {
@@ -348,16 +350,20 @@
         self.names.get(&hash)
     }
 
-    /// Sets the upstreams that reports may refer to.
-    pub(super) fn set_upstreams<'a>(
-        &mut self,
-        upstreams: impl Iterator<Item = (&'a ServiceName, &'a UpstreamId)>,
-    ) {
-        let names = upstreams.map(|(service, id)| {
-            let hash = NameHash::of(id.as_str()).0;
-            (hash, (service.clone(), id.clone()))
-        });
-        self.names = names.collect();
+    /// Adds an upstream that reports may refer to.
+    pub(super) fn put_upstream(&mut self, service: &ServiceName, id: &UpstreamId) {
+        let hash = NameHash::of(id.as_str()).0;
+        if self.names.get(&hash).is_none_or(|known| known != &(service.clone(), id.clone())) {
+            self.names.insert(hash, (service.clone(), id.clone()));
+        }
+    }
+
+    /// Removes an upstream that reports may no longer refer to.
+    pub(super) fn remove_upstream(&mut self, id: &UpstreamId) {
+        let hash = NameHash::of(id.as_str()).0;
+        if self.names.get(&hash).is_some_and(|(_, known)| known == id) {
+            self.names.remove(&hash);
+        }
     }
 
     /// Returns the address of the relay of a zone: the host with the highest rank, if that is above `own`. A relay
--- a/crates/edge/src/traffic/trials.rs
+++ b/crates/edge/src/traffic/trials.rs
@@ -138,7 +138,7 @@
     fn ask_coordinator(&self, fingerprint: Fingerprint, now: HostTime) {
         let view = self.view.borrow();
         let own = &self.settings.host;
-        let peers = view.peers.iter().flatten().map(|peer| &peer.host);
+        let peers = view.peers().iter().map(|peer| &peer.host);
         // Other hosts don't choose one that is not recorded.
         let hosts = peers.chain(view.is_recorded.then_some(own));
         let coordinator = self.trial_asker.borrow_mut().ask(fingerprint, hosts, own, now).clone();
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -75,6 +75,25 @@
     pub cold_until: HostTime,
 }
 
+/// Change of the listed upstreams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum UpstreamChange {
+    /// An upstream is new or has other properties.
+    Listed(Box<ListedUpstream>),
+    /// An upstream is no longer listed.
+    Removed(UpstreamId),
+}
+
+impl UpstreamChange {
+    /// Returns the id of the upstream that has changed.
+    pub fn id(&self) -> &UpstreamId {
+        match self {
+            Self::Listed(listed) => &listed.entry.id,
+            Self::Removed(id) => id,
+        }
+    }
+}
+
 /// Another entry host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerInfo {
@@ -92,19 +111,33 @@
     pub calls: SocketAddr,
 }
 
-/// Snapshot of the state known to the host.
+/// What the control thread tells the traffic thread at once.
+#[derive(Debug, Clone, Default)]
+pub struct Publication {
+    /// State that replaces the one published before.
+    pub view: View,
+    /// Changes of the registered upstreams, including those that are shutting down, since the last publication.
+    pub upstreams: Vec<UpstreamChange>,
+}
+
+/// Snapshot of the state known to the host, other than its upstreams.
 #[derive(Debug, Clone, Default)]
 pub struct View {
     /// The configuration in force, if one is known.
     pub config: Option<Arc<Config>>,
-    /// The registered upstreams, including those that are shutting down.
-    pub upstreams: Vec<ListedUpstream>,
     /// Owners of keys, for each sharded service.
     pub keys: Vec<(ServiceName, KeyMap)>,
     /// The other hosts; `None` until the host records have been read.
-    pub peers: Option<Vec<PeerInfo>>,
+    pub peers: Option<Arc<Vec<PeerInfo>>>,
     /// Number of hosts, recorded or not; zero if not known.
     pub host_count: u32,
     /// Whether the store has a record of this host, so that the others know it.
     pub is_recorded: bool,
 }
+
+impl View {
+    /// Returns the other hosts that are known.
+    pub fn peers(&self) -> &[PeerInfo] {
+        self.peers.as_ref().map_or(&[], |peers| peers.as_slice())
+    }
+}
--- a/crates/edge/tests/leaving_owner.rs
+++ b/crates/edge/tests/leaving_owner.rs
@@ -41,10 +41,11 @@
     support::with_host(LONG, |host| async move {
         let addr = leaving_upstream();
         let config = support::config(1, &[("/films/", &[("films", 1)])]);
-        let mut view = support::view(&config, &[("films", addr)]);
-        let owner = view.upstreams[0].entry.id.clone();
-        view.keys = vec![("films".parse().unwrap(), KeyMap::new(vec![(u16::MAX, Some(owner))]))];
-        host.apply(view).await;
+        let mut state = support::view(&config, &[("films", addr)]);
+        let owner = state.upstreams[0].id().clone();
+        state.view.keys =
+            vec![("films".parse().unwrap(), KeyMap::new(vec![(u16::MAX, Some(owner))]))];
+        host.apply(state).await;
         for id in 0..3 {
             let head =
                 format!("GET /films/x HTTP/1.1\r\nHost: h.example\r\nId: {id}\r\nKey: 7\r\n");
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -16,7 +16,9 @@
 use skylarkdock_edge::status::Status;
 use skylarkdock_edge::traffic::Traffic;
 use skylarkdock_edge::upstreams::{HeaderNames, Protocol};
-use skylarkdock_edge::view::{Config, Entry, ListedUpstream, ServiceInfo, View};
+use skylarkdock_edge::view::{
+    Config, Entry, ListedUpstream, Publication, ServiceInfo, UpstreamChange, View,
+};
 use skylarkdock_http1::head::{Headers, RequestHead};
 use skylarkdock_spans::renewal::CallEnd;
 use skylarkdock_units::measures::HostSize;
@@ -55,23 +57,23 @@
 pub struct Host {
     pub traffic: Rc<Traffic>,
     pub status: Arc<Status>,
-    views: Sender<Arc<View>>,
+    publications: Sender<Publication>,
     metrics: PrometheusHandle,
 }
 
 impl Host {
-    /// Puts a view in force and waits until the thread has applied it.
-    pub async fn apply(&self, view: View) {
-        self.views.send(Arc::new(view)).await.unwrap();
-        while !self.views.is_empty() {
+    /// Puts a state in force and waits until the thread has applied it.
+    pub async fn apply(&self, publication: Publication) {
+        self.publications.send(publication).await.unwrap();
+        while !self.publications.is_empty() {
             future::yield_now().await;
         }
     }
 
-    /// Publishes a view as the control thread does, without waiting until the traffic thread has applied it.
-    pub fn publish(&self, view: View) {
-        let version = view.config.as_ref().map_or(0, |config| config.version);
-        self.views.try_send(Arc::new(view)).unwrap();
+    /// Publishes a state as the control thread does, without waiting until the traffic thread has applied it.
+    pub fn publish(&self, publication: Publication) {
+        let version = publication.view.config.as_ref().map_or(0, |config| config.version);
+        self.publications.try_send(publication).unwrap();
         prove_config(&self.status, version);
     }
 
@@ -93,7 +95,7 @@
     let metrics = recorder.handle();
     metrics::with_local_recorder(&recorder, || {
         let ex = Rc::new(LocalExecutor::new());
-        let (views, received_views) = async_channel::unbounded();
+        let (publications, received) = async_channel::unbounded();
         let (samples, _received_samples) = async_channel::unbounded();
         let status = Arc::new(Status::default());
         let traffic = Traffic::start(
@@ -102,10 +104,10 @@
             Rc::clone(&ex),
             Rc::default(),
             Arc::clone(&status),
-            received_views,
+            received,
             samples,
         );
-        async_io::block_on(ex.run(test(Host { traffic, status, views, metrics })));
+        async_io::block_on(ex.run(test(Host { traffic, status, publications, metrics })));
     });
 }
 
@@ -174,8 +176,8 @@
     TrafficSplit::new(weighted.collect()).unwrap()
 }
 
-/// Returns a view with a configuration and an upstream of each given service.
-pub fn view(config: &Arc<Config>, upstreams: &[(&str, SocketAddr)]) -> View {
+/// Returns a state with a configuration and an upstream of each given service.
+pub fn view(config: &Arc<Config>, upstreams: &[(&str, SocketAddr)]) -> Publication {
     let upstreams = upstreams.iter().map(|(service, addr)| ListedUpstream {
         entry: Entry {
             id: format!("i-{service}-{}", addr.port()).parse().unwrap(),
@@ -191,14 +193,15 @@
         },
         cold_until: HostTime(0),
     });
-    View {
+    let view = View {
         config: Some(Arc::clone(config)),
-        upstreams: upstreams.collect(),
         keys: Vec::new(),
-        peers: Some(Vec::new()),
+        peers: Some(Arc::default()),
         host_count: 0,
         is_recorded: true,
-    }
+    };
+    let upstreams = upstreams.map(|listed| UpstreamChange::Listed(Box::new(listed)));
+    Publication { view, upstreams: upstreams.collect() }
 }
 
 /// Records that the store had no configuration newer than `version` just now.
