Divide load reports by what is loaded, not by what is listed

What callers saw: nothing directly; on the large deployment load reports were most of the messages between hosts, several times the requests, and each wakes a host of a tenth of a core.

Cause: a report was divided into one packet for each 100 upstreams that are listed. With 810 of them a host with requests at five sent nine packets each 150 ms, nearly all empty. And a relay that subtracts a member's own load from what it tells it stopped at the first empty part, so most of the member's load came back to it as that of others: it saw the upstreams that it used as more loaded than they were.

Change: `dispatch::report_parts` divides by the loaded upstreams, 130 to a packet. A receiver replaces each part on its own, so parts that are no longer needed are sent empty for three rounds; otherwise the load of a burst would count until it expires. The format is the same, and hosts of the version before read it: their own reports stay as they are. A relay subtracts all parts of a member. Counters of report packets and bytes by scope and distance.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`routes`] finds the route of a request and [`traffic_split`] the service. [`service`] holds the state of one
 //! service's upstreams and [`key_owners`], queues waiting requests and answers a [`routing`] request. [`retry_budget`]
 //! limits retries over all hosts, [`retry_after`] sets the delay that a refused caller is told, [`peer_load`] holds the
-//! load reported by other hosts, [`paths`] knows which upstreams can be reached and over which hosts, [`permits`] keeps
+//! load reported by other hosts, [`report_parts`] divides load reports, [`paths`] knows which upstreams can be reached and over which hosts, [`permits`] keeps
 //! all hosts together within the limit of an upstream, [`notices`] holds what upstreams asked of this host, and
 //! [`crash_tracker`] refuses requests that crash upstreams, and [`trials`] lets hosts send one copy at a time of those
 //! that may.
@@ -15,6 +15,7 @@
 pub mod paths;
 pub mod peer_load;
 pub mod permits;
+pub mod report_parts;
 pub mod retry_after;
 pub mod retry_budget;
 pub mod routes;
--- a/crates/dispatch/src/peer_load.rs
+++ b/crates/dispatch/src/peer_load.rs
@@ -94,9 +94,22 @@
         totals
     }
 
-    /// Returns the load in the last report of a source.
-    pub fn last_report(&self, source: S) -> &[(UpstreamHash, u32)] {
-        self.reports.get(&source).map_or(&[], |report| &report.load)
+    /// Returns `totals` without what the given sources report. Upstreams of which nothing remains are left out.
+    pub fn subtract_reports(
+        &self,
+        totals: &FastMap<UpstreamHash, u32>,
+        sources: impl Iterator<Item = S>,
+    ) -> FastMap<UpstreamHash, u32> {
+        let mut rest = totals.clone();
+        for report in sources.filter_map(|source| self.reports.get(&source)) {
+            for (id, count) in &report.load {
+                if let Some(sum) = rest.get_mut(id) {
+                    *sum = sum.saturating_sub(*count);
+                }
+            }
+        }
+        rest.retain(|_, count| *count > 0);
+        rest
     }
 
     /// Returns when the last report of a source arrived.
--- a/crates/dispatch/tests/peer_load.rs
+++ b/crates/dispatch/tests/peer_load.rs
@@ -65,3 +65,18 @@
         }
     }
 }
+
+/// A host with requests at a few of many upstreams: some of its parts are empty. What its relay tells it of the others
+/// must not contain its own requests, or the host would count them twice.
+#[test]
+fn a_report_in_parts_is_subtracted_whole() {
+    let mut relay: PeerLoad<(&str, u8)> = PeerLoad::default();
+    let now = HostTime(1_000);
+    relay.apply_report(("member", 0), vec![(9, 1)], now);
+    relay.apply_report(("member", 1), Vec::new(), now);
+    relay.apply_report(("member", 3), vec![(3, 2), (12, 4)], now);
+    relay.apply_report(("other", 0), vec![(9, 5), (12, 1)], now);
+    let totals = relay.totals_where(|_| true);
+    let rest = relay.subtract_reports(&totals, (0..=3).map(|part| ("member", part)));
+    assert_eq!(rest, [(9, 5), (12, 1)].into_iter().collect());
+}
--- a/crates/edge/src/traffic/reports.rs
+++ b/crates/edge/src/traffic/reports.rs
@@ -11,9 +11,11 @@
 use crate::relays::{self, Rank};
 use crate::view::PeerInfo;
 use async_io::{Async, Timer};
+use metrics::counter;
 use serde::{Deserialize, Serialize};
 use skylarkdock_dispatch::crash_tracker::Digest;
 use skylarkdock_dispatch::peer_load::{PeerLoad, UpstreamHash};
+use skylarkdock_dispatch::report_parts::ReportParts;
 use skylarkdock_units::collections::{FastMap, FastSet};
 use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId, Zone};
 use skylarkdock_units::times::{HostTime, Millis};
@@ -47,9 +49,8 @@
 const MAX_CRASHES_PER_PART: usize = 4;
 /// Index of a part that has crashes only, above those of all parts with load.
 const CRASHES_PART: u8 = u8::MAX;
-/// Number of upstreams in a report, so that it fits in a packet together with the crashes. Reports of more upstreams
-/// are split by the hash of the upstream.
-const MAX_UPSTREAMS_PER_PART: usize = 100;
+/// Number of upstreams in a part with which crashes still fit in its packet.
+const MAX_UPSTREAMS_BESIDE_CRASHES: usize = 130;
 /// Largest size of a datagram, below the usual maximum packet size.
 const MAX_REPORT_SIZE: usize = 1_400;
 
@@ -77,6 +78,27 @@
     Rest,
 }
 
+impl Scope {
+    /// Returns the value of the `scope` label in metrics.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Member => "member",
+            Self::Zone => "zone",
+            Self::Rest => "rest",
+        }
+    }
+}
+
+/// Report to send.
+struct OutgoingReport {
+    addr: SocketAddr,
+    scope: Scope,
+    load: Loads,
+    /// Whether the receiver is in another region.
+    is_far: bool,
+}
+
 /// Report in wire format.
 #[derive(Debug, Serialize, Deserialize)]
 struct Report {
@@ -93,13 +115,22 @@
 
 type Loads = FastMap<UpstreamHash, u32>;
 
+/// Host that reports to this one as its relay.
+struct Member {
+    addr: SocketAddr,
+    reported_at: HostTime,
+    /// Largest index of a part that the host has sent.
+    last_part: u8,
+}
+
 /// Load reported by other hosts, and the hosts to report to.
 #[derive(Default)]
 pub(super) struct Reports {
     peer_load: PeerLoad<Source>,
     /// Upstreams by the hash of their id.
     names: FastMap<UpstreamHash, (ServiceName, UpstreamId)>,
-    members: FastMap<NameHash, (SocketAddr, HostTime)>,
+    members: FastMap<NameHash, Member>,
+    parts: ReportParts<(SocketAddr, Scope)>,
     /// Hosts that report directly to this one although it knows no record of them, and when they last did.
     unrecorded: FastMap<SocketAddr, HostTime>,
     /// Relay that this host uses for each availability zone, and since when.
@@ -152,8 +183,9 @@
             traffic.relayed_reports(peers, &own, includes_far, now)
         };
         was_idle = is_idle;
-        for (addr, scope, loads) in outgoing {
-            traffic.send_parts(&socket, addr, scope, &loads, &crashes).await;
+        for report in outgoing {
+            traffic.send_parts(&socket, &report, &crashes).await;
+            let addr = report.addr;
             if let Some(digest) = &digest
                 && let Err(e) = socket.send_to(digest, addr).await
             {
@@ -206,7 +238,7 @@
         own: Loads,
         includes_far: bool,
         now: HostTime,
-    ) -> Vec<(SocketAddr, Scope, Loads)> {
+    ) -> Vec<OutgoingReport> {
         let mut reports = self.reports.borrow_mut();
         let is_peer = |addr: &SocketAddr| peers.iter().any(|peer| peer.reports == *addr);
         reports
@@ -214,9 +246,12 @@
             .retain(|addr, at| now.since(*at) < MAX_UNRECORDED_SILENCE && !is_peer(addr));
         let receivers =
             peers.iter().filter(|peer| includes_far || peer.region == self.settings.region);
-        let receivers =
-            receivers.map(|peer| peer.reports).chain(reports.unrecorded.keys().copied());
-        receivers.map(|addr| (addr, Scope::Own, own.clone())).collect()
+        let is_far = |peer: &PeerInfo| peer.region != self.settings.region;
+        let recorded = receivers.map(|peer| (peer.reports, is_far(peer)));
+        let unrecorded = reports.unrecorded.keys().map(|addr| (*addr, false));
+        let report =
+            |(addr, is_far)| OutgoingReport { addr, scope: Scope::Own, load: own.clone(), is_far };
+        recorded.chain(unrecorded).map(report).collect()
     }
 
     /// Returns the reports to send if reports are relayed.
@@ -226,7 +261,7 @@
         own: &Loads,
         includes_far: bool,
         now: HostTime,
-    ) -> Vec<(SocketAddr, Scope, Loads)> {
+    ) -> Vec<OutgoingReport> {
         let mut reports = self.reports.borrow_mut();
         let mut outgoing = Vec::new();
         let mut group_load = reports.peer_load.totals_where(|(_, scope, _)| scope == Scope::Member);
@@ -241,7 +276,10 @@
             (Scope::Rest, MAX_RELAY_SILENCE),
             now,
         ) {
-            Some(relay) => outgoing.push((relay, Scope::Member, group_load)),
+            Some(addr) => {
+                let scope = Scope::Member;
+                outgoing.push(OutgoingReport { addr, scope, load: group_load, is_far: false });
+            }
             None => {
                 for zone in other_zones(peers, &settings.zone) {
                     let is_far = settings.zones.get(&zone) != Some(&settings.region);
@@ -252,16 +290,26 @@
                     let zone_hosts = peers.iter().filter(|peer| peer.zone == zone);
                     let relay =
                         reports.select_relay(&zone, zone_hosts, None, (Scope::Zone, silence), now);
-                    outgoing.extend(relay.map(|relay| (relay, Scope::Zone, group_load.clone())));
+                    outgoing.extend(relay.map(|addr| OutgoingReport {
+                        addr,
+                        scope: Scope::Zone,
+                        load: group_load.clone(),
+                        is_far,
+                    }));
                 }
             }
         }
-        reports.members.retain(|_, (_, at)| now.since(*at) < MAX_MEMBER_SILENCE);
+        reports.members.retain(|_, member| now.since(member.reported_at) < MAX_MEMBER_SILENCE);
+        reports.parts.forget_silent(now);
         if !reports.members.is_empty() {
             let mut all = reports.peer_load.totals_where(|_| true);
             add_loads(&mut all, own);
-            for (member, (addr, _)) in &reports.members {
-                outgoing.push((*addr, Scope::Rest, reports.subtract_member(&all, *member)));
+            for (host, member) in &reports.members {
+                // Any part may be empty, so none ends the search for more.
+                let sources = (0..=member.last_part).map(|part| (*host, Scope::Member, part));
+                let load = reports.peer_load.subtract_reports(&all, sources);
+                let (addr, scope) = (member.addr, Scope::Rest);
+                outgoing.push(OutgoingReport { addr, scope, load, is_far: false });
             }
         }
         outgoing
@@ -271,27 +319,27 @@
     async fn send_parts(
         &self,
         socket: &Async<UdpSocket>,
-        addr: SocketAddr,
-        scope: Scope,
-        loads: &Loads,
+        outgoing: &OutgoingReport,
         crashes: &[CrashReport],
     ) {
-        let parts =
-            self.reports.borrow().names.len().div_ceil(MAX_UPSTREAMS_PER_PART).clamp(1, 255);
-        let parts = u8::try_from(parts).unwrap_or(u8::MAX).min(CRASHES_PART - 1);
-        let (first_crashes, more_crashes) =
-            crashes.split_at(crashes.len().min(MAX_CRASHES_PER_PART));
-        let crash_part = (!more_crashes.is_empty()).then_some(CRASHES_PART);
-        for part in (0..parts).chain(crash_part) {
-            let is_in_part = |hash: UpstreamHash| hash % u32::from(parts) == u32::from(part);
-            let load = loads.iter().filter(|(id, _)| is_in_part(**id)).map(|(id, n)| (*id, *n));
+        let OutgoingReport { addr, scope, load, is_far } = outgoing;
+        let (addr, scope) = (*addr, *scope);
+        let distance = if *is_far { "far" } else { "near" };
+        let now = clock::now();
+        let parts = self.reports.borrow_mut().parts.split((addr, scope), load, now);
+        let fits_beside =
+            parts.first().is_none_or(|part| part.len() <= MAX_UPSTREAMS_BESIDE_CRASHES);
+        let beside = if fits_beside { crashes.len().min(MAX_CRASHES_PER_PART) } else { 0 };
+        let (first_crashes, more_crashes) = crashes.split_at(beside);
+        let crash_part = (!more_crashes.is_empty()).then(|| (CRASHES_PART, Vec::new()));
+        for (part, load) in (0..).zip(parts).chain(crash_part) {
             let crashes = match part {
                 0 => first_crashes.to_vec(),
                 CRASHES_PART => more_crashes.to_vec(),
                 _ => Vec::new(),
             };
             let host = NameHash::of(self.settings.host.as_str());
-            let report = Report { host, scope, part, load: load.collect(), crashes };
+            let report = Report { host, scope, part, load, crashes };
             let bytes = match postcard::to_stdvec(&report) {
                 Ok(bytes) if bytes.len() <= MAX_REPORT_SIZE => bytes,
                 Ok(bytes) => {
@@ -303,6 +351,10 @@
                     continue;
                 }
             };
+            counter!("skylarkdock_report_packets_total", "scope" => scope.as_str(), "distance" => distance)
+                .increment(1);
+            counter!("skylarkdock_report_bytes_total", "scope" => scope.as_str(), "distance" => distance)
+                .increment(bytes.len() as u64);
             if let Err(e) = socket.send_to(&bytes, addr).await {
                 log::debug!("reports: can't send to {addr}: {e}");
             }
@@ -315,7 +367,11 @@
         let updated = {
             let mut reports = self.reports.borrow_mut();
             if report.scope == Scope::Member {
-                reports.members.insert(report.host, (from, now));
+                let known = reports.members.get(&report.host).map_or(0, |known| known.last_part);
+                let last_part = if report.part == CRASHES_PART { 0 } else { report.part };
+                let last_part = known.max(last_part);
+                let member = Member { addr: from, reported_at: now, last_part };
+                reports.members.insert(report.host, member);
             }
             // One that is recorded is removed before the next reports.
             if report.scope == Scope::Own && reports.unrecorded.len() < MAX_DIRECT_HOSTS {
@@ -398,24 +454,6 @@
         }
         Some(relay.reports)
     }
-
-    /// Subtracts the load that a member reported.
-    fn subtract_member(&self, all: &Loads, member: NameHash) -> Loads {
-        let mut rest = all.clone();
-        for part in 0..=u8::MAX {
-            let load = self.peer_load.last_report((member, Scope::Member, part));
-            if part > 0 && load.is_empty() {
-                break;
-            }
-            for (id, count) in load {
-                if let Some(sum) = rest.get_mut(id) {
-                    *sum = sum.saturating_sub(*count);
-                }
-            }
-        }
-        rest.retain(|_, count| *count > 0);
-        rest
-    }
 }
 
 fn add_loads(sums: &mut Loads, more: &Loads) {
