Name what is published, and what notices hold

The channel from the control to the traffic thread carried views before, and its names still said so; the closures that visit notices took four values by position. Renamed and given a struct; nothing else changes.

--- a/crates/dispatch/src/notices.rs
+++ b/crates/dispatch/src/notices.rs
@@ -37,6 +37,19 @@
     leaving_since: Option<HostTime>,
 }
 
+/// What an incarnation of an upstream wants at some time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CurrentNotices<'a> {
+    /// Id of the upstream.
+    pub id: &'a UpstreamId,
+    /// Time of the incarnation's start.
+    pub born: u64,
+    /// End of the rest, if it has not ended.
+    pub rest_until: Option<HostTime>,
+    /// When the upstream first said that it leaves, if it did.
+    pub leaving_since: Option<HostTime>,
+}
+
 /// What upstreams asked of this host, by id and time of start.
 #[derive(Debug, Clone, Default)]
 pub struct HostNotices {
@@ -92,15 +105,13 @@
         }
     }
 
-    /// Iterates over the incarnations that asked for something: their ids, the times of their starts, the ends of rests
-    /// that have not ended, and the times of their first notices that they leave.
-    pub fn iter(
-        &self,
-        now: HostTime,
-    ) -> impl Iterator<Item = (&UpstreamId, u64, Option<HostTime>, Option<HostTime>)> {
-        self.asked.iter().map(move |((id, born), asked)| {
-            let rest_until = (now < asked.rest_until).then_some(asked.rest_until);
-            (id, *born, rest_until, asked.leaving_since)
+    /// Iterates over what the incarnations that asked for something want at `now`, in no particular order.
+    pub fn iter(&self, now: HostTime) -> impl Iterator<Item = CurrentNotices<'_>> {
+        self.asked.iter().map(move |((id, born), asked)| CurrentNotices {
+            id,
+            born: *born,
+            rest_until: (now < asked.rest_until).then_some(asked.rest_until),
+            leaving_since: asked.leaving_since,
         })
     }
 
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -92,7 +92,7 @@
     protocol: Protocol,
     store: Store,
     ex: Rc<LocalExecutor<'static>>,
-    views: Sender<Publication>,
+    publications: Sender<Publication>,
     key_maps: RefCell<key_maps::KeyMaps>,
     /// Whether changes are being applied that are published together, and whether there are any.
     collects_changes: Cell<bool>,
@@ -254,7 +254,7 @@
         protocol: Protocol,
         store: Store,
         ex: Rc<LocalExecutor<'static>>,
-        views: Sender<Publication>,
+        publications: Sender<Publication>,
         samples: Receiver<Sample>,
         status: Arc<Status>,
     ) -> Rc<Self> {
@@ -268,7 +268,7 @@
             protocol,
             store,
             ex: Rc::clone(&ex),
-            views,
+            publications,
             key_maps: RefCell::default(),
             collects_changes: Cell::default(),
             has_unpublished: Cell::default(),
@@ -393,8 +393,8 @@
         };
         self.changed.notify(usize::MAX);
         self.status.set_ready(view.config.is_some() && !fleet.registry.is_empty());
-        counter!("skylarkdock_views_total").increment(1);
-        if self.views.try_send(Publication { view, upstreams }).is_err() {
+        counter!("skylarkdock_publications_total").increment(1);
+        if self.publications.try_send(Publication { view, upstreams }).is_err() {
             log::error!("control: the traffic thread has ended");
         }
     }
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -210,9 +210,9 @@
     pub(super) fn leaving_upstreams(&self) -> Vec<(UpstreamId, u64)> {
         let fleet = self.fleet.borrow();
         let mut leaving = Vec::new();
-        self.status.notices().for_each(|id, born, _, since| {
-            if since.is_some() && fleet.is_listed(id, born) {
-                leaving.push((id.clone(), born));
+        self.status.notices().for_each(|asked| {
+            if asked.leaving_since.is_some() && fleet.is_listed(asked.id, asked.born) {
+                leaving.push((asked.id.clone(), asked.born));
             }
         });
         leaving
@@ -223,11 +223,11 @@
     pub(super) fn resting_upstreams(&self) -> Vec<(UpstreamId, u64, Millis)> {
         let (fleet, now) = (self.fleet.borrow(), clock::now());
         let mut resting = Vec::new();
-        self.status.notices().for_each(|id, born, until, _| {
-            if let Some(until) = until
-                && fleet.is_listed(id, born)
+        self.status.notices().for_each(|asked| {
+            if let Some(until) = asked.rest_until
+                && fleet.is_listed(asked.id, asked.born)
             {
-                resting.push((id.clone(), born, until.since(now)));
+                resting.push((asked.id.clone(), asked.born, until.since(now)));
             }
         });
         resting
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -34,7 +34,7 @@
 
 /// Channels and state shared between the two threads.
 struct ThreadLinks {
-    views: (Sender<Publication>, Receiver<Publication>),
+    publications: (Sender<Publication>, Receiver<Publication>),
     samples: (Sender<Sample>, Receiver<Sample>),
     status: Arc<Status>,
 }
@@ -50,19 +50,26 @@
     store: impl FnOnce() -> Store + Send + 'static,
 ) -> eyre::Result<()> {
     let links = ThreadLinks {
-        views: async_channel::unbounded(),
+        publications: async_channel::unbounded(),
         samples: async_channel::bounded(8),
         status: Arc::default(),
     };
     let handle = crate::metrics::start()?;
     let control = {
         let settings = settings.clone();
-        let (views, samples) = (links.views.0.clone(), links.samples.1.clone());
+        let (publications, samples) = (links.publications.0.clone(), links.samples.1.clone());
         let status = Arc::clone(&links.status);
         move || {
             let ex = Rc::new(LocalExecutor::new());
-            let control =
-                Control::start(settings, protocol, store(), Rc::clone(&ex), views, samples, status);
+            let control = Control::start(
+                settings,
+                protocol,
+                store(),
+                Rc::clone(&ex),
+                publications,
+                samples,
+                status,
+            );
             control.serve_metrics(handle);
             async_io::block_on(ex.run(std::future::pending::<()>()));
         }
@@ -94,7 +101,7 @@
         Rc::clone(&ex),
         Rc::clone(&shared),
         Arc::clone(&links.status),
-        links.views.1,
+        links.publications.1,
         links.samples.0,
     );
     let handler = Rc::new(move |req: Incoming| traffic.answer(req));
--- a/crates/edge/src/notices.rs
+++ b/crates/edge/src/notices.rs
@@ -2,7 +2,7 @@
 //! on for other hosts.
 
 use crate::clock;
-use skylarkdock_dispatch::notices::{HostNotices, Notices, Withheld};
+use skylarkdock_dispatch::notices::{CurrentNotices, HostNotices, Notices, Withheld};
 use skylarkdock_dispatch::upstream::Upstream;
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::UpstreamId;
@@ -90,14 +90,9 @@
         }
     }
 
-    /// Calls `visit` with what each incarnation asked for, as [`HostNotices::iter`] returns it.
-    pub fn for_each(
-        &self,
-        mut visit: impl FnMut(&UpstreamId, u64, Option<HostTime>, Option<HostTime>),
-    ) {
-        for (id, born, rest_until, leaving_since) in self.lock().notices.iter(clock::now()) {
-            visit(id, born, rest_until, leaving_since);
-        }
+    /// Calls `visit` with what each incarnation that asked for something wants now.
+    pub fn for_each(&self, visit: impl FnMut(CurrentNotices<'_>)) {
+        self.lock().notices.iter(clock::now()).for_each(visit);
     }
 
     /// Returns the number of notices that were recorded.
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -124,7 +124,7 @@
         ex: Rc<LocalExecutor<'static>>,
         shared: Rc<ListenerState>,
         status: Arc<Status>,
-        views: Receiver<Publication>,
+        publications: Receiver<Publication>,
         samples: Sender<Sample>,
     ) -> Rc<Self> {
         let traffic = Rc::new(Self {
@@ -160,7 +160,7 @@
             last_ticket: Cell::new(0),
             pool_checked_at: Cell::default(),
         });
-        ex.spawn(Rc::clone(&traffic).apply_publications(views)).detach();
+        ex.spawn(Rc::clone(&traffic).apply_publications(publications)).detach();
         ex.spawn(Rc::clone(&traffic).poll_waiting()).detach();
         ex.spawn(Rc::clone(&traffic).send_samples(samples)).detach();
         reports::start(&traffic);
@@ -271,16 +271,18 @@
         let count = notices.count();
         if self.applied_notices.replace(count) != count {
             let mut services = self.services.borrow_mut();
-            notices.for_each(|id, born, rest_until, leaving_since| {
-                let Some(entry) = listing.get(id).map(|listed| &listed.entry) else { return };
-                let state = services.get_mut(&entry.service).filter(|_| entry.born == born);
-                let Some(upstream) = state.and_then(|state| state.service.upstream_mut(id)) else {
+            notices.for_each(|asked| {
+                let Some(listed) = listing.get(asked.id) else { return };
+                let is_current = listed.entry.born == asked.born;
+                let state = services.get_mut(&listed.entry.service).filter(|_| is_current);
+                let Some(upstream) = state.and_then(|state| state.service.upstream_mut(asked.id))
+                else {
                     return;
                 };
-                if let Some(until) = rest_until {
+                if let Some(until) = asked.rest_until {
                     upstream.on_rest(until);
                 }
-                if let Some(since) = leaving_since {
+                if let Some(since) = asked.leaving_since {
                     upstream.on_leaving_notice(since);
                 }
             });
--- a/crates/edge/src/traffic/reports.rs
+++ b/crates/edge/src/traffic/reports.rs
@@ -90,7 +90,7 @@
     }
 }
 
-/// Report to send.
+/// Report of load with the host that it is sent to.
 struct OutgoingReport {
     addr: SocketAddr,
     scope: Scope,
--- a/crates/edge/tests/leaving_owner.rs
+++ b/crates/edge/tests/leaving_owner.rs
@@ -41,7 +41,7 @@
     support::with_host(LONG, |host| async move {
         let addr = leaving_upstream();
         let config = support::config(1, &[("/films/", &[("films", 1)])]);
-        let mut state = support::view(&config, &[("films", addr)]);
+        let mut state = support::state(&config, &[("films", addr)]);
         let owner = state.upstreams[0].id().clone();
         state.view.keys =
             vec![("films".parse().unwrap(), KeyMap::new(vec![(u16::MAX, Some(owner))]))];
--- a/crates/edge/tests/rejections.rs
+++ b/crates/edge/tests/rejections.rs
@@ -25,7 +25,7 @@
 ) {
     support::with_host(LONG, |host| async move {
         let config = support::config(1, &[("/read/", &[("films", 1)])]);
-        host.apply(support::view(&config, &[])).await;
+        host.apply(support::state(&config, &[])).await;
         support::prove_config(&host.status, 1);
         assert_eq!(host.answer(text).await.status, status);
         let labels = format!("status=\"{status}\",reason=\"{reason}\"");
@@ -52,11 +52,11 @@
         let first = support::config(1, &[("/read/", &[("orders", 1)])]);
         let second =
             support::config(2, &[("/read/", &[("orders", 1)]), ("/new/", &[("orders", 1)])]);
-        host.apply(support::view(&first, &[])).await;
+        host.apply(support::state(&first, &[])).await;
         support::prove_config(&host.status, 1);
         let request = "GET /new/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n";
         assert_eq!(host.answer(request).await.status, 404);
-        host.publish(support::view(&second, &[]));
+        host.publish(support::state(&second, &[]));
         let answer = host.answer(request).await;
         assert_eq!((answer.status, answer.headers.get("Retry-After").is_some()), (503, true));
         let metric =
@@ -73,7 +73,7 @@
     support::with_host(LONG, |host| async move {
         let split = [("films", 3), ("orders", 1), ("songs", 1), ("files", 1)];
         let config = support::config(1, &[("/read/", &split)]);
-        host.apply(support::view(&config, &[])).await;
+        host.apply(support::state(&config, &[])).await;
         for _ in 0..12 {
             // No upstream is registered, so the request is refused once it is routed.
             assert_eq!(host.answer(KEYLESS).await.status, 503);
@@ -105,9 +105,9 @@
             (2, vec![("/read/", films)]),
             (3, vec![("/read/", films), ("/new/", before)]),
         ] {
-            host.apply(support::view(&support::config(version, &routes), &[])).await;
+            host.apply(support::state(&support::config(version, &routes), &[])).await;
             // Views are published for other reasons, too.
-            host.apply(support::view(&support::config(version, &routes), &[])).await;
+            host.apply(support::state(&support::config(version, &routes), &[])).await;
         }
         // Valid at any time, even without an apply time.
         host.status.set_config_proof(HostTime(u64::MAX), 3);
@@ -125,10 +125,10 @@
 fn a_request_without_a_key_is_refused_while_a_newer_configuration_may_take_it() {
     support::with_host(LONG, |host| async move {
         let config = |version, services| support::config(version, &[("/read/", services)]);
-        host.apply(support::view(&config(1, &[("films", 1)]), &[])).await;
+        host.apply(support::state(&config(1, &[("films", 1)]), &[])).await;
         support::prove_config(&host.status, 1);
         assert_eq!(host.answer(KEYLESS).await.status, 400);
-        host.publish(support::view(&config(2, &[("orders", 1)]), &[]));
+        host.publish(support::state(&config(2, &[("orders", 1)]), &[]));
         assert_eq!(host.answer(KEYLESS).await.status, 503);
         let metric =
             "skylarkdock_requests_rejected_total{status=\"503\",reason=\"stale_config\"} 1";
@@ -151,7 +151,7 @@
 fn a_deadline_may_have_a_fraction(#[case] deadline: &str, #[case] status: u16) {
     support::with_host(LONG, |host| async move {
         let config = support::config(1, &[("/read/", &[("orders", 1)])]);
-        host.apply(support::view(&config, &[])).await;
+        host.apply(support::state(&config, &[])).await;
         // No upstream is registered, so the request is refused once it is routed.
         let answer = host.answer(&format!("{HEAD}Id: a\r\nDeadline: {deadline}\r\n")).await;
         assert_eq!(answer.status, status);
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -177,7 +177,7 @@
 }
 
 /// Returns a state with a configuration and an upstream of each given service.
-pub fn view(config: &Arc<Config>, upstreams: &[(&str, SocketAddr)]) -> Publication {
+pub fn state(config: &Arc<Config>, upstreams: &[(&str, SocketAddr)]) -> Publication {
     let upstreams = upstreams.iter().map(|(service, addr)| ListedUpstream {
         entry: Entry {
             id: format!("i-{service}-{}", addr.port()).parse().unwrap(),
--- a/crates/edge/tests/unsigned_answers.rs
+++ b/crates/edge/tests/unsigned_answers.rs
@@ -57,7 +57,7 @@
     support::with_host(LONG, |host| async move {
         let (addr, received) = upstream(upstream_status, is_signed);
         let config = support::config(1, &[("/order/", &[("orders", 1)])]);
-        host.apply(support::view(&config, &[("orders", addr)])).await;
+        host.apply(support::state(&config, &[("orders", addr)])).await;
         let answer = host.answer("GET /order/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n").await;
         assert_eq!(answer.status, status);
         assert_eq!(received.load(Ordering::SeqCst), 1);
@@ -74,7 +74,7 @@
         let (second, served) = upstream(200, true);
         let config =
             support::config_of(1, Idempotency::Idempotent, &[("/order/", &[("orders", 1)])]);
-        host.apply(support::view(&config, &[("orders", first), ("orders", second)])).await;
+        host.apply(support::state(&config, &[("orders", first), ("orders", second)])).await;
         // Each request meets one of the two upstreams first, and the rejecting one at some time.
         while rejected.load(Ordering::SeqCst) == 0 {
             let answer = host.answer("GET /order/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n").await;
