--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -14,7 +14,7 @@
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use eyre::WrapErr;
-use futures_lite::StreamExt;
+use futures_lite::{StreamExt, future};
 use skylarkdock_units::times::Millis;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -71,7 +71,7 @@
                 status,
             );
             control.serve_metrics(handle);
-            async_io::block_on(ex.run(std::future::pending::<()>()));
+            future::block_on(ex.run(std::future::pending::<()>()));
         }
     };
     thread::Builder::new()
@@ -80,7 +80,7 @@
         .wrap_err("can't start the control thread")?;
     let ex = Rc::new(LocalExecutor::new());
     let serving = serve_callers(settings, protocol, links, Rc::clone(&ex));
-    async_io::block_on(ex.run(serving))
+    future::block_on(ex.run(serving))
 }
 
 async fn serve_callers(
