Rebuild key maps from numbers instead of names

The owners of a table are now looked up once for each version of the table. A grant, or a new incarnation of an owner, only takes a pass over numbers, and maps of one table share their list of owners, which the test checks: before, each of these cases made a new list.

--- a/crates/edge/tests/listing.rs
+++ b/crates/edge/tests/listing.rs
@@ -128,8 +128,10 @@
     let grants: FastSet<SpanId> = [(100, 199, FencingToken(2))].into_iter().collect();
     let granted = update(&mut registry, entry(6), &grants);
     assert_eq!(granted.owner(100), Some(&entry(2).id), "granted before it is recorded");
+    assert!(granted.shares_owners_with(&first), "a grant does not look up the owners of all spans");
     let restarted = update(&mut registry, Entry { born: 2, ..entry(1) }, &grants);
     assert_eq!(restarted.owner(0), None, "the later incarnation does not hold the keys");
+    assert!(restarted.shares_owners_with(&first), "nor does a restart");
 }
 
 /// What whole lists show: the state after each change, and the incarnations that have ended.
