Expect the capacity that a host gets, not an equal share

A request that has to wait is refused if its expected wait is too long. The wait was estimated by an equal share of the capacity for each known host of the region. Callers are spread unevenly, and each host takes what is free, so hosts with many callers refused requests that they would have served in time. It weighs more once all hosts are known and not a quarter of them. The share is now at least the rate at which the host sent requests over the last second.

Test: a host with four times its share of callers lets one request wait before, five now.

Tried and not taken: the bound on a host's own requests at nearly full upstreams by its present rate, too.

--- a/crates/dispatch/src/arrivals.rs
+++ b/crates/dispatch/src/arrivals.rs
@@ -28,6 +28,11 @@
         let ranks_before = self.counts.iter().filter(|(counted_rank, _)| **counted_rank < rank);
         ranks_before.map(|(_, count)| decayed(*count, now)).sum::<f32>() / AVERAGING_TIME_MS
     }
+
+    /// Returns the arrivals per millisecond of all ranks.
+    pub(crate) fn rate(&self, now: HostTime) -> f32 {
+        self.counts.values().map(|count| decayed(*count, now)).sum::<f32>() / AVERAGING_TIME_MS
+    }
 }
 
 fn decayed((count, at): (f32, HostTime), now: HostTime) -> f32 {
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -104,6 +104,8 @@
     keys: Option<KeyOwners>,
     waiting: Vec<RoutingRequest>,
     arrivals: ArrivalRates,
+    /// Requests that were sent to upstreams.
+    sends: ArrivalRates,
     /// Number of hosts in this region.
     region_hosts: u32,
     /// Time from an upstream's first notice that it leaves to its end.
@@ -126,6 +128,7 @@
             keys: None,
             waiting: Vec::new(),
             arrivals: ArrivalRates::default(),
+            sends: ArrivalRates::default(),
             region_hosts: 1,
             hosts: 1,
             drain_time: Millis(0),
@@ -331,6 +334,7 @@
 
     /// Records the start of an attempt at an upstream.
     pub fn on_start(&mut self, id: &UpstreamId, now: HostTime) {
+        self.sends.record(0, now);
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.on_start(now);
         }
@@ -508,7 +512,9 @@
             return self.refusal(request, RefusalReason::NoUpstream, NO_UPSTREAM_DELAY, now);
         }
         let ahead = self.count_ahead(request, now, |_| true);
-        let share_per_ms = requests_per_ms.max(0.001) / as_f32(self.region_hosts.max(1));
+        let equal_share = requests_per_ms.max(0.001) / as_f32(self.region_hosts.max(1));
+        // Hosts with more callers than others get more of the capacity, as each takes what is free.
+        let share_per_ms = equal_share.max(self.sends.rate(now).min(requests_per_ms));
         // Requests of ranks with smaller numbers that arrive in the meantime are served first.
         let available_per_ms = (share_per_ms - self.arrivals.rate_above(request.rank, now))
             .max(share_per_ms * MIN_CAPACITY_SHARE);
--- a/crates/dispatch/tests/service.rs
+++ b/crates/dispatch/tests/service.rs
@@ -382,3 +382,33 @@
     service.on_end(&id("a"), START, AttemptOutcome::Cancelled, later);
     assert_eq!(service.upstream(&id("a")).and_then(Upstream::service_ms), measured);
 }
+
+/// Callers are spread unevenly over the hosts. A host with four times as many as the others expected its requests to wait
+/// for an equal share of the capacity, and refused those that it could have served in time.
+#[test]
+fn a_host_with_more_callers_than_others_expects_what_it_gets() {
+    const HOSTS: u32 = 40;
+    let mut service = Service::default();
+    let names: Vec<String> = (0..20).map(|number| format!("u{number}")).collect();
+    service.set_upstreams(names.iter().map(|name| info(name, Distance::Zone)).collect());
+    service.set_host_counts(HOSTS, HOSTS);
+    // An equal share of 20 upstreams with two slots and 100 ms for a request is one request each 100 ms.
+    let mut now = START;
+    for ticket in 0..80 {
+        let RoutingDecision::Send(upstream) = service.decide(request(ticket, 1, now), now) else {
+            panic!("request {ticket} was not sent")
+        };
+        service.on_start(&upstream, now);
+        service.on_end(&upstream, now, AttemptOutcome::Cancelled, now);
+        now = now + Millis(25);
+    }
+    for name in &names {
+        let upstream = service.upstream_mut(&id(name)).unwrap_or_else(|| panic!("no {name}"));
+        upstream.set_peer_load(upstream.capacity(), now);
+    }
+    let mut waits =
+        |ticket: u64| matches!(service.decide(request(ticket, 1, now), now), RoutingDecision::Wait);
+    let admitted = (100..120).map(&mut waits).take_while(|waits| *waits).count();
+    // Half of the 300 ms until they would be late, at one request each 25 ms.
+    assert!((4..=6).contains(&admitted), "{admitted} requests wait");
+}
