Let each host write its own record without a condition

Hosts that start together were never all recorded: each appended its record at the end of the topic that it had read, all but one conflicted, and a host that got updates from another made no further attempt. 19 of 79 and 109 to 144 of 295 hosts were known, and what is divided by, or sent to, recorded hosts was wrong by that factor.

Nothing but the host itself writes under its key, so the condition protected nothing. A task of its own now writes the record until the host learns from whatever source that it is there: large hosts first, as the others follow them, with pauses that grow while the store refuses (freshness::registration). A write of an earlier process that arrives late is followed by another one. Tables still have their condition, and their leader reads the topic anew after a conflict.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod known_records;
 mod owners;
 mod peers;
+mod registration;
 pub mod registry;
 mod sources;
 mod store_sync;
@@ -69,6 +70,9 @@
 const TOPIC_LABELS: [(Topic, &str); 3] =
     [(Topic::Config, "config"), (Topic::Upstreams, "upstreams"), (Topic::Fleet, "fleet")];
 
+/// Prefix of the key of a host's record.
+const HOST_PREFIX: &str = "host/";
+
 /// Record of an entry host in the store's fleet topic.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRecord {
@@ -304,6 +308,7 @@
             leader_connection: RefCell::default(),
         });
         store_sync::start(&control);
+        registration::start(&control);
         election::start(&control);
         owners::start(&control, samples);
         peers::start(&control, Rc::new(ListenerState::default()));
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -1,8 +1,8 @@
 //! Synchronization with the store: reads of the operators' configuration, the registry of upstreams and the fleet
-//! topic, and writes of this host's record and of ownership tables to the fleet topic.
+//! topic, and writes of ownership tables to the fleet topic.
 
 use super::registry::{Registry, RegistryChange};
-use super::{Control, FleetState, HostRecord};
+use super::{Control, FleetState, HOST_PREFIX, HostRecord};
 use crate::clock;
 use crate::store::{Page, Record, StoreError, Topic};
 use crate::view::Config;
@@ -20,8 +20,10 @@
 const FLEET_WAIT: Millis = Millis(1_500);
 /// Time between reads of the registry. They don't wait for a record, as the upstreams' heartbeats arrive all the time.
 const REGISTRY_INTERVAL: Millis = Millis(300);
-/// Pause after a read of the fleet topic, as all hosts write their records there when they start together.
-const FLEET_PAUSE: Millis = Millis(100);
+/// Pause after a read of the fleet topic, as all hosts write their records there when they start together: on the leader,
+/// whose tables must follow the newest record, and on other hosts.
+const LEADER_FLEET_PAUSE: Millis = Millis(100);
+const FLEET_PAUSE: Millis = Millis(250);
 /// Time after its start within which a host reads the fleet topic before it reads others, to learn which hosts it can ask
 /// for them.
 const FIRST_FLEET_TIME: Millis = Millis(400);
@@ -32,8 +34,6 @@
 const FIRST_RETRY_PAUSE: Millis = Millis(150);
 /// Upper limit of the pause after failed calls, without its random part.
 const MAX_RETRY_PAUSE: Millis = Millis(900);
-/// Prefix of the key of a host's record.
-const HOST_PREFIX: &str = "host/";
 /// Prefix of the key of an ownership table's record.
 const TABLE_PREFIX: &str = "owners/";
 
@@ -154,8 +154,9 @@
                     cursor = Some(page.next);
                     self.apply_page(topic, page, is_whole, asked_at);
                     if topic == Topic::Fleet {
-                        self.register_host().await;
-                        Timer::after(FLEET_PAUSE.duration()).await;
+                        let leads = self.is_leader.get();
+                        let pause = if leads { LEADER_FLEET_PAUSE } else { FLEET_PAUSE };
+                        Timer::after(pause.duration()).await;
                     }
                     if topic == Topic::Upstreams {
                         Timer::after(REGISTRY_INTERVAL.duration()).await;
@@ -404,37 +405,6 @@
         is_newer
     }
 
-    /// Writes the record of this host, unless it is stored already, so that other hosts can call this one.
-    async fn register_host(&self) {
-        let own = HostRecord {
-            host: self.settings.host.clone(),
-            zone: self.settings.zone.clone(),
-            region: self.settings.region.clone(),
-            size: self.settings.size,
-            peers: self.settings.peers,
-            reports: self.settings.reports,
-        };
-        let (known, end) = {
-            let fleet = self.fleet.borrow();
-            (fleet.hosts.get(&own.host) == Some(&own), fleet.fleet_end)
-        };
-        if known {
-            return;
-        }
-        let value = match serde_json::to_vec(&own) {
-            Ok(value) => value,
-            Err(e) => {
-                log::error!("fleet: can't encode the host's record: {e}");
-                return;
-            }
-        };
-        let record = Record { key: format!("{HOST_PREFIX}{}", own.host), value };
-        match (self.store.append)(vec![record], end).await {
-            Ok(_) => log::info!(host:% = own.host; "fleet: registered"),
-            Err(e) => log::debug!("fleet: can't write the host's record yet: {e}"),
-        }
-    }
-
     /// Writes a table to the store in place of the recorded one that it was planned for. Returns `true` only if the store
     /// confirmed it.
     pub(super) async fn write_table(&self, table: &Table) -> bool {
@@ -458,7 +428,7 @@
         let record = Record { key: format!("{TABLE_PREFIX}{}", table.service), value };
         counter!("skylarkdock_store_calls_total", "call" => "append").increment(1);
         let asked_at = clock::now();
-        match (self.store.append)(vec![record.clone()], end).await {
+        match (self.store.append)(vec![record.clone()], Some(end)).await {
             Ok(end) => {
                 let mut fleet = self.fleet.borrow_mut();
                 fleet.fleet_end = fleet.fleet_end.max(end);
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -77,8 +77,8 @@
     pub newest: Box<dyn Fn(Topic) -> StoreFuture<Page>>,
     /// Returns the records from an offset on. If there are none yet, waits for one up to the given time.
     pub read: Box<dyn Fn(Topic, u64, Millis) -> StoreFuture<Page>>,
-    /// Appends records to [`Topic::Fleet`] if it still ends at the given offset. Returns its new end offset.
-    pub append: Box<dyn Fn(Vec<Record>, u64) -> StoreFuture<u64>>,
+    /// Appends records to [`Topic::Fleet`], with an offset only if the topic still ends there. Returns its new end offset.
+    pub append: Box<dyn Fn(Vec<Record>, Option<u64>) -> StoreFuture<u64>>,
     /// Takes part in the leader election. Returns whether this host is the leader.
     pub join: Box<dyn Fn() -> StoreFuture<bool>>,
     /// Leaves the leader election.
--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -1,5 +1,5 @@
-//! Rules by which hosts stay up to date, without I/O: which hosts read the store and when, and who stands for election
-//! when the leader is lost. The time limits of these rules are derived here.
+//! Rules by which hosts stay up to date, without I/O: which hosts read the store and when, when they write their records,
+//! and who stands for election when the leader is lost. The time limits of these rules are derived here.
 //!
 //! Load pattern: many hosts lose the one that kept them up to date at the same time. If each of them read the store
 //! itself, their reads would fill the links that all of them need, none would end in time, and the late hosts would
@@ -8,3 +8,4 @@
 
 pub mod election;
 pub mod reading;
+pub mod registration;
