Ask other hosts which ones there are when a host starts

After all hosts had ended at once, keys had no owner for ten seconds at 295 hosts, and reads of videoteca were refused for twenty. Each host that starts read the fleet topic from the store, as it knew no other, and, late for that, the registry: 147 hosts of one region times 150 and 215 KB over the link to the store's region, and again after each time-out.

A host that starts now asks the configured hosts for the hosts of its zone, a few kilobytes; these answer as soon as they know. It follows the largest of its zone, and reads the store itself only if it is that one, is configured, or got no answer or no updates in time. The times are parts of the time within which changes must have an effect (freshness).

--- /dev/null
+++ b/crates/edge/src/control/directory.rs
@@ -0,0 +1,141 @@
+//! The hosts of an availability zone, as another host knows them.
+//!
+//! Load pattern: all hosts start again at the same time, and none knows which ones there are. If each of them read that
+//! from the store, and then the registry as well, the reads of one region would fill the link to the store's region for
+//! seconds, and the requests that cross it would fail with them. So a host that starts asks the configured hosts first
+//! for those of its zone, a few kilobytes. The largest of these keeps it up to date from then on, and only that one reads
+//! the store.
+
+use super::{Control, HostRecord, peers};
+use crate::client::{ControlClient, Patience};
+use crate::clock;
+use crate::store::Topic;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use serde::{Deserialize, Serialize};
+use skylarkdock_freshness::reading::Turn;
+use skylarkdock_units::ids::Zone;
+use skylarkdock_units::times::{HostTime, Millis};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+pub(super) const DIRECTORY_PATH: &str = "/hosts";
+/// Time after its start for which a host looks for sources at short intervals, and that interval.
+const STARTING_TIME: Millis = Millis(2_000);
+const STARTING_INTERVAL: Millis = Millis(40);
+/// Longest time for which a host that does not know the fleet yet holds back its answer.
+const DIRECTORY_WAIT: Millis = Millis(250);
+/// Time that a host without a configuration waits for the store after its start before it asks any other host, if no
+/// other has told it the hosts of its zone.
+const FIRST_READ_TIME: Millis = Millis(300);
+/// Pause after a request that was not answered.
+const RETRY_PAUSE: Millis = Millis(50);
+
+/// Request for the hosts of an availability zone.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct DirectoryRequest {
+    zone: Zone,
+}
+
+/// Starts the task that learns of the hosts of this zone.
+pub(super) fn start(control: &Rc<Control>) {
+    control.ex.spawn(Rc::clone(control).learn_hosts()).detach();
+}
+
+impl Control {
+    /// Returns whether this host has just started and may still learn from others which ones there are, so that it need
+    /// not read the fleet topic.
+    pub(super) fn asks_for_hosts(&self, now: HostTime) -> bool {
+        let fleet = self.fleet.borrow();
+        let own = self.settings.peers;
+        let is_seed = self.settings.seeds.contains(&own);
+        !is_seed
+            && !self.settings.seeds.is_empty()
+            && !self.has_asked_for_hosts.get()
+            && fleet.known_records.fleet.proof_at.0 == 0
+            && now.since(self.started_at) < self.limits.directory_time()
+    }
+
+    /// Returns whether this host waits for the first updates on a topic from the largest host of its zone.
+    pub(super) fn awaits_first_updates(&self, topic: Topic, now: HostTime) -> bool {
+        self.has_asked_for_hosts.get()
+            && now.since(self.started_at) < self.limits.first_updates_time()
+            && self.fleet.borrow().known_records.proof_at(topic).0 == 0
+            && self.turn() != Turn::FIRST
+    }
+
+    /// Returns the interval of checks that should soon succeed after a start, and otherwise the given one.
+    pub(super) fn at_start(&self, interval: Millis) -> Millis {
+        let is_starting = clock::now().since(self.started_at) < STARTING_TIME;
+        if is_starting { STARTING_INTERVAL.min(interval) } else { interval }
+    }
+
+    /// Returns the time after its start for which a host without a configuration asks no random host for one.
+    pub(super) fn first_read_time(&self) -> Millis {
+        if self.has_asked_for_hosts.get() {
+            self.limits.first_updates_time()
+        } else {
+            FIRST_READ_TIME
+        }
+    }
+
+    /// Asks the configured hosts for the hosts of this zone, until one has answered or the time for it has passed.
+    async fn learn_hosts(self: Rc<Self>) {
+        let mut seeds: Vec<SocketAddr> = self.settings.seeds.clone();
+        fastrand::shuffle(&mut seeds);
+        let request = DirectoryRequest { zone: self.settings.zone.clone() };
+        let mut next = seeds.iter().cycle();
+        while self.asks_for_hosts(clock::now()) {
+            let Some(addr) = next.next() else { return };
+            let patience = Patience::whole(DIRECTORY_WAIT + DIRECTORY_WAIT);
+            let mut caller = ControlClient::new(*addr);
+            let answer =
+                peers::call(&mut caller, DIRECTORY_PATH, &request, patience).await.map(|body| {
+                    serde_json::from_slice::<Vec<HostRecord>>(&body)
+                        .inspect_err(|e| log::warn!(peer:% = addr, error:% = e; "fleet: can't decode a list of hosts"))
+                        .unwrap_or_default()
+                });
+            match answer {
+                Ok(hosts) => {
+                    log::info!(peer:% = addr, hosts = hosts.len(); "fleet: learnt the hosts of this zone");
+                    let mut fleet = self.fleet.borrow_mut();
+                    // What the store says of a host is newer.
+                    if fleet.known_records.fleet.proof_at.0 == 0 {
+                        for host in hosts {
+                            fleet.put_host(host);
+                        }
+                    }
+                    self.has_asked_for_hosts.set(true);
+                }
+                Err(e) => {
+                    log::info!(peer:% = addr, error:% = e; "fleet: can't ask for the hosts of this zone");
+                    Timer::after(RETRY_PAUSE.duration()).await;
+                }
+            }
+        }
+    }
+
+    /// Returns the recorded hosts of a zone, or `None` if this host does not learn of the fleet in time.
+    pub(super) async fn on_directory_request(
+        &self,
+        request: DirectoryRequest,
+    ) -> Option<Vec<HostRecord>> {
+        let until = clock::now() + DIRECTORY_WAIT;
+        loop {
+            let listener = self.changed.listen();
+            if self.fleet.borrow().known_records.fleet.proof_at.0 > 0 {
+                break;
+            }
+            if clock::now() >= until {
+                return None;
+            }
+            let passed = async {
+                Timer::at(clock::instant(until)).await;
+            };
+            listener.or(passed).await;
+        }
+        let fleet = self.fleet.borrow();
+        let hosts = fleet.hosts.values().filter(|record| record.zone == request.zone);
+        Some(hosts.cloned().collect())
+    }
+}
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: it keeps the state that this host knows of the fleet, renews grants and, on the leader, changes
 //! the owners of keys.
 
+mod directory;
 mod election;
 pub mod encoded;
 pub mod key_maps;
@@ -135,6 +136,8 @@
     status: Arc<Status>,
     /// Until when this host takes no part in the election and gives other hosts no updates, as it resigned.
     resigned_until: Cell<HostTime>,
+    /// Whether another host has told this one the hosts of its zone since the start.
+    has_asked_for_hosts: Cell<bool>,
     /// Whether the next request for updates asks for whole records, as one could not be decoded.
     needs_whole_records: Cell<bool>,
     /// Whether this host is handing leadership over. It finishes pending moves and plans no others.
@@ -299,6 +302,7 @@
             min_store_latency: Cell::new(Millis(u64::MAX)),
             status,
             resigned_until: Cell::default(),
+            has_asked_for_hosts: Cell::default(),
             needs_whole_records: Cell::default(),
             is_handing_over: Cell::new(false),
             leader_since: Cell::default(),
@@ -309,6 +313,7 @@
         });
         store_sync::start(&control);
         registration::start(&control);
+        directory::start(&control);
         election::start(&control);
         owners::start(&control, samples);
         peers::start(&control, Rc::new(ListenerState::default()));
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -1,6 +1,7 @@
 //! Calls between hosts: the server and client of the peer address.
 
 use super::Control;
+use super::directory::{DIRECTORY_PATH, DirectoryRequest};
 use super::owners::RELEASE_TIMEOUT;
 use super::updates::{self, UpdateRequest};
 use crate::client::{ControlClient, Failure, Outgoing, Patience};
@@ -90,6 +91,13 @@
                 }
                 Err(e) => Err(e),
             },
+            DIRECTORY_PATH => match serde_json::from_slice::<DirectoryRequest>(&req.body) {
+                Ok(request) => match self.on_directory_request(request).await {
+                    Some(hosts) => Ok(encode(&hosts)),
+                    None => return Answer::empty(503),
+                },
+                Err(e) => Err(e),
+            },
             _ => return Answer::empty(404),
         };
         match answered {
--- a/crates/edge/src/control/sources.rs
+++ b/crates/edge/src/control/sources.rs
@@ -12,8 +12,6 @@
 
 /// Time for which a host that gave no usable answer is avoided in favour of the next source.
 const AVOID_TIME: Millis = Millis(2_000);
-/// Time that a host without a configuration waits for the store after its start before it asks any other host.
-const FIRST_READ_TIME: Millis = Millis(300);
 
 impl Control {
     /// Avoids a host that gave no usable answer for a while.
@@ -96,8 +94,11 @@
     pub(super) fn is_isolated(&self, now: HostTime, is_source_late: bool) -> bool {
         let fleet = self.fleet.borrow();
         let age = |topic| now.since(fleet.known_records.proof_at(topic));
-        let min_uptime =
-            if fleet.config.is_none() { FIRST_READ_TIME } else { self.limits.isolation_age() };
+        let min_uptime = if fleet.config.is_none() {
+            self.first_read_time()
+        } else {
+            self.limits.isolation_age()
+        };
         let (registry_age, config_age) = (age(Topic::Upstreams), age(Topic::Config));
         now.since(self.started_at) > min_uptime
             && reading::asks_any_host(self.limits, registry_age, config_age, is_source_late)
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -117,7 +117,7 @@
                 if topic == Topic::Upstreams {
                     self.fleet.borrow_mut().known_records.set_reads_fail(false);
                 }
-                Timer::after(AGE_CHECK_INTERVAL.duration()).await;
+                Timer::after(self.at_start(AGE_CHECK_INTERVAL).duration()).await;
                 continue;
             }
             let asked_at = clock::now();
@@ -209,6 +209,9 @@
 
     /// Returns whether this host has just started and does not know yet which hosts it can ask for a topic.
     fn waits_for_fleet(&self, topic: Topic, now: HostTime) -> bool {
+        if self.asks_for_hosts(now) || self.awaits_first_updates(topic, now) {
+            return true;
+        }
         topic != Topic::Fleet
             && now.since(self.started_at) < FIRST_FLEET_TIME
             && self.fleet.borrow().known_records.proof_at(Topic::Fleet).0 == 0
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -299,7 +299,7 @@
             let Some(addr) = self.source(now) else {
                 self.fleet.borrow_mut().known_records.has_source = false;
                 caller = None;
-                Timer::after(SOURCE_INTERVAL.duration()).await;
+                Timer::after(self.at_start(SOURCE_INTERVAL).duration()).await;
                 continue;
             };
             if caller.as_ref().is_none_or(|caller| caller.addr() != addr) {
--- a/crates/freshness/src/reading.rs
+++ b/crates/freshness/src/reading.rs
@@ -30,6 +30,13 @@
 /// percent of the same time. Another host's answer must still arrive in time.
 const ISOLATION_PERCENT: u64 = 15;
 
+/// Time after its start for which a host asks others which hosts there are before it reads that from the store itself, in
+/// percent of the same time. A configured host that starts at the same time has read the store by then.
+const DIRECTORY_PERCENT: u64 = 20;
+/// Time after its start for which a host that knows the hosts of its zone waits for the first updates of the largest one,
+/// in percent of the same time.
+const FIRST_UPDATES_PERCENT: u64 = 33;
+
 /// Place of a host in the order in which the hosts of an availability zone read the store. The first one has place 0.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct Turn(pub u64);
@@ -80,6 +87,16 @@
         Millis(self.effect_time.0 * MAX_AGE_PERCENT / 100)
     }
 
+    /// Returns the time after its start for which a host asks others which hosts there are.
+    pub const fn directory_time(self) -> Millis {
+        Millis(self.effect_time.0 * DIRECTORY_PERCENT / 100)
+    }
+
+    /// Returns the time after its start for which a host waits for the first updates of another.
+    pub const fn first_updates_time(self) -> Millis {
+        Millis(self.effect_time.0 * FIRST_UPDATES_PERCENT / 100)
+    }
+
     /// Returns the additional time after which a host reads records itself, by its turn and by whether another host sends
     /// it updates.
     pub const fn wait_for_turn(self, turn: Turn, records: Records, has_source: bool) -> Millis {
