--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -71,14 +71,17 @@
 /// Future of the result of a store call.
 pub type StoreFuture<T> = LocalFuture<Result<T, StoreError>>;
 
+/// Appends records to [`Topic::Fleet`]. With an offset, only if the topic still ends there.
+pub type AppendCall = Box<dyn Fn(Vec<Record>, Option<u64>) -> StoreFuture<u64>>;
+
 /// Operations of a platform's store.
 pub struct Store {
     /// Returns the newest record of each key of a topic.
     pub newest: Box<dyn Fn(Topic) -> StoreFuture<Page>>,
     /// Returns the records from an offset on. If there are none yet, waits for one up to the given time.
     pub read: Box<dyn Fn(Topic, u64, Millis) -> StoreFuture<Page>>,
-    /// Appends records to [`Topic::Fleet`], with an offset only if the topic still ends there. Returns its new end offset.
-    pub append: Box<dyn Fn(Vec<Record>, Option<u64>) -> StoreFuture<u64>>,
+    /// Appends records and returns the new end offset of the topic.
+    pub append: AppendCall,
     /// Takes part in the leader election. Returns whether this host is the leader.
     pub join: Box<dyn Fn() -> StoreFuture<bool>>,
     /// Leaves the leader election.
