Prefer upstreams to which a host has an idle connection

Hosts spread the requests of a service over all upstreams of the region with a random part of up to 0.6 of the expected time, so that a host meets the same upstream again after 20 s, when its connection is closed; once-only requests, two fifths of all, use one for 1 s only, as an upstream that closes it leaves their end unknown.

An upstream with an idle connection that may carry the request, and with a free slot, now counts with 0.7 of its expected time and no random part. No host needs to know the others' choices: each stays with a few upstreams while these have room.

--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -12,6 +12,7 @@
 use crate::key_owners::{KeyMap, KeyOwners};
 use crate::notices;
 use crate::retry_after;
+use crate::routes::Idempotency;
 use crate::routing::{RefusalReason, RoutingDecision, RoutingRequest};
 use crate::upstream::{AttemptOutcome, Distance, Upstream, UpstreamInfo, as_f32};
 use skylarkdock_units::collections::{FastMap, FastSet};
@@ -47,6 +48,10 @@
 const JITTER_PER_HOST: f32 = 0.01;
 /// Largest jitter on the expected time of an upstream, as a fraction.
 const MAX_JITTER: f32 = 0.6;
+/// Factor of the expected time of an upstream to which a connection is open, which has no jitter instead. Hundreds of hosts
+/// that spread their requests over all upstreams of a service would open a connection for nearly each request, as none is
+/// used again before it is closed. An upstream that is faster by more than this is still preferred.
+const OPEN_CONNECTION_FACTOR: f32 = 0.7;
 /// Load from which the upstreams of a scope count as nearly full, in percent of their capacity.
 const FULL_PERCENT: u32 = 80;
 /// Requests that a host may have at nearly full upstreams, in percent of its equal share of their capacity. Otherwise
@@ -408,6 +413,7 @@
     ) -> Candidates {
         let leaving_time = self.leaving_time(request, now);
         let jitter = (as_f32(self.region_hosts) * JITTER_PER_HOST).min(MAX_JITTER);
+        let is_once = request.idempotency == Idempotency::Once;
         let mut candidates = Candidates::default();
         let mut best: Option<(&Upstream, f32)> = None;
         for upstream in self.upstreams.values() {
@@ -432,10 +438,12 @@
             if upstream.is_failing() {
                 expected *= 3.0;
             }
-            expected *= 1.0
-                + jitter
-                    * upstream
-                        .request_jitter(request.ticket ^ u64::from(request.jitter_per_mille) << 32);
+            expected *= if upstream.can_reuse_connection(is_once, load, now) {
+                OPEN_CONNECTION_FACTOR
+            } else {
+                let ticket = request.ticket ^ u64::from(request.jitter_per_mille) << 32;
+                1.0 + jitter * upstream.request_jitter(ticket)
+            };
             if best.is_none_or(|(_, lowest)| expected < lowest) {
                 best = Some((upstream, expected));
             }
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -96,6 +96,15 @@
     pub is_leaving: bool,
 }
 
+/// Times until which an idle connection to an upstream may be used again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct IdleConnection {
+    /// For requests that may run more than once.
+    pub until: HostTime,
+    /// For requests that may run only once.
+    pub once_until: HostTime,
+}
+
 /// Load, service time and health of one upstream, as observed by one host.
 #[derive(Debug, Clone)]
 pub struct Upstream {
@@ -121,6 +130,8 @@
     permits: Permits,
     /// Requests that were sent elsewhere or refused for want of a permit since the last [`Upstream::take_demand`].
     demand: Option<Demand>,
+    /// Idle connection of this host that was used last.
+    idle_connection: IdleConnection,
 }
 
 impl Upstream {
@@ -146,6 +157,7 @@
             leaving_since: None,
             permits: Permits::default(),
             demand: None,
+            idle_connection: IdleConnection::default(),
         }
     }
 
@@ -267,6 +279,19 @@
         self.demand.take()
     }
 
+    /// Sets the idle connection that the next request would be sent on; the default if there is none.
+    pub const fn set_idle_connection(&mut self, connection: IdleConnection) {
+        self.idle_connection = connection;
+    }
+
+    /// Returns whether a request can be sent on an open connection and finds a free slot beside `load` requests. Without one
+    /// it would wait at the upstream while others have free slots.
+    pub fn can_reuse_connection(&self, is_once: bool, load: u32, now: HostTime) -> bool {
+        let IdleConnection { until, once_until } = self.idle_connection;
+        let is_open = now < if is_once { once_until } else { until };
+        is_open && load < self.info.slots
+    }
+
     /// Returns the moving average of failed attempts, from 0 to 1.
     pub const fn failure_rate(&self) -> f32 {
         self.failure_rate
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -1,8 +1,9 @@
 //! Pool of idle connections to upstreams.
 
 use crate::client::Conn;
+use skylarkdock_dispatch::upstream::IdleConnection;
 use skylarkdock_units::collections::FastMap;
-use skylarkdock_units::times::Millis;
+use skylarkdock_units::times::{HostTime, Millis};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -62,6 +63,20 @@
         !idle.is_empty()
     }
 
+    /// Returns until when the connection that [`Pool::take`] would return may be used.
+    pub fn next_connection(&self, addr: SocketAddr, now: HostTime) -> IdleConnection {
+        let Some(conn) = self.idle.get(&addr).and_then(|idle| idle.last()) else {
+            return IdleConnection::default();
+        };
+        let age = conn.used_at.elapsed();
+        let end = |limit: Duration| {
+            let remaining = limit.saturating_sub(age).as_millis();
+            now + Millis(u64::try_from(remaining).unwrap_or(u64::MAX))
+        };
+        let timeout = idle_timeout(conn);
+        IdleConnection { until: end(timeout), once_until: end(timeout.min(MAX_ONCE_IDLE_TIME)) }
+    }
+
     /// Closes all idle connections to an address.
     pub fn close_all(&mut self, addr: SocketAddr) {
         self.idle.remove(&addr);
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -308,6 +308,7 @@
                 Err(Unsent::NoPath(e)) => {
                     log::debug!("traffic: can't connect to {addr}: {e}");
                     self.pool.borrow_mut().close_all(addr);
+                    self.update_idle_connection(attempt, addr);
                     self.status.paths().on_failure(addr, &e);
                     direct = Some(e);
                 }
@@ -329,12 +330,14 @@
         self.check_send(target, attempt.fingerprint)?;
         let deadline = attempt.deadline;
         let pooled = self.pool.borrow_mut().take(addr, attempt.is_once);
+        self.update_idle_connection(attempt, addr);
         if let Some(conn) = pooled {
             let req = build(deadline.since(clock::now()));
             match self.exchange(addr, conn, &req, attempt).await {
                 Err(Failure::NotSent(e)) => {
                     log::debug!("traffic: can't send on a pooled connection to {addr}: {e}");
                     self.pool.borrow_mut().close_all(addr);
+                    self.update_idle_connection(attempt, addr);
                 }
                 result => return Ok(result),
             }
@@ -342,8 +345,7 @@
         let remaining = deadline.since(clock::now());
         let conn = Conn::open(addr, CONNECT_TIMEOUT.min(remaining)).await?;
         if let Err(unsent) = self.check_send(target, attempt.fingerprint) {
-            let max_idle = self.services.borrow().get(attempt.service).map_or(1, |s| s.max_idle);
-            self.pool.borrow_mut().put(addr, conn, max_idle);
+            self.keep_connection(attempt, addr, conn);
             return Err(unsent);
         }
         let req = build(deadline.since(clock::now()));
@@ -364,12 +366,28 @@
         let (reply, reusable) = conn.exchange(req).or(timed_out).await?;
         self.status.paths().on_success(addr);
         if reusable {
-            let max_idle = self.services.borrow().get(attempt.service).map_or(1, |s| s.max_idle);
-            self.pool.borrow_mut().put(addr, conn, max_idle);
+            self.keep_connection(attempt, addr, conn);
         }
         Ok(reply)
     }
 
+    /// Adds the connection of an attempt to the idle ones, unless there are enough.
+    fn keep_connection(&self, attempt: &Attempt<'_>, addr: SocketAddr, conn: Conn) {
+        let max_idle = self.services.borrow().get(attempt.service).map_or(1, |s| s.max_idle);
+        self.pool.borrow_mut().put(addr, conn, max_idle);
+        self.update_idle_connection(attempt, addr);
+    }
+
+    /// Tells the state of an attempt's upstream until when the next idle connection may be used.
+    fn update_idle_connection(&self, attempt: &Attempt<'_>, addr: SocketAddr) {
+        let connection = self.pool.borrow().next_connection(addr, clock::now());
+        let mut services = self.services.borrow_mut();
+        let state = services.get_mut(attempt.service);
+        if let Some(upstream) = state.and_then(|state| state.service.upstream_mut(attempt.id)) {
+            upstream.set_idle_connection(connection);
+        }
+    }
+
     fn classify_result(&self, id: &UpstreamId, result: Result<Reply, Failure>) -> AttemptResult {
         match result {
             Ok(reply) => match self.protocol.names.classify(&reply) {
