Take no earlier refusal for the answer to a request

An upstream may write a refusal once more on a kept connection. A request for a key that its owner refused is sent to the owner again with the same id, mostly on the same connection, so the refusal that came once more passed for the answer to the second attempt, which ran: the caller was told that it had not run, or it was sent a third time and ran twice. A refusal without an id was taken for that of whatever request came next.

A connection now carries no request that was answered on it with a status of 400 or more, and is closed after 16 such answers. An answer without an id on a connection on which others arrived before is invalid, so the end of its request is unknown. Calls over other hosts use the same connections and rules.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use thiserror::Error;
+use xxhash_rust::xxh3;
 
 /// Idle time after which a control call opens a new connection, because the peer may be closing the idle one.
 const CONTROL_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -34,6 +35,10 @@
 pub const MAX_BUFFERED: usize = 32 * 1024 * 1024;
 /// Number of answers to other requests that may be skipped before the answer to this one.
 const MAX_SKIPPED: u32 = 4;
+/// Number of requests on a connection that were answered with a failure or refusal, after which it is closed.
+const MAX_FAILED: usize = 16;
+/// Status from which an answer is a failure or a refusal, after which the same request may be sent again.
+const FIRST_FAILURE_STATUS: u16 = 400;
 
 /// Reason for which a request has no answer.
 #[derive(Debug, Error)]
@@ -122,6 +127,8 @@
     pub keep_alive: Option<Duration>,
     /// Whether any request was answered on it.
     pub is_used: bool,
+    /// Hashes of the ids of requests that were answered with a failure or refusal.
+    failed: Vec<u64>,
 }
 
 impl Conn {
@@ -139,6 +146,7 @@
             used_at: Instant::now(),
             keep_alive: None,
             is_used: false,
+            failed: Vec::new(),
         })
     }
 
@@ -155,7 +163,14 @@
         net::reset(self.stream);
     }
 
-    /// Sends a request and reads the answer to it. Returns whether the connection can be used again.
+    /// Returns whether a request with this id can be sent. One that was refused on the connection can't: the upstream may
+    /// write that refusal once more, which would pass for the answer to the new attempt.
+    pub fn may_carry(&self, id: &str) -> bool {
+        !self.failed.contains(&hash_of(id))
+    }
+
+    /// Sends a request and reads the answer to it. Returns whether the connection can be used again. An answer without an
+    /// id, on a connection on which others arrived before, may be one of those once more and is taken for invalid.
     ///
     /// # Errors
     ///
@@ -187,30 +202,44 @@
             read.or(written).await
         };
         self.buf = buf;
-        self.record_reply(result).map(|(reply, reusable)| (reply, reusable && is_written))
+        self.record_reply(req, result).map(|(reply, reusable)| (reply, reusable && is_written))
     }
 
     async fn receive(&mut self, req: &Outgoing) -> Result<(Reply, bool), Failure> {
         let mut buf = std::mem::take(&mut self.buf);
         let result = receive((&self.stream, &self.received), &mut buf, req).await;
         self.buf = buf;
-        self.record_reply(result)
+        self.record_reply(req, result)
     }
 
     fn record_reply(
         &mut self,
+        req: &Outgoing,
         result: Result<(Reply, bool), Failure>,
     ) -> Result<(Reply, bool), Failure> {
         let (reply, reusable) = result?;
+        if let Some((_, id)) = &req.id {
+            if !reply.is_matched && self.is_used {
+                log::info!(status = reply.head.status; "client: an answer on a used connection has no request id");
+                return Err(Failure::Malformed);
+            }
+            if reply.head.status >= FIRST_FAILURE_STATUS {
+                self.failed.push(hash_of(id));
+            }
+        }
         self.used_at = Instant::now();
         self.is_used = true;
         if let Some(timeout) = keep_alive(&reply.head.headers) {
             self.keep_alive = Some(timeout);
         }
-        Ok((reply, reusable && self.buf.is_empty()))
+        Ok((reply, reusable && self.buf.is_empty() && self.failed.len() < MAX_FAILED))
     }
 }
 
+fn hash_of(id: &str) -> u64 {
+    xxh3::xxh3_64(id.as_bytes())
+}
+
 /// Bytes charged to `MAX_BUFFERED`.
 static BUFFERED: AtomicUsize = AtomicUsize::new(0);
 
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -361,8 +361,10 @@
         // Answers to grants and releases bear no id, so these calls don't share a connection with requests: a late answer
         // to a request would pass for theirs.
         let has_id = call.id.is_some();
-        let pooled =
-            if has_id { self.pool.borrow_mut().take(upstream, call.is_once) } else { None };
+        let pooled = call.id.as_deref().and_then(|id| {
+            let conn = self.pool.borrow_mut().take(upstream, call.is_once);
+            conn.filter(|conn| conn.may_carry(id))
+        });
         let conn = match pooled {
             Some(conn) => conn,
             None => {
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -331,8 +331,9 @@
         let deadline = attempt.deadline;
         let pooled = self.pool.borrow_mut().take(addr, attempt.is_once);
         self.update_idle_connection(attempt, addr);
-        if let Some(conn) = pooled {
-            let req = build(deadline.since(clock::now()));
+        let req = build(deadline.since(clock::now()));
+        let may_carry = |conn: &Conn| req.id.as_ref().is_none_or(|(_, id)| conn.may_carry(id));
+        if let Some(conn) = pooled.filter(may_carry) {
             match self.exchange(addr, conn, &req, attempt).await {
                 Err(Failure::NotSent(e)) => {
                     log::debug!("traffic: can't send on a pooled connection to {addr}: {e}");
