Pack the load in reports between hosts

At 295 hosts and 5,200 requests a second nearly all of 810 upstreams are loaded, so the relay of a zone sent each of its members six packets each 150 ms: some 12,000 packets a second over the fleet, each of which wakes a host of a tenth of a core, beside 5,200 requests.

An entry is now one number with the difference to the hash before it and a small count, about four bytes instead of six or seven, so 250 upstreams go into a packet instead of 130 (dispatch::packed_load): three packets for 750 loaded upstreams. The parts have equal ranges of the hashes, so that the entries of a part are sorted and close to each other. A relay sorts the load once for all members instead of building a map for each.

Reports of the earlier form are read and sent as before, with a byte after them that says that the sender reads the packed form; earlier versions read nothing there. Only a host that said so gets the packed form.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,15 +3,16 @@
 //! [`routes`] finds the route of a request and [`traffic_split`] the service. [`service`] holds the state of one
 //! service's upstreams and [`key_owners`], queues waiting requests and answers a [`routing`] request. [`retry_budget`]
 //! limits retries over all hosts, [`retry_after`] sets the delay that a refused caller is told, [`peer_load`] holds the
-//! load reported by other hosts, [`report_parts`] divides load reports, [`paths`] knows which upstreams can be reached and over which hosts, [`permits`] keeps
-//! all hosts together within the limit of an upstream, [`notices`] holds what upstreams asked of this host, and
-//! [`crash_tracker`] refuses requests that crash upstreams, and [`trials`] lets hosts send one copy at a time of those
-//! that may.
+//! load reported by other hosts, [`report_parts`] divides load reports and [`packed_load`] makes them small, [`paths`]
+//! knows which upstreams can be reached and over which hosts, [`permits`] keeps all hosts together within the limit of an
+//! upstream, [`notices`] holds what upstreams asked of this host, and [`crash_tracker`] refuses requests that crash
+//! upstreams, and [`trials`] lets hosts send one copy at a time of those that may.
 
 mod arrivals;
 pub mod crash_tracker;
 pub mod key_owners;
 pub mod notices;
+pub mod packed_load;
 pub mod paths;
 pub mod peer_load;
 pub mod permits;
--- a/crates/dispatch/src/peer_load.rs
+++ b/crates/dispatch/src/peer_load.rs
@@ -94,22 +94,24 @@
         totals
     }
 
-    /// Returns `totals` without what the given sources report. Upstreams of which nothing remains are left out.
+    /// Returns `totals`, sorted by hash, without what the given sources report. Upstreams of which nothing remains are left
+    /// out.
     pub fn subtract_reports(
         &self,
-        totals: &FastMap<UpstreamHash, u32>,
+        totals: &[(UpstreamHash, u32)],
         sources: impl Iterator<Item = S>,
-    ) -> FastMap<UpstreamHash, u32> {
-        let mut rest = totals.clone();
+    ) -> Vec<(UpstreamHash, u32)> {
+        let mut reported: FastMap<UpstreamHash, u32> = FastMap::default();
         for report in sources.filter_map(|source| self.reports.get(&source)) {
             for (id, count) in &report.load {
-                if let Some(sum) = rest.get_mut(id) {
-                    *sum = sum.saturating_sub(*count);
-                }
+                *reported.entry(*id).or_default() += count;
             }
         }
-        rest.retain(|_, count| *count > 0);
-        rest
+        let rest = totals.iter().map(|(id, total)| {
+            let count = reported.get(id).copied().unwrap_or_default();
+            (*id, total.saturating_sub(count))
+        });
+        rest.filter(|(_, count)| *count > 0).collect()
     }
 
     /// Returns when the last report of a source arrived.
@@ -117,3 +119,11 @@
         self.reports.get(&source).map(|report| report.at)
     }
 }
+
+/// Returns loads in the order of the hashes, as reports contain them.
+pub fn sorted(load: &FastMap<UpstreamHash, u32>) -> Vec<(UpstreamHash, u32)> {
+    let mut sorted: Vec<(UpstreamHash, u32)> =
+        load.iter().map(|(hash, count)| (*hash, *count)).collect();
+    sorted.sort_unstable();
+    sorted
+}
--- a/crates/dispatch/src/report_parts.rs
+++ b/crates/dispatch/src/report_parts.rs
@@ -10,8 +10,10 @@
 use skylarkdock_units::times::{HostTime, Millis};
 use std::hash::Hash;
 
-/// Largest mean number of upstreams in a part. Parts of a hash differ in size; 1.5 times as many still fit in a packet.
+/// Largest mean number of upstreams in a part whose entries are written one by one, and in one that is packed
+/// ([`crate::packed_load`]). Parts differ in size; 1.3 times as many still fit in a packet.
 const MEAN_UPSTREAMS: usize = 130;
+const MEAN_PACKED_UPSTREAMS: usize = 250;
 /// Largest number of parts.
 pub const MAX_PARTS: u8 = 254;
 /// Number of rounds in which a part that is no longer needed is sent empty, as a packet may be lost.
@@ -43,14 +45,17 @@
 }
 
 impl<D: Copy + Eq + Hash> ReportParts<D> {
-    /// Divides a report to a destination into parts, in the order of their indices. There is at least one.
+    /// Divides a report to a destination into parts, in the order of their indices. There is at least one. The load is
+    /// sorted by hash, and so are the parts, each of which has an equal range of the hashes.
     pub fn split(
         &mut self,
         destination: D,
-        load: &FastMap<UpstreamHash, u32>,
+        load: &[(UpstreamHash, u32)],
+        is_packed: bool,
         now: HostTime,
     ) -> Vec<Vec<(UpstreamHash, u32)>> {
-        let needed = load.len().div_ceil(MEAN_UPSTREAMS).max(1);
+        let mean = if is_packed { MEAN_PACKED_UPSTREAMS } else { MEAN_UPSTREAMS };
+        let needed = load.len().div_ceil(mean).max(1);
         let needed = u8::try_from(needed).unwrap_or(MAX_PARTS).min(MAX_PARTS);
         let sent = self.0.entry(destination).or_insert_with(|| Sent::new(now));
         if now.since(sent.at) >= FORGET_AFTER {
@@ -66,8 +71,9 @@
         sent.unneeded_rounds.retain(|rounds| *rounds <= CLEARING_ROUNDS);
         let mut split = vec![Vec::new(); sent.unneeded_rounds.len()];
         for (hash, count) in load {
-            let part = hash % u32::from(needed);
-            split[part as usize].push((*hash, *count));
+            let part = (u64::from(*hash) * u64::from(needed)) >> u32::BITS;
+            // Below `needed`, so the conversion can't fail.
+            split[usize::try_from(part).unwrap_or_default()].push((*hash, *count));
         }
         split
     }
--- a/crates/dispatch/tests/peer_load.rs
+++ b/crates/dispatch/tests/peer_load.rs
@@ -1,7 +1,7 @@
 //! Load reports of other hosts: replacement, expiry and totals over relays.
 
 use rstest::rstest;
-use skylarkdock_dispatch::peer_load::PeerLoad;
+use skylarkdock_dispatch::peer_load::{self, PeerLoad};
 use skylarkdock_units::times::{HostTime, Millis};
 
 #[test]
@@ -76,7 +76,7 @@
     relay.apply_report(("member", 1), Vec::new(), now);
     relay.apply_report(("member", 3), vec![(3, 2), (12, 4)], now);
     relay.apply_report(("other", 0), vec![(9, 5), (12, 1)], now);
-    let totals = relay.totals_where(|_| true);
+    let totals = peer_load::sorted(&relay.totals_where(|_| true));
     let rest = relay.subtract_reports(&totals, (0..=3).map(|part| ("member", part)));
-    assert_eq!(rest, [(9, 5), (12, 1)].into_iter().collect());
+    assert_eq!(rest, [(9, 5), (12, 1)]);
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod framing;
 pub mod host;
 pub mod listing;
+pub mod load_reports;
 pub mod logging;
 pub mod metrics;
 pub mod net;
--- a/crates/edge/src/traffic/crash_reports.rs
+++ b/crates/edge/src/traffic/crash_reports.rs
@@ -6,6 +6,7 @@
 use crate::clock;
 use crate::detour::{CONNECT_TIMEOUT, DetourError};
 use crate::listing::ListingUpdate;
+use crate::load_reports::CrashReport;
 use async_io::Timer;
 use metrics::{counter, gauge};
 use serde::{Deserialize, Serialize};
@@ -29,14 +30,6 @@
 /// Time that another host gets to say whether it reaches an upstream.
 const SECOND_OPINION_TIMEOUT: Millis = Millis(100);
 
-/// Crash in wire format: the incarnation, the fingerprints of the requests in flight and the load from all hosts.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(super) struct CrashReport {
-    upstream: u32,
-    in_flight: Vec<u64>,
-    load: u32,
-}
-
 /// Digest in wire format, with ages in milliseconds. Later versions may append fields, which earlier ones skip.
 #[derive(Debug, Serialize, Deserialize)]
 struct WireDigest {
@@ -44,18 +37,6 @@
     answered: Vec<(u64, u64)>,
 }
 
-impl CrashReport {
-    pub(super) fn new(crash: &Crash) -> Self {
-        let in_flight = crash.in_flight.iter().map(|fingerprint| fingerprint.0).collect();
-        Self { upstream: crash.upstream.0, in_flight, load: crash.load }
-    }
-
-    fn crash(self) -> Crash {
-        let in_flight = self.in_flight.into_iter().map(Fingerprint).collect();
-        Crash { upstream: IncarnationHash(self.upstream), in_flight, load: self.load }
-    }
-}
-
 impl WireDigest {
     fn new(digest: &Digest) -> Self {
         let wire = |entries: &[(Fingerprint, Millis)]| {
@@ -72,6 +53,16 @@
     }
 }
 
+fn to_report(crash: &Crash) -> CrashReport {
+    let in_flight = crash.in_flight.iter().map(|fingerprint| fingerprint.0).collect();
+    CrashReport { upstream: crash.upstream.0, in_flight, load: crash.load }
+}
+
+fn from_report(report: CrashReport) -> Crash {
+    let in_flight = report.in_flight.into_iter().map(Fingerprint).collect();
+    Crash { upstream: IncarnationHash(report.upstream), in_flight, load: report.load }
+}
+
 /// Returns whether a datagram is a digest.
 pub(super) fn is_digest(bytes: &[u8]) -> bool {
     bytes.starts_with(&DIGEST_TAG)
@@ -200,7 +191,7 @@
         if reports.is_empty() {
             return;
         }
-        let crashes: Vec<Crash> = reports.into_iter().map(CrashReport::crash).collect();
+        let crashes: Vec<Crash> = reports.into_iter().map(from_report).collect();
         let new = self.crash_tracker.borrow_mut().on_crashes(&crashes, clock::now());
         if new > 0 {
             counter!("skylarkdock_crash_evidence_total", "kind" => "reported")
@@ -239,6 +230,6 @@
     /// Returns the crashes to report.
     pub(super) fn crashes_to_report(&self) -> Vec<CrashReport> {
         let crashes = self.crash_tracker.borrow().recent_crashes(clock::now());
-        crashes.iter().map(CrashReport::new).collect()
+        crashes.iter().map(to_report).collect()
     }
 }
--- a/crates/edge/src/traffic/permits.rs
+++ b/crates/edge/src/traffic/permits.rs
@@ -2,8 +2,8 @@
 //! lost datagram is made up for by the next one.
 
 use super::Traffic;
-use super::reports::NameHash;
 use crate::clock;
+use crate::load_reports::NameHash;
 use async_io::Timer;
 use metrics::{counter, gauge};
 use serde::{Deserialize, Serialize};
--- a/crates/edge/src/traffic/reports.rs
+++ b/crates/edge/src/traffic/reports.rs
@@ -5,16 +5,15 @@
 //! their availability zone, which sends the sum to the relays of the other zones, and sends to each of its members the
 //! load of all other hosts that it knows of. The number of datagrams thus grows linearly with the number of hosts.
 
-use super::crash_reports::{self, CrashReport};
-use super::{Traffic, permits, trials};
+use super::{Traffic, crash_reports, permits, trials};
 use crate::clock;
+use crate::load_reports::{self, CrashReport, NameHash, Report, Scope};
 use crate::relays::{self, Rank};
 use crate::view::PeerInfo;
 use async_io::{Async, Timer};
 use metrics::counter;
-use serde::{Deserialize, Serialize};
 use skylarkdock_dispatch::crash_tracker::Digest;
-use skylarkdock_dispatch::peer_load::{PeerLoad, UpstreamHash};
+use skylarkdock_dispatch::peer_load::{self, PeerLoad, UpstreamHash};
 use skylarkdock_dispatch::report_parts::ReportParts;
 use skylarkdock_units::collections::{FastMap, FastSet};
 use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId, Zone};
@@ -22,7 +21,6 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
-use xxhash_rust::xxh3;
 
 /// Number of hosts up to which all report to each other directly.
 const MAX_DIRECT_HOSTS: usize = 16;
@@ -54,62 +52,16 @@
 /// Largest size of a datagram, below the usual maximum packet size.
 const MAX_REPORT_SIZE: usize = 1_400;
 
-/// Hash of a name, which is shorter than the name in a report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub(super) struct NameHash(pub(super) u32);
-
-impl NameHash {
-    pub(super) fn of(name: &str) -> Self {
-        let [a, b, c, d, ..] = xxh3::xxh3_64(name.as_bytes()).to_le_bytes();
-        Self(u32::from_le_bytes([a, b, c, d]))
-    }
-}
-
-/// Hosts whose requests a report counts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-enum Scope {
-    /// The sender; sent directly.
-    Own,
-    /// The sender and the hosts that it is the relay of; sent to its own relay.
-    Member,
-    /// All hosts of the sender's availability zone.
-    Zone,
-    /// All hosts that the sender knows of, except those that the receiver reports.
-    Rest,
-}
-
-impl Scope {
-    /// Returns the value of the `scope` label in metrics.
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Own => "own",
-            Self::Member => "member",
-            Self::Zone => "zone",
-            Self::Rest => "rest",
-        }
-    }
-}
-
 /// Report of load with the host that it is sent to.
 struct OutgoingReport {
     addr: SocketAddr,
     scope: Scope,
-    load: Loads,
+    /// Requests at each upstream, sorted by hash.
+    load: Vec<(UpstreamHash, u32)>,
     /// Whether the receiver is in another region.
     is_far: bool,
 }
 
-/// Report in wire format.
-#[derive(Debug, Serialize, Deserialize)]
-struct Report {
-    host: NameHash,
-    scope: Scope,
-    /// Index of the part, which selects the upstreams by their hash.
-    part: u8,
-    load: Vec<(UpstreamHash, u32)>,
-    crashes: Vec<CrashReport>,
-}
-
 /// Source of a report. A report replaces the previous one of the same source.
 type Source = (NameHash, Scope, u8);
 
@@ -131,6 +83,8 @@
     names: FastMap<UpstreamHash, (ServiceName, UpstreamId)>,
     members: FastMap<NameHash, Member>,
     parts: ReportParts<(SocketAddr, Scope)>,
+    /// Hosts that read packed loads, and when they last reported.
+    packed_readers: FastMap<SocketAddr, HostTime>,
     /// Hosts that report directly to this one although it knows no record of them, and when they last did.
     unrecorded: FastMap<SocketAddr, HostTime>,
     /// Relay that this host uses for each availability zone, and since when.
@@ -178,7 +132,7 @@
         let outgoing = if is_direct && is_idle && was_idle {
             Vec::new()
         } else if is_direct {
-            traffic.direct_reports(peers, own, includes_far, now)
+            traffic.direct_reports(peers, &own, includes_far, now)
         } else {
             traffic.relayed_reports(peers, &own, includes_far, now)
         };
@@ -208,8 +162,8 @@
             Ok((len, _)) if crash_reports::is_digest(&buf[..len]) => {
                 traffic.apply_digest(&buf[..len]);
             }
-            Ok((len, from)) => match postcard::from_bytes::<Report>(&buf[..len]) {
-                Ok(report) => traffic.apply_report(report, from),
+            Ok((len, from)) => match load_reports::decode(&buf[..len]) {
+                Ok((report, reads_packed)) => traffic.apply_report(report, reads_packed, from),
                 Err(e) => log::debug!("reports: can't read a report: {e}"),
             },
             Err(e) => {
@@ -235,7 +189,7 @@
     fn direct_reports(
         &self,
         peers: &[PeerInfo],
-        own: Loads,
+        own: &Loads,
         includes_far: bool,
         now: HostTime,
     ) -> Vec<OutgoingReport> {
@@ -249,8 +203,9 @@
         let is_far = |peer: &PeerInfo| peer.region != self.settings.region;
         let recorded = receivers.map(|peer| (peer.reports, is_far(peer)));
         let unrecorded = reports.unrecorded.keys().map(|addr| (*addr, false));
+        let load = peer_load::sorted(own);
         let report =
-            |(addr, is_far)| OutgoingReport { addr, scope: Scope::Own, load: own.clone(), is_far };
+            |(addr, is_far)| OutgoingReport { addr, scope: Scope::Own, load: load.clone(), is_far };
         recorded.chain(unrecorded).map(report).collect()
     }
 
@@ -266,6 +221,7 @@
         let mut outgoing = Vec::new();
         let mut group_load = reports.peer_load.totals_where(|(_, scope, _)| scope == Scope::Member);
         add_loads(&mut group_load, own);
+        let group_load = peer_load::sorted(&group_load);
         let settings = &self.settings;
         let rank = Rank::of(&settings.host, settings.size);
         let neighbours = peers.iter().filter(|peer| peer.zone == settings.zone);
@@ -300,10 +256,12 @@
             }
         }
         reports.members.retain(|_, member| now.since(member.reported_at) < MAX_MEMBER_SILENCE);
+        reports.packed_readers.retain(|_, at| now.since(*at) < MAX_FAR_RELAY_SILENCE);
         reports.parts.forget_silent(now);
         if !reports.members.is_empty() {
             let mut all = reports.peer_load.totals_where(|_| true);
             add_loads(&mut all, own);
+            let all = peer_load::sorted(&all);
             for (host, member) in &reports.members {
                 // Any part may be empty, so none ends the search for more.
                 let sources = (0..=member.last_part).map(|part| (*host, Scope::Member, part));
@@ -326,7 +284,11 @@
         let (addr, scope) = (*addr, *scope);
         let distance = if *is_far { "far" } else { "near" };
         let now = clock::now();
-        let parts = self.reports.borrow_mut().parts.split((addr, scope), load, now);
+        let (parts, is_packed) = {
+            let mut reports = self.reports.borrow_mut();
+            let is_packed = reports.packed_readers.contains_key(&addr);
+            (reports.parts.split((addr, scope), load, is_packed, now), is_packed)
+        };
         let fits_beside =
             parts.first().is_none_or(|part| part.len() <= MAX_UPSTREAMS_BESIDE_CRASHES);
         let beside = if fits_beside { crashes.len().min(MAX_CRASHES_PER_PART) } else { 0 };
@@ -340,7 +302,7 @@
             };
             let host = NameHash::of(self.settings.host.as_str());
             let report = Report { host, scope, part, load, crashes };
-            let bytes = match postcard::to_stdvec(&report) {
+            let bytes = match load_reports::encode(report, is_packed) {
                 Ok(bytes) if bytes.len() <= MAX_REPORT_SIZE => bytes,
                 Ok(bytes) => {
                     log::warn!(bytes = bytes.len(); "reports: too large for a packet, not sent");
@@ -361,11 +323,16 @@
         }
     }
 
-    fn apply_report(&self, report: Report, from: SocketAddr) {
+    fn apply_report(&self, report: Report, reads_packed: bool, from: SocketAddr) {
         let now = clock::now();
         self.apply_crash_reports(report.crashes);
         let updated = {
             let mut reports = self.reports.borrow_mut();
+            if reads_packed {
+                reports.packed_readers.insert(from, now);
+            } else {
+                reports.packed_readers.remove(&from);
+            }
             if report.scope == Scope::Member {
                 let known = reports.members.get(&report.host).map_or(0, |known| known.last_part);
                 let last_part = if report.part == CRASHES_PART { 0 } else { report.part };
--- a/crates/edge/src/traffic/trials.rs
+++ b/crates/edge/src/traffic/trials.rs
@@ -1,8 +1,8 @@
 //! Exchange of messages about trials between hosts, in datagrams. [`skylarkdock_dispatch::trials`] decides.
 
 use super::Traffic;
-use super::reports::NameHash;
 use crate::clock;
+use crate::load_reports::NameHash;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use metrics::counter;
