Check less often for what can't change meanwhile

A host that only follows others woke up some 45 times a second for checks of its own: three topics each 150 ms whether their records are too old, whether to stand for election each 150 ms, failed paths each 100 ms, its own record each 500 ms. At 295 hosts that is as much as all requests.

A follower whose source answers sleeps until its records could be too old, 0.6 s at most (freshness::reading): reads still begin no later than 150 ms after the age from which they must. The first host of a zone, and one that has lost its source, check as often as before. Only a host that has read the registry within a second may stand for election, so the others wait for such a read. A path that failed is probed 500 ms later, so a check each 400 ms is enough while none has.

freshness tests/reading.rs: rare and in time for all records and turns, and at once for the hosts that others follow. late_hosts and the tests of the platform's path pass. Computed for an idle follower: 45 checks a second before, 16 now.

--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -9,8 +9,10 @@
 use skylarkdock_units::times::{HostTime, Millis};
 use std::net::SocketAddr;
 
-/// Time between two probes of a failed path.
+/// Time between two probes of a failed path, and from its failure to the first one.
 const PROBE_INTERVAL: Millis = Millis(500);
+/// Time between checks for due probes while a path has failed.
+const CHECK_INTERVAL: Millis = Millis(100);
 /// Number of upstreams, with no other path working since, whose failed connections show that this host is cut off from
 /// all upstreams.
 const CUT_OFF_FAILURES: usize = 3;
@@ -78,6 +80,15 @@
         was_direct
     }
 
+    /// Returns the time until the next check for due probes. The first one after a failure is never late.
+    pub fn check_interval(&self) -> Millis {
+        if self.is_cut_off() || !self.failed.is_empty() {
+            CHECK_INTERVAL
+        } else {
+            PROBE_INTERVAL.saturating_sub(CHECK_INTERVAL)
+        }
+    }
+
     /// Returns the paths to probe now. A host that is cut off probes some of all upstreams in turn, as those that
     /// failed may have ended.
     pub fn take_due_probes(&mut self, now: HostTime) -> Vec<SocketAddr> {
--- a/crates/edge/src/control/election.rs
+++ b/crates/edge/src/control/election.rs
@@ -5,6 +5,7 @@
 use super::Control;
 use crate::clock;
 use async_io::Timer;
+use futures_lite::FutureExt;
 use metrics::counter;
 use skylarkdock_freshness::election::{self, Candidate};
 use skylarkdock_spans::leader::Leader;
@@ -15,8 +16,10 @@
 const JOIN_INTERVAL: Millis = Millis(600);
 /// Time after the last heartbeat that the store accepted, from which another host may lead.
 const LEADERSHIP_LIFETIME: Millis = Millis(1_900);
-/// Time between the checks of a host that sends no heartbeats whether it should stand for election.
+/// Time between the checks of a host that sends no heartbeats whether it should stand for election, and of one that does
+/// not read the store, unless it does so meanwhile.
 const CANDIDACY_CHECK_INTERVAL: Millis = Millis(150);
+const MAX_CANDIDACY_CHECK_INTERVAL: Millis = Millis(2_000);
 /// Time between a leader's checks whether to hand over, and during a handover between checks for pending moves.
 const HANDOVER_CHECK_INTERVAL: Millis = Millis(100);
 /// Time between the checks of a host that does not lead whether it was told to stop.
@@ -69,8 +72,18 @@
             if clock::now().since(self.accepted_as_leader_at.get()) > LEADERSHIP_LIFETIME {
                 self.set_leader(false);
             }
-            let interval = if is_member { JOIN_INTERVAL } else { CANDIDACY_CHECK_INTERVAL };
-            Timer::after(interval.duration()).await;
+            let may_stand_soon = is_paused || election::has_read(&candidate);
+            if is_member {
+                Timer::after(JOIN_INTERVAL.duration()).await;
+            } else if may_stand_soon {
+                Timer::after(CANDIDACY_CHECK_INTERVAL.duration()).await;
+            } else {
+                let read = self.registry_read.listen();
+                let passed = async {
+                    Timer::after(MAX_CANDIDACY_CHECK_INTERVAL.duration()).await;
+                };
+                read.or(passed).await;
+            }
         }
     }
 
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -115,6 +115,8 @@
     changed: Event,
     /// When the heartbeat was sent that the store last accepted from this host as leader.
     accepted_as_leader_at: Cell<HostTime>,
+    /// Notified when this host has read the registry from the store.
+    registry_read: Event,
     /// When this host sent its last read of the registry that succeeded; `None` if none has.
     registry_read_at: Cell<Option<HostTime>>,
     /// Limits of the age of what this host knows.
@@ -292,6 +294,7 @@
             changed: Event::new(),
             accepted_as_leader_at: Cell::new(HostTime(0)),
             registry_read_at: Cell::default(),
+            registry_read: Event::new(),
             limits,
             avoided: RefCell::default(),
             host_count: Cell::default(),
--- a/crates/edge/src/control/registration.rs
+++ b/crates/edge/src/control/registration.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 /// Time between checks whether this host is recorded.
-const CHECK_INTERVAL: Millis = Millis(500);
+const CHECK_INTERVAL: Millis = Millis(1_000);
 /// The same until this host has read the fleet topic.
 const FIRST_CHECK_INTERVAL: Millis = Millis(50);
 
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -27,8 +27,6 @@
 /// Time after its start within which a host reads the fleet topic before it reads others, to learn which hosts it can ask
 /// for them.
 const FIRST_FLEET_TIME: Millis = Millis(400);
-/// Time between checks of the age of records received from another host.
-const AGE_CHECK_INTERVAL: Millis = Millis(150);
 /// Pause after the first failed call; it doubles with each further failure, as each call is charged for even while the
 /// store is unavailable.
 const FIRST_RETRY_PAUSE: Millis = Millis(150);
@@ -46,6 +44,14 @@
     }
 }
 
+const fn records_of(topic: Topic) -> Records {
+    match topic {
+        Topic::Config => Records::Config,
+        Topic::Upstreams => Records::Registry,
+        Topic::Fleet => Records::Fleet,
+    }
+}
+
 /// Exponential backoff with jitter for failed reads of a topic.
 struct Backoff {
     pause: Millis,
@@ -117,7 +123,9 @@
                 if topic == Topic::Upstreams {
                     self.fleet.borrow_mut().known_records.set_reads_fail(false);
                 }
-                Timer::after(self.at_start(AGE_CHECK_INTERVAL).duration()).await;
+                let known = self.knowledge(topic, clock::now());
+                let interval = reading::check_interval(self.limits, records_of(topic), &known);
+                Timer::after(self.at_start(interval).duration()).await;
                 continue;
             }
             let asked_at = clock::now();
@@ -141,6 +149,7 @@
                     if topic == Topic::Upstreams {
                         let latency = clock::now().since(asked_at);
                         self.registry_read_at.set(Some(asked_at));
+                        self.registry_read.notify(usize::MAX);
                         self.min_store_latency.set(self.min_store_latency.get().min(latency));
                         self.fleet.borrow_mut().known_records.set_reads_fail(false);
                         if self.fleet.borrow().known_records.proof_at(topic) > asked_at {
@@ -195,11 +204,7 @@
         let replaces_leader = topic != Topic::Fleet
             && self.is_keeper()
             && (self.fleet.borrow().known_records.source_reads_fail() || self.lacks_leader(now));
-        let records = match topic {
-            Topic::Config => Records::Config,
-            Topic::Upstreams => Records::Registry,
-            Topic::Fleet => Records::Fleet,
-        };
+        let records = records_of(topic);
         !needs_heartbeats
             && !self.is_leader.get()
             && !replaces_leader
--- a/crates/edge/src/traffic/detours.rs
+++ b/crates/edge/src/traffic/detours.rs
@@ -10,15 +10,13 @@
 use metrics::{counter, gauge};
 use skylarkdock_dispatch::paths::Intermediary;
 use skylarkdock_units::ids::UpstreamId;
-use skylarkdock_units::times::Millis;
+use skylarkdock_units::times::{HostTime, Millis};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Interval at which due probes are sent.
-const PROBE_CHECK_INTERVAL: Millis = Millis(100);
-/// Number of those intervals between updates of the gauges.
-const GAUGES_EVERY: u64 = 10;
+/// Shortest time between two updates of the gauges.
+const GAUGE_INTERVAL: Millis = Millis(1_000);
 /// Shortest time between two checks of a path whose answers are late.
 const PATH_CHECK_INTERVAL: Millis = Millis(2_000);
 
@@ -91,17 +89,19 @@
 
     /// Probes the paths that failed until they work again.
     pub(super) async fn probe_failed_paths(self: Rc<Self>) {
-        let mut round: u64 = 0;
+        let mut gauges_set_at = HostTime::default();
         loop {
-            Timer::after(PROBE_CHECK_INTERVAL.duration()).await;
-            round += 1;
+            let interval = self.status.paths().lock().check_interval();
+            Timer::after(interval.duration()).await;
+            let now = clock::now();
             let (due, is_cut_off) = {
                 let mut paths = self.status.paths().lock();
-                (paths.take_due_probes(clock::now()), paths.is_cut_off())
+                (paths.take_due_probes(now), paths.is_cut_off())
             };
-            if round.is_multiple_of(GAUGES_EVERY) {
+            if now.since(gauges_set_at) >= GAUGE_INTERVAL {
+                gauges_set_at = now;
                 let resting = {
-                    let (services, now) = (self.services.borrow(), clock::now());
+                    let services = self.services.borrow();
                     let upstreams = services.values().flat_map(|state| state.service.upstreams());
                     let resting = upstreams.filter(|upstream| upstream.rest_until(now).is_some());
                     u32::try_from(resting.count()).unwrap_or(u32::MAX)
--- a/crates/freshness/src/election.rs
+++ b/crates/freshness/src/election.rs
@@ -54,9 +54,14 @@
     leader_age.is_some_and(|age| age > LEADER_TIMEOUT)
 }
 
+/// Returns whether a host has read the store lately. Others don't stand.
+pub fn has_read(candidate: &Candidate) -> bool {
+    candidate.read_age.is_some_and(|age| age <= MAX_READ_AGE)
+}
+
 /// Returns whether a host stands for election.
 pub fn stands(candidate: &Candidate) -> bool {
-    let reads = candidate.read_age.is_some_and(|age| age <= MAX_READ_AGE);
+    let reads = has_read(candidate);
     let is_remote = candidate.min_latency >= REMOTE_STORE_LATENCY;
     let remote_delay = if is_remote { REMOTE_DELAY } else { Millis(0) };
     let small_delay = if candidate.is_small { SMALL_DELAY } else { Millis(0) };
--- a/crates/freshness/src/reading.rs
+++ b/crates/freshness/src/reading.rs
@@ -37,6 +37,11 @@
 /// in percent of the same time.
 const FIRST_UPDATES_PERCENT: u64 = 33;
 
+/// Time between checks whether a host has to read records itself, if that may change at any time, and the longest one if
+/// only the age of the records matters.
+const CHECK_INTERVAL: Millis = Millis(150);
+const MAX_CHECK_INTERVAL: Millis = Millis(600);
+
 /// Place of a host in the order in which the hosts of an availability zone read the store. The first one has place 0.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct Turn(pub u64);
@@ -152,6 +157,21 @@
     known.age >= max_age + wait || known.registry_age >= limits.max_age() + wait
 }
 
+/// Returns the time after which a host that need not read records itself checks that again. One that other hosts follow
+/// may have to read them at once when it loses its source. Each of the other hosts only has to find out in time that its
+/// records are too old, and there are hundreds of these.
+pub fn check_interval(limits: Limits, records: Records, known: &Knowledge) -> Millis {
+    if !known.is_known || !known.has_source || known.turn == Turn::FIRST {
+        return CHECK_INTERVAL;
+    }
+    let max_age = if records == Records::Fleet { MAX_FLEET_AGE } else { limits.max_age() };
+    let until_too_old = max_age
+        .saturating_sub(known.age)
+        .min(limits.max_age().saturating_sub(known.registry_age))
+        .min(UNLED_READ_AGE.saturating_sub(known.leader_age.unwrap_or_default()));
+    until_too_old.clamp(CHECK_INTERVAL, MAX_CHECK_INTERVAL)
+}
+
 /// Returns whether a host asks any other host for updates, as its registry or configuration is too old. If its source is
 /// late as well and can't read the store, it does not wait until it could have read the store itself: others of the region
 /// may be up to date, and send differences.
--- a/crates/freshness/tests/reading.rs
+++ b/crates/freshness/tests/reading.rs
@@ -134,3 +134,37 @@
         assert!(!asks(limits.max_age().0));
     }
 }
+
+/// A host that others don't follow wakes up rarely while it gets updates, and still finds in time that they have stopped:
+/// it reads no later than 150 ms after the age from which it has to.
+#[rstest]
+fn checks_are_rare_and_in_time(
+    #[values(Records::Registry, Records::Config, Records::Fleet)] records: Records,
+    #[values(1, 7, 36)] turn: u64,
+) {
+    for effect_time in EFFECT_TIMES {
+        let limits = Limits::new(effect_time, effect_time);
+        let turn = Turn(turn);
+        assert!(reading::check_interval(limits, records, &knowledge(300, turn)) >= Millis(600));
+        let from = read_age(limits, records, turn);
+        let mut age = 0;
+        let mut previous = 0;
+        while !reading::reads_store(limits, records, &knowledge(age, turn)) {
+            previous = age;
+            age += reading::check_interval(limits, records, &knowledge(age, turn)).0;
+        }
+        assert!(age <= from + 150, "{records:?}: checked at {previous} and {age}, due at {from}");
+    }
+}
+
+/// The first host of a zone, and one that has lost its source, find out at once.
+#[test]
+fn the_hosts_that_others_follow_check_often() {
+    let limits = Limits::new(Millis(3_000), Millis(3_000));
+    for records in [Records::Registry, Records::Config, Records::Fleet] {
+        let first = reading::check_interval(limits, records, &knowledge(0, Turn::FIRST));
+        let lost = Knowledge { has_source: false, ..knowledge(0, Turn(4)) };
+        let lost = reading::check_interval(limits, records, &lost);
+        assert_eq!((first, lost), (Millis(150), Millis(150)), "{records:?}");
+    }
+}
