Tell hosts of each other when a fleet starts for the first time

Hosts that start ask a configured host which ones there are in their zone. When the whole fleet starts for the first time none is recorded, so the answer was empty and each host took itself for the only one of its zone: all of them read the configuration, the registry and the fleet topic from the store until the others were recorded.

A host that asks now tells its own record, all hosts of a zone ask the same configured host first, and one that has no recorded host of that zone to tell of answers when those that start with it have asked, 0.15 of the time within which changes must have an effect after its own start. A host is never told of itself unless it is recorded, as it would not write its record then. Hosts of the version before send no record and get what they got.

--- a/crates/edge/src/control/directory.rs
+++ b/crates/edge/src/control/directory.rs
@@ -5,9 +5,12 @@
 //! seconds, and the requests that cross it would fail with them. So a host that starts asks the configured hosts first
 //! for those of its zone, a few kilobytes. The largest of these keeps it up to date from then on, and only that one reads
 //! the store.
+//!
+//! When the whole fleet starts for the first time, no host is recorded yet. The hosts that ask tell of themselves, and all
+//! hosts of a zone ask the same configured host first, which therefore knows them all after a moment.
 
 use super::{Control, HostRecord, peers};
-use crate::client::{ControlClient, Patience};
+use crate::client::{ControlClient, Failure, Patience};
 use crate::clock;
 use crate::store::Topic;
 use async_io::Timer;
@@ -16,8 +19,9 @@
 use skylarkdock_freshness::reading::Turn;
 use skylarkdock_units::ids::Zone;
 use skylarkdock_units::times::{HostTime, Millis};
-use std::net::SocketAddr;
+use std::io::ErrorKind;
 use std::rc::Rc;
+use xxhash_rust::xxh3;
 
 pub(super) const DIRECTORY_PATH: &str = "/hosts";
 /// Time after its start for which a host looks for sources at short intervals, and that interval.
@@ -35,6 +39,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct DirectoryRequest {
     zone: Zone,
+    /// Host that asks; `None` for a host of an earlier version.
+    #[serde(default)]
+    host: Option<HostRecord>,
 }
 
 /// Starts the task that learns of the hosts of this zone.
@@ -81,14 +88,15 @@
 
     /// Asks the configured hosts for the hosts of this zone, until one has answered or the time for it has passed.
     async fn learn_hosts(self: Rc<Self>) {
-        let mut seeds: Vec<SocketAddr> = self.settings.seeds.clone();
-        fastrand::shuffle(&mut seeds);
-        let request = DirectoryRequest { zone: self.settings.zone.clone() };
-        let mut next = seeds.iter().cycle();
+        let seeds = &self.settings.seeds;
+        let zone = &self.settings.zone;
+        let first = first_seed(zone, seeds.len());
+        let request = DirectoryRequest { zone: zone.clone(), host: Some(self.own_record()) };
+        let mut next = seeds.iter().cycle().skip(first).peekable();
         while self.asks_for_hosts(clock::now()) {
-            let Some(addr) = next.next() else { return };
-            let patience = Patience::whole(DIRECTORY_WAIT + DIRECTORY_WAIT);
-            let mut caller = ControlClient::new(*addr);
+            let Some(addr) = next.peek().copied().copied() else { return };
+            let patience = Patience::whole(self.limits.directory_time());
+            let mut caller = ControlClient::new(addr);
             let answer =
                 peers::call(&mut caller, DIRECTORY_PATH, &request, patience).await.map(|body| {
                     serde_json::from_slice::<Vec<HostRecord>>(&body)
@@ -109,33 +117,71 @@
                 }
                 Err(e) => {
                     log::info!(peer:% = addr, error:% = e; "fleet: can't ask for the hosts of this zone");
+                    // One that starts at the same time may not listen yet, and another one knows fewer hosts of this zone.
+                    let is_starting = matches!(&e, Failure::NotSent(e) if e.kind() == ErrorKind::ConnectionRefused)
+                        && clock::now().since(self.started_at) < self.limits.gathering_time();
+                    if !is_starting {
+                        next.next();
+                    }
                     Timer::after(RETRY_PAUSE.duration()).await;
                 }
             }
         }
     }
 
-    /// Returns the recorded hosts of a zone, or `None` if this host does not learn of the fleet in time.
+    /// Returns the hosts of a zone: those that are recorded and those that have asked, but for the asking one if it is not
+    /// recorded. Returns `None` if this host does not learn of the fleet in time.
     pub(super) async fn on_directory_request(
         &self,
         request: DirectoryRequest,
     ) -> Option<Vec<HostRecord>> {
-        let until = clock::now() + DIRECTORY_WAIT;
+        let DirectoryRequest { zone, host: asking } = request;
+        let asked_at = clock::now();
+        if let Some(record) = &asking {
+            let mut fleet = self.fleet.borrow_mut();
+            if !fleet.hosts.contains_key(&record.host) {
+                fleet.put_host(record.clone());
+            }
+        }
+        let is_known = || self.fleet.borrow().known_records.fleet.proof_at.0 > 0;
+        self.wait_for_fleet(asked_at + DIRECTORY_WAIT, is_known).await;
+        if !is_known() {
+            return None;
+        }
+        if !self.has_recorded_host(&zone) {
+            let gathered_at = self.started_at + self.limits.gathering_time();
+            self.wait_for_fleet(gathered_at, || self.has_recorded_host(&zone)).await;
+        }
+        let fleet = self.fleet.borrow();
+        let is_listed = |record: &&HostRecord| {
+            let is_asking = asking.as_ref().is_some_and(|asking| asking.host == record.host);
+            record.zone == zone && (!is_asking || fleet.is_recorded(&record.host))
+        };
+        Some(fleet.hosts.values().filter(is_listed).cloned().collect())
+    }
+
+    /// Waits until a condition on the known fleet holds or a time has come.
+    async fn wait_for_fleet(&self, until: HostTime, is_met: impl Fn() -> bool) {
         loop {
             let listener = self.changed.listen();
-            if self.fleet.borrow().known_records.fleet.proof_at.0 > 0 {
-                break;
-            }
-            if clock::now() >= until {
-                return None;
+            if is_met() || clock::now() >= until {
+                return;
             }
             let passed = async {
                 Timer::at(clock::instant(until)).await;
             };
             listener.or(passed).await;
         }
+    }
+
+    fn has_recorded_host(&self, zone: &Zone) -> bool {
         let fleet = self.fleet.borrow();
-        let hosts = fleet.hosts.values().filter(|record| record.zone == request.zone);
-        Some(hosts.cloned().collect())
+        fleet.hosts.values().any(|record| record.zone == *zone && fleet.is_recorded(&record.host))
     }
 }
+
+/// Returns the index of the configured host that all hosts of a zone ask first.
+fn first_seed(zone: &Zone, seeds: usize) -> usize {
+    let hash = xxh3::xxh3_64(zone.as_str().as_bytes()) % u64::try_from(seeds.max(1)).unwrap_or(1);
+    usize::try_from(hash).unwrap_or_default()
+}
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -224,6 +224,12 @@
         true
     }
 
+    /// Returns whether the store has a record of a host, as far as this host knows.
+    fn is_recorded(&self, host: &HostId) -> bool {
+        let record = self.known_records.fleet.records.get(&format!("{HOST_PREFIX}{host}"));
+        record.is_some_and(|(value, _)| !value.is_empty())
+    }
+
     /// Removes the record of a host. Returns whether it was known.
     fn remove_host(&mut self, host: &HostId) -> bool {
         let is_known = self.hosts.remove(host).is_some();
@@ -324,6 +330,18 @@
         control
     }
 
+    /// Returns the record by which other hosts know this one.
+    fn own_record(&self) -> HostRecord {
+        HostRecord {
+            host: self.settings.host.clone(),
+            zone: self.settings.zone.clone(),
+            region: self.settings.region.clone(),
+            size: self.settings.size,
+            peers: self.settings.peers,
+            reports: self.settings.reports,
+        }
+    }
+
     /// Serves the metrics. The gauges of the known state and its age are set at each scrape.
     pub fn serve_metrics(self: &Rc<Self>, handle: PrometheusHandle) {
         let control = Rc::clone(self);
--- a/crates/edge/src/control/registration.rs
+++ b/crates/edge/src/control/registration.rs
@@ -21,14 +21,7 @@
 impl Control {
     /// Writes this host's record whenever the host finds that it is not recorded, from the store or from another host.
     async fn keep_registered(self: Rc<Self>) {
-        let own = HostRecord {
-            host: self.settings.host.clone(),
-            zone: self.settings.zone.clone(),
-            region: self.settings.region.clone(),
-            size: self.settings.size,
-            peers: self.settings.peers,
-            reports: self.settings.reports,
-        };
+        let own = self.own_record();
         let value = match serde_json::to_vec(&own) {
             Ok(value) => value,
             Err(e) => {
--- a/crates/freshness/src/reading.rs
+++ b/crates/freshness/src/reading.rs
@@ -33,6 +33,9 @@
 /// Time after its start for which a host asks others which hosts there are before it reads that from the store itself, in
 /// percent of the same time. A configured host that starts at the same time has read the store by then.
 const DIRECTORY_PERCENT: u64 = 20;
+/// Time after its start within which a configured host is asked by the others of a fleet that starts for the first time, in
+/// percent of the same time.
+const GATHERING_PERCENT: u64 = 15;
 /// Time after its start for which a host that knows the hosts of its zone waits for the first updates of the largest one,
 /// in percent of the same time.
 const FIRST_UPDATES_PERCENT: u64 = 33;
@@ -97,6 +100,11 @@
         Millis(self.effect_time.0 * DIRECTORY_PERCENT / 100)
     }
 
+    /// Returns the time after its start within which a configured host is asked by all that start at the same time.
+    pub const fn gathering_time(self) -> Millis {
+        Millis(self.effect_time.0 * GATHERING_PERCENT / 100)
+    }
+
     /// Returns the time after its start for which a host waits for the first updates of another.
     pub const fn first_updates_time(self) -> Millis {
         Millis(self.effect_time.0 * FIRST_UPDATES_PERCENT / 100)
