--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -38,6 +38,12 @@
     /// The answer can't be parsed.
     #[error("can't parse the store's answer: {0}")]
     Malformed(&'static str),
+    /// A record is larger than the store takes, also compressed. Nothing was sent.
+    #[error("a record is too large for the store")]
+    TooLarge,
+    /// A record can't be compressed. Nothing was sent.
+    #[error("can't compress a record")]
+    Compression(#[source] skylarkdock_deltas::DeltaError),
 }
 
 /// Record of a key. An empty value marks the key as deleted.
