Prefer upstreams of the own availability zone

Requests of services without keys left their zone half of the time although it had free slots, as the distance counted with its 3 ms only, beside a random part of up to 0.6 of several hundred milliseconds.

An upstream of another zone of the region now counts with 1.1 of its expected time.

--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -52,6 +52,9 @@
 /// that spread their requests over all upstreams of a service would open a connection for nearly each request, as none is
 /// used again before it is closed. An upstream that is faster by more than this is still preferred.
 const OPEN_CONNECTION_FACTOR: f32 = 0.7;
+/// Factor of the expected time of an upstream in another availability zone, as traffic between zones is paid for. It delays
+/// no caller by more than the difference between two free upstreams.
+const OTHER_ZONE_FACTOR: f32 = 1.1;
 /// Load from which the upstreams of a scope count as nearly full, in percent of their capacity.
 const FULL_PERCENT: u32 = 80;
 /// Requests that a host may have at nearly full upstreams, in percent of its equal share of their capacity. Otherwise
@@ -438,6 +441,9 @@
             if upstream.is_failing() {
                 expected *= 3.0;
             }
+            if info.distance == Distance::Region {
+                expected *= OTHER_ZONE_FACTOR;
+            }
             expected *= if upstream.can_reuse_connection(is_once, load, now) {
                 OPEN_CONNECTION_FACTOR
             } else {
