Follow the hosts that a configured host tells of, also when updates came first

On the large site the answer with the hosts of a zone comes 0.45 s after the start, and a host without a configuration asked a random configured host for updates after 0.3 s.

The hosts of the answer are now taken whenever it comes, unless the store has told of them already, and a host asks no random one while it waits for the answer.

--- a/crates/edge/src/control/directory.rs
+++ b/crates/edge/src/control/directory.rs
@@ -81,6 +81,9 @@
     pub(super) fn first_read_time(&self) -> Millis {
         if self.has_asked_for_hosts.get() {
             self.limits.first_updates_time()
+        } else if self.asks_for_hosts(clock::now()) {
+            // The answer of a random host would not say which one to follow.
+            self.limits.directory_time()
         } else {
             FIRST_READ_TIME
         }
@@ -107,9 +110,9 @@
                 Ok(hosts) => {
                     log::info!(peer:% = addr, hosts = hosts.len(); "fleet: learnt the hosts of this zone");
                     let mut fleet = self.fleet.borrow_mut();
-                    // What the store says of a host is newer.
-                    if fleet.known_records.fleet.proof_at.0 == 0 {
-                        for host in hosts {
+                    for host in hosts {
+                        // What the store says of a host is newer.
+                        if !fleet.hosts.contains_key(&host.host) {
                             fleet.put_host(host);
                         }
                     }
