--- a/crates/edge/tests/table_reader.rs
+++ b/crates/edge/tests/table_reader.rs
@@ -104,3 +104,55 @@
     assert_eq!(reader.read(&text).unwrap(), known);
     assert_eq!(reader.decoded(), 0);
 }
+
+/// Other versions may write the same table in another way.
+#[test]
+fn a_table_that_is_written_in_another_way_is_read() {
+    let mut reader = TableReader::default();
+    for version in 1_u8..6 {
+        let mut spans = equal_spans();
+        spans[usize::from(version)].fence = FencingToken(9);
+        let table = table(spans, u64::from(version));
+        let text = if version % 2 == 0 {
+            serde_json::to_vec_pretty(&table).unwrap()
+        } else {
+            serde_json::to_vec(&table).unwrap()
+        };
+        assert_eq!(reader.read(&text).unwrap(), table, "version {version}");
+    }
+}
+
+/// The ends of the list, where there is no comma, and lists of no span at all.
+#[test]
+fn spans_at_the_ends_of_the_list_change() {
+    let mut reader = TableReader::default();
+    let all = equal_spans();
+    let lists = [0..3, 1..3, 0..3, 0..2, 0..3, 0..0, 0..1, 2..3, 0..0, 0..0, 0..3, 0..3];
+    for (version, range) in (1..).zip(lists) {
+        let table = table(all[range].to_vec(), version);
+        let text = serde_json::to_vec(&table).unwrap();
+        assert_eq!(reader.read(&text).unwrap(), table, "version {version}");
+    }
+}
+
+/// Bytes are lost or changed at any place: the result is an error or what the text says, never something between.
+#[test]
+fn a_damaged_text_is_refused_or_read_as_it_is() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let known = table(equal_spans()[..20].to_vec(), 1);
+    let text = serde_json::to_vec(&known).unwrap();
+    for _ in 0..5_000 {
+        let mut reader = TableReader::default();
+        reader.read(&text).unwrap();
+        let mut damaged = text.clone();
+        let index = rng.usize(..damaged.len());
+        match rng.u8(..3) {
+            0 => damaged[index] = b"{},:[]\"0"[rng.usize(..8)],
+            1 => drop(damaged.remove(index)),
+            _ => damaged.insert(index, b"{},:[]\"0"[rng.usize(..8)]),
+        }
+        let expected = serde_json::from_slice::<Table>(&damaged).ok();
+        assert_eq!(reader.read(&damaged).ok(), expected, "{}", String::from_utf8_lossy(&damaged));
+        assert_eq!(reader.read(&text).unwrap(), known);
+    }
+}
