Give a configured host little time to open a connection

After all hosts of the large site had lost power, a configured host started a little later than the others, and until then connections to it neither opened nor failed.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -440,6 +440,17 @@
         self.addr
     }
 
+    /// Opens a connection for the next call, for a peer that may not be there: a host without power answers nothing, and the
+    /// call would wait for it as long as for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Failure::NotSent`] if the connection can't be opened in time.
+    pub async fn connect(&mut self, timeout: Millis) -> Result<(), Failure> {
+        self.conn = Some(Conn::open(self.addr, timeout).await.map_err(Failure::NotSent)?);
+        Ok(())
+    }
+
     /// Makes a call. If the peer has closed the kept connection, returns [`Failure::NotSent`] once, so that the caller
     /// learns of it; the next call opens a new connection.
     ///
--- a/crates/edge/src/control/directory.rs
+++ b/crates/edge/src/control/directory.rs
@@ -27,6 +27,9 @@
 /// Time after its start for which a host looks for sources at short intervals, and that interval.
 const STARTING_TIME: Millis = Millis(2_000);
 const STARTING_INTERVAL: Millis = Millis(40);
+/// Time in which a connection to a configured host has to open. One that starts a little later answers nothing before, and
+/// the hosts of a zone would all wait for it until they read the store themselves.
+const CONNECT_TIMEOUT: Millis = Millis(100);
 /// Longest time for which a host that does not know the fleet yet holds back its answer.
 const DIRECTORY_WAIT: Millis = Millis(250);
 /// Time that a host without a configuration waits for the store after its start before it asks any other host, if no
@@ -100,12 +103,15 @@
             let Some(addr) = next.peek().copied().copied() else { return };
             let patience = Patience::whole(self.limits.directory_time());
             let mut caller = ControlClient::new(addr);
-            let answer =
-                peers::call(&mut caller, DIRECTORY_PATH, &request, patience).await.map(|body| {
-                    serde_json::from_slice::<Vec<HostRecord>>(&body)
-                        .inspect_err(|e| log::warn!(peer:% = addr, error:% = e; "fleet: can't decode a list of hosts"))
-                        .unwrap_or_default()
-                });
+            let asked = async {
+                caller.connect(CONNECT_TIMEOUT).await?;
+                peers::call(&mut caller, DIRECTORY_PATH, &request, patience).await
+            };
+            let answer = asked.await.map(|body| {
+                serde_json::from_slice::<Vec<HostRecord>>(&body)
+                    .inspect_err(|e| log::warn!(peer:% = addr, error:% = e; "fleet: can't decode a list of hosts"))
+                    .unwrap_or_default()
+            });
             match answer {
                 Ok(hosts) => {
                     log::info!(peer:% = addr, hosts = hosts.len(); "fleet: learnt the hosts of this zone");
