--- a/crates/edge/src/load_reports.rs
+++ b/crates/edge/src/load_reports.rs
@@ -67,7 +67,7 @@
 /// Load report of one host, or a part of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// Sender.
+    /// Host that sent the report.
     pub host: NameHash,
     /// Hosts whose requests are counted.
     pub scope: Scope,
