Write queued log lines before the process ends

Callers' operators saw no line of a planned stop: 'host: stopped' was queued for the writing thread, and the process ended before that thread ran.

A log that takes nothing doesn't keep the process from ending: the flush gives up.

--- a/crates/edge/src/logging.rs
+++ b/crates/edge/src/logging.rs
@@ -8,8 +8,9 @@
 use logforth::record::{Level, LevelFilter, Record};
 use logforth::{Append, Diagnostic, Layout};
 use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::times::Millis;
 use std::io::{self, Write};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::Instant;
@@ -22,6 +23,19 @@
 const MAX_LINES_PER_SECOND: u32 = 20;
 /// Number of kinds with a limit of their own; lines of further kinds share one.
 const MAX_KINDS: usize = 256;
+/// Longest wait for the lines that are queued when the process ends; well below the margin that a shutdown leaves before
+/// the process is killed.
+const FLUSH_TIMEOUT: Millis = Millis(100);
+/// Pause between attempts to enter a full queue during a flush.
+const FLUSH_RETRY_PAUSE: Millis = Millis(5);
+
+/// Entry of the queue to the writing thread.
+#[derive(Debug)]
+enum Queued {
+    Line(Vec<u8>),
+    /// Asks for an answer once all earlier lines are written.
+    Flush(SyncSender<()>),
+}
 
 /// Lines of one kind in the current second, and those held back since one was last written.
 #[derive(Debug, Default, Clone, Copy)]
@@ -62,14 +76,49 @@
     }
 }
 
-/// Appender that formats lines and queues them for the writing thread.
+/// Appender that formats lines and queues them for a writing thread.
 #[derive(Debug)]
-struct QueueAppender {
+pub struct QueueAppender {
     layout: JsonLayout,
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Queued>,
     limiter: Mutex<RateLimiter>,
 }
 
+impl QueueAppender {
+    /// Starts the thread that writes to `out`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread can't be started.
+    pub fn start(out: impl Write + Send + 'static) -> io::Result<Self> {
+        let (lines, queue) = sync_channel(MAX_QUEUED_LINES);
+        thread::Builder::new().name("log".to_owned()).spawn(move || write_lines(&queue, out))?;
+        let limiter =
+            Mutex::new(RateLimiter { started: Instant::now(), kinds: FastMap::default() });
+        Ok(Self { layout: JsonLayout::default(), lines, limiter })
+    }
+
+    /// Waits until the lines that are queued now are written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they are not within `timeout`.
+    pub fn wait_written(&self, timeout: Millis) -> Result<(), logforth::Error> {
+        let end = Instant::now() + timeout.duration();
+        let (tx, rx) = sync_channel(1);
+        while let Err(TrySendError::Full(_)) = self.lines.try_send(Queued::Flush(tx.clone())) {
+            if Instant::now() >= end {
+                break;
+            }
+            thread::sleep(FLUSH_RETRY_PAUSE.duration());
+        }
+        // Without this, a flush that could not be queued would look like one that takes long.
+        drop(tx);
+        let left = end.saturating_duration_since(Instant::now());
+        rx.recv_timeout(left).map_err(|_| logforth::Error::new("queued log lines were not written"))
+    }
+}
+
 impl Append for QueueAppender {
     fn append(
         &self,
@@ -90,14 +139,14 @@
         if held_back > 0 {
             line.extend_from_slice(held_back_line(record, &kind, held_back).as_bytes());
         }
-        if self.lines.try_send(line).is_err() {
+        if self.lines.try_send(Queued::Line(line)).is_err() {
             metrics::counter!("skylarkdock_log_lines_dropped_total").increment(1);
         }
         Ok(())
     }
 
     fn flush(&self) -> Result<(), logforth::Error> {
-        Ok(())
+        self.wait_written(FLUSH_TIMEOUT)
     }
 }
 
@@ -118,19 +167,23 @@
 ///
 /// Fails when the thread can't be started.
 pub fn start() -> io::Result<()> {
-    let (tx, rx) = sync_channel(MAX_QUEUED_LINES);
-    thread::Builder::new().name("log".to_owned()).spawn(move || write_lines(&rx))?;
-    let limiter = Mutex::new(RateLimiter { started: Instant::now(), kinds: FastMap::default() });
-    let append = QueueAppender { layout: JsonLayout::default(), lines: tx, limiter };
+    let append = QueueAppender::start(io::stdout())?;
     logforth::starter_log::builder()
         .dispatch(|d| d.filter(LevelFilter::MoreSevereEqual(Level::Info)).append(append))
         .apply();
     Ok(())
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>) {
-    let mut out = io::stdout();
-    while let Ok(line) = lines.recv() {
+fn write_lines(queue: &Receiver<Queued>, mut out: impl Write) {
+    while let Ok(queued) = queue.recv() {
+        let line = match queued {
+            Queued::Line(line) => line,
+            Queued::Flush(done) => {
+                // The waiting thread may have given up.
+                let _ = done.try_send(());
+                continue;
+            }
+        };
         if out.write_all(&line).and_then(|()| out.flush()).is_err() {
             metrics::counter!("skylarkdock_log_lines_dropped_total").increment(1);
         }
