Compute with any number of slots and of reported requests

Symptom: with one upstream entry of 2^31 slots among good ones, hosts took the whole service for full and let requests wait although the others had room; builds with overflow checks ended at the first routing decision.

Cause: `Upstream::capacity`, `Upstream::has_capacity` and the sums of `Service::candidates` multiplied and added numbers of slots in 32 bits. `Upstream::load` and `PeerLoad` added counts of load reports in the same way. Numbers of slots are chosen by whoever writes the entry.

Change: sums and products in 64 bits, and saturating where the result has 32. The totals of `PeerLoad` have 64 bits, as a saturated sum would stay wrong once a report is replaced.

--- a/crates/dispatch/src/peer_load.rs
+++ b/crates/dispatch/src/peer_load.rs
@@ -25,7 +25,7 @@
 #[derive(Debug, Clone)]
 pub struct PeerLoad<S> {
     reports: FastMap<S, LoadReport>,
-    totals: FastMap<UpstreamHash, u32>,
+    totals: FastMap<UpstreamHash, u64>,
 }
 
 impl<S> Default for PeerLoad<S> {
@@ -44,7 +44,7 @@
     ) -> FastSet<UpstreamHash> {
         let mut affected = self.remove_report(source);
         for (id, count) in &load {
-            *self.totals.entry(*id).or_default() += count;
+            *self.totals.entry(*id).or_default() += u64::from(*count);
             affected.insert(*id);
         }
         self.reports.insert(source, LoadReport { at: now, load });
@@ -69,7 +69,7 @@
         for (id, count) in report.load {
             affected.insert(id);
             if let Some(total) = self.totals.get_mut(&id) {
-                *total = total.saturating_sub(count);
+                *total = total.saturating_sub(u64::from(count));
                 if *total == 0 {
                     self.totals.remove(&id);
                 }
@@ -80,15 +80,17 @@
 
     /// Returns the number of requests that all sources report at an upstream.
     pub fn total(&self, id: UpstreamHash) -> u32 {
-        self.totals.get(&id).copied().unwrap_or_default()
+        let total = self.totals.get(&id).copied().unwrap_or_default();
+        u32::try_from(total).unwrap_or(u32::MAX)
     }
 
     /// Returns the totals per upstream over the sources for which `include` returns true.
     pub fn totals_where(&self, include: impl Fn(S) -> bool) -> FastMap<UpstreamHash, u32> {
-        let mut totals = FastMap::default();
+        let mut totals: FastMap<UpstreamHash, u32> = FastMap::default();
         for (_, report) in self.reports.iter().filter(|(source, _)| include(**source)) {
             for (id, count) in &report.load {
-                *totals.entry(*id).or_default() += count;
+                let total = totals.entry(*id).or_default();
+                *total = total.saturating_add(*count);
             }
         }
         totals
@@ -104,7 +106,8 @@
         let mut reported: FastMap<UpstreamHash, u32> = FastMap::default();
         for report in sources.filter_map(|source| self.reports.get(&source)) {
             for (id, count) in &report.load {
-                *reported.entry(*id).or_default() += count;
+                let total = reported.entry(*id).or_default();
+                *total = total.saturating_add(*count);
             }
         }
         let rest = totals.iter().map(|(id, total)| {
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -56,10 +56,10 @@
 /// no caller by more than the difference between two free upstreams.
 const OTHER_ZONE_FACTOR: f32 = 1.1;
 /// Load from which the upstreams of a scope count as nearly full, in percent of their capacity.
-const FULL_PERCENT: u32 = 80;
+const FULL_PERCENT: u64 = 80;
 /// Requests that a host may have at nearly full upstreams, in percent of its equal share of their capacity. Otherwise
 /// the requests that many hosts send between two load reports would overload them, and ranks would no longer decide.
-const OWN_SHARE_PERCENT: u32 = 130;
+const OWN_SHARE_PERCENT: u64 = 130;
 /// Fraction of the capacity that is assumed to remain for a rank, however many requests of ranks served before it
 /// arrive.
 const MIN_CAPACITY_SHARE: f32 = 0.1;
@@ -87,17 +87,18 @@
     /// Upstream with the lowest expected time, and that time in milliseconds.
     best: Option<(UpstreamId, f32)>,
     /// Number of requests that the upstreams accept from all hosts.
-    capacity: u32,
+    capacity: u64,
     /// Requests from all hosts.
-    load: u32,
+    load: u64,
     /// Requests from this host.
-    in_flight: u32,
+    in_flight: u64,
 }
 
 impl Candidates {
     /// Returns the best upstream, unless the upstreams are nearly full and this host already uses its share.
     fn within_share(self, region_hosts: u32) -> Option<(UpstreamId, f32)> {
-        let share = (self.capacity * OWN_SHARE_PERCENT / 100 / region_hosts.max(1)).max(1);
+        let share =
+            (self.capacity * OWN_SHARE_PERCENT / 100 / u64::from(region_hosts.max(1))).max(1);
         let is_full = self.load * 100 >= self.capacity * FULL_PERCENT;
         self.best.filter(|_| !is_full || self.in_flight < share)
     }
@@ -429,9 +430,9 @@
                 continue;
             }
             let load = upstream.load(now);
-            candidates.capacity += upstream.capacity();
-            candidates.load += load;
-            candidates.in_flight += upstream.in_flight();
+            candidates.capacity += u64::from(upstream.capacity());
+            candidates.load += u64::from(load);
+            candidates.in_flight += u64::from(upstream.in_flight());
             if !upstream.has_capacity(self.region_hosts, load, now)
                 || request.tried.contains(&info.id)
             {
@@ -478,7 +479,7 @@
             let service_ms = owner.service_ms().unwrap_or(mean_ms);
             let slots = as_f32(owner.info().slots.max(1));
             // Requests of other hosts compete for the owner's slots.
-            let peer_requests = as_f32(owner.load(now).saturating_sub(owner.in_flight()) + 1);
+            let peer_requests = as_f32(owner.load(now).saturating_sub(owner.in_flight())) + 1.0;
             let own_share = (as_f32(owner.in_flight() + 1)
                 / (as_f32(owner.in_flight()) + peer_requests))
                 .max(0.1);
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -21,7 +21,7 @@
 const STALL_FACTOR: f32 = 3.0;
 /// Requests sent to an upstream beyond its slots, in percent of them. Enough to keep a slot busy between an answer and
 /// the next request; further requests wait on the host, where they are ordered by rank.
-const BACKLOG_PERCENT: u32 = 34;
+const BACKLOG_PERCENT: u64 = 34;
 /// Number of equal shares of an upstream's capacity that one host may use. Keeps the hosts from overloading an upstream
 /// together when a key becomes hot before the next load reports arrive.
 const HOST_SHARES: u32 = 3;
@@ -223,7 +223,7 @@
     /// [`Upstream::set_peer_load`] is too old.
     pub fn load(&self, now: HostTime) -> u32 {
         let is_fresh = now.since(self.peer_load_at) <= PEER_LOAD_LIFETIME;
-        self.in_flight() + if is_fresh { self.peer_load } else { 0 }
+        self.in_flight().saturating_add(if is_fresh { self.peer_load } else { 0 })
     }
 
     /// Returns the measured mean time for one request, without the time in queues.
@@ -337,8 +337,9 @@
 
     /// Returns the number of requests that all hosts together may have at the upstream.
     pub fn capacity(&self) -> u32 {
-        let slots = self.info.slots.max(1);
-        slots + (slots * BACKLOG_PERCENT).div_ceil(100)
+        let slots = u64::from(self.info.slots.max(1));
+        let capacity = slots + (slots * BACKLOG_PERCENT).div_ceil(100);
+        u32::try_from(capacity).unwrap_or(u32::MAX)
     }
 
     /// Returns whether the upstream can take one more request beside the `load` known requests. `sharing_hosts` hosts
@@ -348,7 +349,8 @@
             return false;
         }
         let limit = self.capacity();
-        let host_limit = (limit * HOST_SHARES).div_ceil(sharing_hosts.max(1)).max(MIN_HOST_LIMIT);
+        let host_limit =
+            limit.saturating_mul(HOST_SHARES).div_ceil(sharing_hosts.max(1)).max(MIN_HOST_LIMIT);
         if self.in_flight() >= host_limit {
             return false;
         }
--- a/crates/dispatch/tests/peer_load.rs
+++ b/crates/dispatch/tests/peer_load.rs
@@ -80,3 +80,16 @@
     let rest = relay.subtract_reports(&totals, (0..=3).map(|part| ("member", part)));
     assert_eq!(rest, [(9, 5), (12, 1)]);
 }
+
+/// Reports come over the network, and a sum that overflowed ended builds with checks.
+#[test]
+fn counts_of_any_size_are_added() {
+    let mut load: PeerLoad<u32> = PeerLoad::default();
+    load.apply_report(1, vec![(7, u32::MAX)], HostTime(10));
+    load.apply_report(2, vec![(7, 3)], HostTime(10));
+    assert_eq!(load.total(7), u32::MAX);
+    assert_eq!(load.totals_where(|_| true).get(&7), Some(&u32::MAX));
+    load.apply_report(1, vec![(7, 1)], HostTime(20));
+    load.apply_report(2, vec![(7, 3)], HostTime(20));
+    assert_eq!(load.total(7), 4, "the sum stays wrong");
+}
