Cut long texts in the errors of records

Symptom: an entry that can't be read is logged with the text that was not understood, at each read of all entries. A record has up to 262,144 bytes, so one line had 200 KB; with 60 lines a second and 1,024 lines that may wait for a slow reader of logs, that is 12 MB/s and 200 MB of memory, most of what a host has (argued from the limits, not played).

Cause: `DecodeError` took the whole text of the parser's error, which quotes the value, and the path of the field, which may be another writer's.

Change: `DecodeError::new` keeps the first and last 100 bytes of each part.

Ruled out, tests that passed before as well: entries and configurations with 131,000 levels of nesting in known and unknown fields are rejected or skipped (serde_json skips unknown fields without recursion and limits known ones to 128 levels), and a key that is no id never gets into a header field.

--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -64,6 +64,10 @@
     pub next: u64,
 }
 
+/// Longest text of each part of a [`DecodeError`], in bytes. The texts contain what the record contains, which may be
+/// large, and are logged at each read.
+const MAX_ERROR_TEXT: usize = 200;
+
 /// Error in a record that was written by another program.
 #[derive(Debug, Error)]
 #[error("{field}: {fault}")]
@@ -74,6 +78,23 @@
     pub fault: String,
 }
 
+impl DecodeError {
+    /// Creates an error with the path of the invalid field. Long texts are cut.
+    pub fn new(field: &str, fault: &str) -> Self {
+        Self { field: shorten(field), fault: shorten(fault) }
+    }
+}
+
+/// Returns the first and the last part of a long text.
+fn shorten(text: &str) -> String {
+    if text.len() <= MAX_ERROR_TEXT {
+        return text.to_owned();
+    }
+    let half = MAX_ERROR_TEXT / 2;
+    let (start, end) = (text.floor_char_boundary(half), text.ceil_char_boundary(text.len() - half));
+    format!("{} ... {}", &text[..start], &text[end..])
+}
+
 /// Future of the result of a store call.
 pub type StoreFuture<T> = LocalFuture<Result<T, StoreError>>;
 
