Follow an upstream after an entry with a high sequence number

Symptom: once another writer had left an entry under the id of an upstream with a higher sequence number than the upstream's own (2^64 - 1 parses), hosts that are told of changes ignored all that the upstream wrote after it: they kept its former properties, and sent requests to it after it had written that it leaves. Only the host that reads the store followed.

Cause: `Registry::apply_update` takes an entry of the same start with a lower number for an earlier one, and nothing tells a follower otherwise.

A list of all entries is applied whatever the numbers are, as it is only accepted if it is no older than what is known (`apply_updates`).

Ruled out: a limit for the number. Any number above the upstream's own has the same effect.

--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -106,6 +106,13 @@
         let missing = missing.into_iter().map(RegistryChange::Drop);
         for change in missing.chain(changes) {
             let is_significant = match &change {
+                // The store's order is the right one, whatever number an entry before had. Other hosts would take this one
+                // for an earlier heartbeat, so they are told to forget the one before.
+                RegistryChange::Put(entry) if self.is_older(entry) => {
+                    significant.push(RegistryChange::Drop(entry.id.clone()));
+                    self.put(entry.clone(), now);
+                    true
+                }
                 RegistryChange::Put(entry) => self.put(entry.clone(), now),
                 RegistryChange::Drop(id) => match kept_until {
                     Some(until) => self.keep(id, until, now),
@@ -166,7 +173,10 @@
         }
         for change in changes {
             let is_significant = match &change {
-                RegistryChange::Put(entry) => !self.is_older(entry) && self.put(entry.clone(), now),
+                // All entries at a time are no older than what is known. Single changes may be.
+                RegistryChange::Put(entry) => {
+                    (is_whole || !self.is_older(entry)) && self.put(entry.clone(), now)
+                }
                 RegistryChange::Drop(id) => self.drop_deleted(id, now),
             };
             if is_significant {
