Refuse requests that would outlast a stopping host, and answer open ones before its exit

What callers saw: in a planned stop, requests that came before 48 % of the grace period were passed on whatever time their upstream takes. A refusal named a Retry-After of a third of the caller's whole time, although another host can take the request at once.

Cause: only the time of arrival decided whether a leaving host takes a request on. Neither its time limit nor the expected time of its upstream was compared with what is left of the grace period, it was not asked again when a request that had waited, or was to be repeated, got its upstream, and nothing ended open requests before the exit.

Change: dispatch::shutdown decides, without a clock, until when a request is sent: always if its time ends before the final answers, otherwise while 4 times the expected time (reads of the first 2.4 s, while the load balancer still sends callers) or 8 times (orders, and reads from then on), and the objective of its route, fit before them. It is asked before a request waits, when it has its upstream, before each repeat and while it waits. Others get 503 with a Retry-After of 20 to 28 ms. 0.2 s before the exit open requests get 502 or 504 if an upstream may have run them and 503 if not; the exit itself stays 0.3 s before the end of the grace period. Work times of the sites are 0.06 to 0.9 s on average, up to 7.5 times that. Requests of 0.09 to 0.29 s are taken on as long as before.

Not chosen: refusing all from the signal on (callers come for two more seconds), and the time limit of the route as the expected time (limits are about nine times the mean).

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,8 +5,9 @@
 //! limits retries over all hosts, [`retry_after`] sets the delay that a refused caller is told, [`peer_load`] holds the
 //! load reported by other hosts, [`report_parts`] divides load reports and [`packed_load`] makes them small, [`paths`]
 //! knows which upstreams can be reached and over which hosts, [`permits`] keeps all hosts together within the limit of an
-//! upstream, [`notices`] holds what upstreams asked of this host, and [`crash_tracker`] refuses requests that crash
-//! upstreams, and [`trials`] lets hosts send one copy at a time of those that may.
+//! upstream, [`notices`] holds what upstreams asked of this host, [`crash_tracker`] refuses requests that crash
+//! upstreams, [`trials`] lets hosts send one copy at a time of those that may, and [`shutdown`] decides what a host that
+//! was told to stop still sends.
 
 mod arrivals;
 pub mod crash_tracker;
@@ -22,6 +23,7 @@
 pub mod routes;
 pub mod routing;
 pub mod service;
+pub mod shutdown;
 pub mod traffic_split;
 pub mod trials;
 pub mod upstream;
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -247,6 +247,15 @@
         self.mean_service_ms
     }
 
+    /// Returns the expected time to the answer of a request that is sent to an upstream at `now`; without an id, to one
+    /// that is not chosen yet.
+    pub fn expected_time(&self, id: Option<&UpstreamId>, now: HostTime) -> Millis {
+        let mean_ms = self.mean_service_ms;
+        let upstream = id.and_then(|id| self.upstreams.get(id));
+        let expected = |upstream: &Upstream| upstream.expected_ms(mean_ms, upstream.load(now), now);
+        to_millis(upstream.map_or(mean_ms, expected))
+    }
+
     /// Recomputes the mean service time from the upstreams that have measurements.
     fn update_mean_service_ms(&mut self) {
         let measured = self.upstreams.values().filter_map(Upstream::service_ms);
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -1,8 +1,9 @@
 //! Startup and shutdown of an entry host: its threads and listeners.
 
+use crate::clock;
 use crate::control::Control;
 use crate::net;
-use crate::serve::{self, Answer, AnswerFuture, Incoming, ListenerState};
+use crate::serve::{self, Answer, AnswerFuture, Incoming, ListenerState, ShutdownEnds};
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::store::Store;
@@ -15,20 +16,12 @@
 use async_signal::{Signal, Signals};
 use eyre::WrapErr;
 use futures_lite::{StreamExt, future};
+use skylarkdock_dispatch::shutdown::Shutdown;
 use skylarkdock_units::times::Millis;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
-use std::time::Instant;
 
-/// Shortest time from the stop signal to the exit, after which the load balancer has seen that the host isn't ready.
-const MIN_SHUTDOWN_TIME: Millis = Millis(2_400);
-/// Time before the end of the grace period at which the host exits by itself, so that it isn't killed.
-const EXIT_MARGIN: Millis = Millis(300);
-/// Share of the grace period, in percent, after which new requests are refused, so that earlier ones can be answered.
-const REFUSE_AFTER_PERCENT: u64 = 48;
-/// Time without requests in flight after which the host may exit during a shutdown.
-const MIN_IDLE_TIME: Millis = Millis(300);
 /// Interval at which the conditions for the exit are checked.
 const SHUTDOWN_CHECK_INTERVAL: Millis = Millis(50);
 
@@ -129,25 +122,22 @@
 
 /// Shuts the host down: finishes the requests in flight while the load balancer sends new callers to other hosts.
 async fn shut_down(settings: &Settings, shared: &ListenerState, status: &Status) {
-    log::info!(in_flight = shared.in_flight.get(), open = shared.open.get(); "host: leaving");
-    shared.is_leaving.set(true);
+    log::info!(in_flight = shared.in_flight.get(), open = shared.open.get(), grace:% = settings.grace; "host: leaving");
+    let shutdown = Shutdown::new(clock::now(), settings.grace);
+    shared.start_shutdown(shutdown);
     status.set_leaving();
-    let started = Instant::now();
-    let exit_by = started + settings.grace.saturating_sub(EXIT_MARGIN).duration();
-    let refuse_at = started + Millis(settings.grace.0 * REFUSE_AFTER_PERCENT / 100).duration();
-    let mut last_busy_at = Instant::now();
-    while Instant::now() < exit_by {
+    let mut last_busy_at = clock::now();
+    loop {
+        let now = clock::now();
         if shared.in_flight.get() > 0 {
-            last_busy_at = Instant::now();
+            last_busy_at = now;
         }
-        if Instant::now() >= refuse_at {
-            shared.refuses_requests.set(true);
-        }
-        let is_idle = last_busy_at.elapsed() >= MIN_IDLE_TIME.duration();
-        if is_idle && started.elapsed() >= MIN_SHUTDOWN_TIME.duration() {
+        if shutdown.may_exit(last_busy_at, now) {
             break;
         }
         Timer::after(SHUTDOWN_CHECK_INTERVAL.duration()).await;
     }
-    log::info!(in_flight = shared.in_flight.get(), open = shared.open.get(); "host: stopped");
+    let ShutdownEnds { answered, refused, unknown } = shared.shutdown_ends.get();
+    log::info!(in_flight = shared.in_flight.get(), open = shared.open.get(), answered = answered, refused = refused,
+        unknown = unknown; "host: stopped");
 }
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -5,8 +5,10 @@
 use crate::net;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
+use event_listener::Event;
 use futures_lite::FutureExt;
 use futures_lite::io::AsyncReadExt;
+use skylarkdock_dispatch::shutdown::Shutdown;
 use skylarkdock_http1::body::{ChunkError, Decoder, Framing};
 use skylarkdock_http1::head::{Headers, RequestHead};
 use skylarkdock_units::measures::ByteSize;
@@ -15,7 +17,7 @@
 use std::collections::VecDeque;
 use std::future::{Future, poll_fn};
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -88,13 +90,28 @@
     }
 }
 
+/// Number of requests that ended during a shutdown, by their end.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ShutdownEnds {
+    /// Requests with the answer of an upstream.
+    pub answered: u32,
+    /// Requests that no upstream has run.
+    pub refused: u32,
+    /// Requests without an answer that an upstream may have run.
+    pub unknown: u32,
+}
+
 /// State shared by all connections of a listener.
 #[derive(Debug, Default)]
 pub struct ListenerState {
     /// Whether the host is shutting down. Connections are then closed after their pending answers.
     pub is_leaving: Cell<bool>,
-    /// Whether new requests are refused, near the end of a shutdown.
-    pub refuses_requests: Cell<bool>,
+    /// The shutdown, once the host was told to stop. Requests that probably outlast it are refused.
+    pub shutdown: Cell<Option<Shutdown>>,
+    /// Notified when `shutdown` is set.
+    pub shutdown_started: Event,
+    /// Requests that have ended during the shutdown.
+    pub shutdown_ends: Cell<ShutdownEnds>,
     /// Number of requests that are running.
     pub in_flight: Cell<usize>,
     /// Number of open connections.
@@ -104,6 +121,13 @@
 }
 
 impl ListenerState {
+    /// Begins the shutdown.
+    pub fn start_shutdown(&self, shutdown: Shutdown) {
+        self.is_leaving.set(true);
+        self.shutdown.set(Some(shutdown));
+        self.shutdown_started.notify(usize::MAX);
+    }
+
     /// Returns the limits for the next request of any connection.
     fn limits(&self) -> Limits {
         self.limits.get().unwrap_or_default()
@@ -169,7 +193,7 @@
 /// Closes a connection so that the last answer arrives. Closing it while the caller is still sending would reset the
 /// connection, and the answer could be lost.
 async fn linger(stream: &Async<TcpStream>) {
-    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
+    if stream.get_ref().shutdown(std::net::Shutdown::Write).is_err() {
         return;
     }
     let drained = async {
--- a/crates/edge/src/traffic/history.rs
+++ b/crates/edge/src/traffic/history.rs
@@ -6,6 +6,9 @@
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::{HostTime, Millis};
 
+/// Reason of requests that end otherwise than usual because the host was told to stop.
+pub(super) const HOST_IS_LEAVING: &str = "host_is_leaving";
+
 /// Attempts that were made for a request so far.
 #[derive(Default)]
 pub(super) struct History {
@@ -19,6 +22,8 @@
     pub(super) withheld: u32,
     /// Whether the request waited for the end of another copy of it.
     waited_for_trial: bool,
+    /// Upstream of the attempt that is under way.
+    pub(super) under_way: Option<UpstreamId>,
     /// Upstreams that may have run the request.
     pub(super) ran: Vec<UpstreamId>,
     /// Upstreams that further attempts avoid.
@@ -56,6 +61,11 @@
         }
     }
 
+    /// Adds to the steps that the host ends while an attempt is under way.
+    pub(super) fn record_exit(&mut self, arrived: HostTime, id: &UpstreamId) {
+        self.steps.push(format!("{id}:exit@{}ms", clock::now().since(arrived).0));
+    }
+
     /// Records an attempt on an upstream that may have run the request.
     pub(super) fn record_may_have_run(&mut self, id: &UpstreamId) {
         self.sent += 1;
@@ -99,6 +109,8 @@
     Refused(&'static str),
     /// The request failed, and an upstream may have run it.
     Unknown,
+    /// The host ended while an attempt was under way, so an upstream may have run the request.
+    Exit,
 }
 
 impl RequestEnd {
@@ -107,7 +119,7 @@
         match self {
             Self::Answered => "answered",
             Self::Refused(_) => "refused",
-            Self::Unknown => "unknown",
+            Self::Unknown | Self::Exit => "unknown",
         }
     }
 
@@ -115,6 +127,7 @@
     pub(super) const fn reason(self) -> &'static str {
         match self {
             Self::Refused(reason) => reason,
+            Self::Exit => HOST_IS_LEAVING,
             Self::Answered | Self::Unknown => "none",
         }
     }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod replaced_configs;
 mod reports;
 mod request;
+mod shutdown;
 mod trials;
 mod waiting;
 
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -49,20 +49,20 @@
 const ANSWER_MARGIN: Millis = Millis(15);
 
 /// Immutable data of a request.
-struct Request {
+pub(super) struct Request {
     id: String,
     method: String,
     target: String,
     headers: Headers,
     body: Vec<u8>,
-    route: Arc<Route>,
-    service: ServiceName,
+    pub(super) route: Arc<Route>,
+    pub(super) service: ServiceName,
     key: Option<u16>,
     /// Hash that is equal for requests with the same content.
     fingerprint: Fingerprint,
-    arrived: HostTime,
-    deadline: HostTime,
-    jitter_per_mille: u32,
+    pub(super) arrived: HostTime,
+    pub(super) deadline: HostTime,
+    pub(super) jitter_per_mille: u32,
 }
 
 /// What to do with a request for which an upstream is chosen.
@@ -97,7 +97,7 @@
             self.record_key(&req.service, key);
         }
         let mut history = History::default();
-        let (answer, end) = self.run_attempts(&req, &mut history).await;
+        let (answer, end) = self.run_until_exit(&req, &mut history).await;
         self.record_end(&req, &history, &answer, end);
         answer
     }
@@ -107,6 +107,7 @@
         let took = clock::now().since(req.arrived);
         let kind = if req.route.idempotency == Idempotency::Once { "once" } else { "idempotent" };
         let (outcome, reason) = (end.outcome(), end.reason());
+        self.count_shutdown_end(end);
         counter!("skylarkdock_requests_total", "kind" => kind, "outcome" => outcome, "reason" => reason)
             .increment(1);
         histogram!("skylarkdock_request_seconds", "outcome" => outcome)
@@ -123,7 +124,7 @@
             RequestEnd::Answered if answer.status < 500 => "request: answered",
             RequestEnd::Answered => "request: the upstream's work failed",
             RequestEnd::Refused(_) => "request: refused, not run",
-            RequestEnd::Unknown => "request: failed, may have run",
+            RequestEnd::Unknown | RequestEnd::Exit => "request: failed, may have run",
         };
         log::log!(level, request = req.id.as_str(), route = &*req.route.name, kind = kind,
             service = req.service.as_str(), key:? = req.key, config = version,
@@ -227,24 +228,20 @@
     }
 
     /// Makes attempts until one is answered or no further attempt is allowed.
-    async fn run_attempts(
+    pub(super) async fn run_attempts(
         self: &Rc<Self>,
         req: &Request,
         history: &mut History,
     ) -> (Answer, RequestEnd) {
         let is_once = req.route.idempotency == Idempotency::Once;
-        let long_retry_after = Millis(req.deadline.since(req.arrived).0 / 3);
-        if self.shared.refuses_requests.get() {
-            return (refusal(long_retry_after), RequestEnd::Refused("host_is_leaving"));
-        }
         loop {
-            if let Some(refusal) = self.crash_refusal(req.fingerprint) {
-                return self.refuse_crashing(req, history, refusal);
+            if let Some(end) = self.refuse_unchosen(req, history) {
+                return end;
             }
             let wait_started = clock::now();
             let chosen = self.choose_upstream(&req.service, self.routing_request(req, history));
             let refused = async {
-                self.until_refused(req.fingerprint).await;
+                self.until_refused(req.fingerprint).or(self.until_outlasting(req)).await;
                 None
             };
             let chosen = async { Some(chosen.await) };
@@ -260,6 +257,9 @@
                     return self.final_answer(req, history, STARTUP_RETRY_AFTER, "unknown_service");
                 }
             };
+            if let Some(end) = self.refuse_outlasting(req, history, Some(&id)) {
+                return end;
+            }
             if let Err(withheld) = self.check_notices(&req.service, &id) {
                 if let Some(end) = self.record_withheld(req, history, &id, withheld) {
                     return end;
@@ -274,8 +274,7 @@
                 SendStart::ChooseAgain => continue,
                 SendStart::End(end) => return end,
             };
-            let outcome = self.attempt_hedged(req, &id, history).await;
-            history.record_step(req.arrived, &id, &outcome);
+            let outcome = self.attempt_recorded(req, &id, history).await;
             end_trial(trial, &outcome);
             match outcome {
                 AttemptResult::Answered(reply) => {
@@ -321,6 +320,32 @@
         }
     }
 
+    /// Returns the final answer to a request that must not be sent to any upstream.
+    fn refuse_unchosen(
+        &self,
+        req: &Request,
+        history: &mut History,
+    ) -> Option<(Answer, RequestEnd)> {
+        match self.crash_refusal(req.fingerprint) {
+            Some(refusal) => Some(self.refuse_crashing(req, history, refusal)),
+            None => self.refuse_outlasting(req, history, None),
+        }
+    }
+
+    /// Makes an attempt as [`Self::attempt_hedged`] does, and records it in the history.
+    async fn attempt_recorded(
+        self: &Rc<Self>,
+        req: &Request,
+        id: &UpstreamId,
+        history: &mut History,
+    ) -> AttemptResult {
+        history.under_way = Some(id.clone());
+        let outcome = self.attempt_hedged(req, id, history).await;
+        history.under_way = None;
+        history.record_step(req.arrived, id, &outcome);
+        outcome
+    }
+
     /// Records that nothing is sent to a chosen upstream. Returns the final answer if this happened too often.
     fn record_withheld(
         &self,
@@ -530,7 +555,7 @@
     }
 
     /// Returns a refusal if no upstream can have run the request, and otherwise the last failure or a gateway error.
-    fn final_answer(
+    pub(super) fn final_answer(
         &self,
         req: &Request,
         history: &mut History,
@@ -543,8 +568,7 @@
         if let Some(failure) = history.failure.take() {
             return (forward(failure), RequestEnd::Answered);
         }
-        let is_late = clock::now() + ANSWER_MARGIN >= req.deadline;
-        (Answer::empty(if is_late { 504 } else { 502 }), RequestEnd::Unknown)
+        (req.gateway_error(), RequestEnd::Unknown)
     }
 
     fn outgoing(&self, req: &Request, id: &UpstreamId, remaining: Millis) -> Outgoing {
@@ -559,6 +583,12 @@
 }
 
 impl Request {
+    /// Returns the host's own answer if an upstream may have run the request.
+    pub(super) fn gateway_error(&self) -> Answer {
+        let is_late = clock::now() + ANSWER_MARGIN >= self.deadline;
+        Answer::empty(if is_late { 504 } else { 502 })
+    }
+
     /// Returns until when the request waits for the end of another copy: half of its time, so that its caller can come
     /// back.
     fn trial_wait_end(&self) -> HostTime {
