Exit only once answers are written and requests that are being sent are answered

What callers saw: a host that was told to stop and ran no request for 0.3 s exited, 2.4 s after the signal at the earliest, while it still wrote a long answer to a slow caller, or while a caller was sending the body of a request. The answer was cut although the upstream had given it; the caller of a half-sent order got no answer.

Cause: the condition for the exit counted requests that run. One is not counted before it is complete, nor from the moment at which its answer is known.

Change: a connection is busy from the first byte of a request until its answer is written, and the host exits once no connection has been busy for 0.3 s. `host: stopped` has the number of busy connections. The state of a listener moves to a module of its own.

What stays: a request of which only a part has come by the exit is cut, and has not run. A caller that takes nothing of an answer for 2.5 s counts as gone, at any time (TCP user timeout).

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -2,8 +2,9 @@
 
 use crate::clock;
 use crate::control::Control;
+use crate::listener::{ListenerState, ShutdownEnds};
 use crate::net;
-use crate::serve::{self, Answer, AnswerFuture, Incoming, ListenerState, ShutdownEnds};
+use crate::serve::{self, Answer, AnswerFuture, Incoming};
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::store::Store;
@@ -129,7 +130,7 @@
     let mut last_busy_at = clock::now();
     loop {
         let now = clock::now();
-        if shared.in_flight.get() > 0 {
+        if shared.busy.get() > 0 {
             last_busy_at = now;
         }
         if shutdown.may_exit(last_busy_at, now) {
@@ -138,6 +139,6 @@
         Timer::after(SHUTDOWN_CHECK_INTERVAL.duration()).await;
     }
     let ShutdownEnds { answered, refused, unknown } = shared.shutdown_ends.get();
-    log::info!(in_flight = shared.in_flight.get(), open = shared.open.get(), answered = answered, refused = refused,
+    log::info!(in_flight = shared.in_flight.get(), busy = shared.busy.get(), open = shared.open.get(), answered = answered, refused = refused,
         unknown = unknown; "host: stopped");
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod detour;
 mod framing;
 pub mod host;
+pub mod listener;
 pub mod listing;
 pub mod load_reports;
 pub mod logging;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics recorder, and the endpoint that serves metrics in the Prometheus text format.
 
+use crate::listener::ListenerState;
 use crate::net;
-use crate::serve::{self, Answer, AnswerFuture, Incoming, ListenerState};
+use crate::serve::{self, Answer, AnswerFuture, Incoming};
 use async_executor::LocalExecutor;
 use eyre::WrapErr;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -2,22 +2,20 @@
 //! concurrently and are answered in order.
 
 use crate::framing::{self, FramingError};
+use crate::listener::{Busy, InFlight, ListenerState};
 use crate::net;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use event_listener::Event;
 use futures_lite::FutureExt;
 use futures_lite::io::AsyncReadExt;
-use skylarkdock_dispatch::shutdown::Shutdown;
 use skylarkdock_http1::body::{ChunkError, Decoder, Framing};
 use skylarkdock_http1::head::{Headers, RequestHead};
 use skylarkdock_units::measures::ByteSize;
 use skylarkdock_units::times::Millis;
-use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::{Future, poll_fn};
 use std::io::{self, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -90,50 +88,6 @@
     }
 }
 
-/// Number of requests that ended during a shutdown, by their end.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ShutdownEnds {
-    /// Requests with the answer of an upstream.
-    pub answered: u32,
-    /// Requests that no upstream has run.
-    pub refused: u32,
-    /// Requests without an answer that an upstream may have run.
-    pub unknown: u32,
-}
-
-/// State shared by all connections of a listener.
-#[derive(Debug, Default)]
-pub struct ListenerState {
-    /// Whether the host is shutting down. Connections are then closed after their pending answers.
-    pub is_leaving: Cell<bool>,
-    /// The shutdown, once the host was told to stop. Requests that probably outlast it are refused.
-    pub shutdown: Cell<Option<Shutdown>>,
-    /// Notified when `shutdown` is set.
-    pub shutdown_started: Event,
-    /// Requests that have ended during the shutdown.
-    pub shutdown_ends: Cell<ShutdownEnds>,
-    /// Number of requests that are running.
-    pub in_flight: Cell<usize>,
-    /// Number of open connections.
-    pub open: Cell<usize>,
-    /// Limits for callers, once they are configured.
-    pub limits: Cell<Option<Limits>>,
-}
-
-impl ListenerState {
-    /// Begins the shutdown.
-    pub fn start_shutdown(&self, shutdown: Shutdown) {
-        self.is_leaving.set(true);
-        self.shutdown.set(Some(shutdown));
-        self.shutdown_started.notify(usize::MAX);
-    }
-
-    /// Returns the limits for the next request of any connection.
-    fn limits(&self) -> Limits {
-        self.limits.get().unwrap_or_default()
-    }
-}
-
 /// Accepts and serves connections; never returns.
 pub async fn accept(
     ex: Rc<LocalExecutor<'static>>,
@@ -178,8 +132,14 @@
         is_eof: false,
         timer: Timer::after(limits.idle_time.duration()),
         waiting_since: Instant::now(),
+        busy: None,
     };
-    let end = poll_fn(|cx| connection.poll(cx)).await;
+    let end = poll_fn(|cx| {
+        let polled = connection.poll(cx);
+        connection.update_busy();
+        polled
+    })
+    .await;
     match end {
         Err(e) => log::debug!("serve: connection failed: {e}"),
         Ok(()) if connection.is_input_closed && !connection.is_eof => {
@@ -193,7 +153,7 @@
 /// Closes a connection so that the last answer arrives. Closing it while the caller is still sending would reset the
 /// connection, and the answer could be lost.
 async fn linger(stream: &Async<TcpStream>) {
-    if stream.get_ref().shutdown(std::net::Shutdown::Write).is_err() {
+    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
         return;
     }
     let drained = async {
@@ -218,22 +178,6 @@
     closes_connection: bool,
 }
 
-/// Counts a request as in flight until it is dropped.
-struct InFlight(Rc<ListenerState>);
-
-impl InFlight {
-    fn new(shared: &Rc<ListenerState>) -> Self {
-        shared.in_flight.set(shared.in_flight.get() + 1);
-        Self(Rc::clone(shared))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
 struct Connection {
     stream: Async<TcpStream>,
     shared: Rc<ListenerState>,
@@ -250,6 +194,7 @@
     is_eof: bool,
     timer: Timer,
     waiting_since: Instant,
+    busy: Option<Busy>,
 }
 
 impl Connection {
@@ -272,6 +217,15 @@
         }
     }
 
+    /// Records whether the connection has a request without a complete answer.
+    fn update_busy(&mut self) {
+        let is_receiving = self.partial.is_some() || !self.input.is_empty();
+        let is_busy = is_receiving || !self.pending.is_empty() || !self.output.is_empty();
+        if is_busy != self.busy.is_some() {
+            self.busy = is_busy.then(|| Busy::new(&self.shared));
+        }
+    }
+
     fn poll_read(&mut self, cx: &mut Context<'_>) -> io::Result<bool> {
         if self.is_eof || self.input.len() >= MAX_UNPARSED || self.pending.len() >= MAX_PIPELINED {
             return Ok(false);
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -16,9 +16,10 @@
 
 use crate::clock;
 use crate::detour::DetourClient;
+use crate::listener::ListenerState;
 use crate::listing::{Listing, ListingUpdate};
 use crate::pool::{self, Pool};
-use crate::serve::{Answer, AnswerFuture, Incoming, ListenerState};
+use crate::serve::{Answer, AnswerFuture, Incoming};
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::upstreams::Protocol;
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -6,7 +6,8 @@
 use async_io::{Async, Timer};
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
 use rstest::rstest;
-use skylarkdock_edge::serve::{self, Answer, AnswerFuture, Incoming, Limits, ListenerState};
+use skylarkdock_edge::listener::ListenerState;
+use skylarkdock_edge::serve::{self, Answer, AnswerFuture, Incoming, Limits};
 use skylarkdock_units::measures::ByteSize;
 use std::cell::Cell;
 use std::future::Future;
@@ -140,6 +141,31 @@
     });
 }
 
+/// A host that is shutting down must not exit while a request is being received.
+#[test]
+fn a_connection_is_busy_from_the_first_byte_of_a_request_until_its_answer_is_written() {
+    with_server(|server| async move {
+        let stream = connect(server.addr).await;
+        while server.shared.open.get() == 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        assert_eq!(server.shared.busy.get(), 0);
+        for part in ["P", "OST /0 HTTP/1.1\r\nContent-Length: 2\r\n\r\n", "a"] {
+            send(&stream, part).await;
+            while server.shared.busy.get() == 0 {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+        }
+        assert_eq!((server.shared.busy.get(), server.started.get()), (1, 0));
+        send(&stream, "b").await;
+        assert!(read(&stream, 1).await.ends_with("/0"));
+        while server.shared.busy.get() > 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        assert_eq!(server.shared.open.get(), 1);
+    });
+}
+
 #[rstest]
 #[case::no_head("nonsense\r\n\r\n", "400")]
 #[case::two_lengths("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400")]
