--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -10,14 +10,16 @@
 mod replaced_configs;
 mod reports;
 mod request;
+mod shutdown;
 mod trials;
 mod waiting;
 
 use crate::clock;
 use crate::detour::DetourClient;
+use crate::listener::ListenerState;
 use crate::listing::{Listing, ListingUpdate};
 use crate::pool::{self, Pool};
-use crate::serve::{Answer, AnswerFuture, Incoming, ListenerState};
+use crate::serve::{Answer, AnswerFuture, Incoming};
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::upstreams::Protocol;
