Log why the records of a host are late, and how old the configuration of a request is

Of a host that handles a request by an old configuration its log did not tell how old its newest proof was, whom it last got updates from and how old those were, or whether it was reading the store itself. So the record of two hosts that used version 9 while 12 was acknowledged can't tell a missing large record from a host that heard nothing.

- A request's line has the age of the proof of the configuration at its arrival.
- Lines when the registry or the configuration reaches the age at which a host asks any other one, with the last update, the host that is asked, the read under way and both offsets, and when it is up to date again.
- Lines when another host is asked, and for the end of each read of whole records with bytes and time.
- Gauges: whole reads under way, time since the last update, ages that it passed on.

Lines are written at changes of state, so a host that stays late adds none. No logic changes.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -6,6 +6,7 @@
 pub mod encoded;
 pub mod key_maps;
 pub mod known_records;
+mod lateness;
 mod owners;
 mod peers;
 mod registration;
@@ -135,6 +136,8 @@
     follower_number: Cell<u32>,
     /// Shortest read of the registry so far. Shows whether the store is in this host's region.
     min_store_latency: Cell<Millis>,
+    /// Where this host's records came from lately.
+    lateness: lateness::Lateness,
     status: Arc<Status>,
     /// Until when this host takes no part in the election and gives other hosts no updates, as it resigned.
     resigned_until: Cell<HostTime>,
@@ -309,6 +312,7 @@
             followers: RefCell::default(),
             follower_number: Cell::new(fastrand::u32(..UNKNOWN_FOLLOWERS)),
             min_store_latency: Cell::new(Millis(u64::MAX)),
+            lateness: lateness::Lateness::default(),
             status,
             resigned_until: Cell::default(),
             has_asked_for_hosts: Cell::default(),
@@ -327,6 +331,7 @@
         owners::start(&control, samples);
         peers::start(&control, Rc::new(ListenerState::default()));
         updates::start(&control);
+        lateness::start(&control);
         control
     }
 
@@ -361,6 +366,7 @@
             let age = now.since(fleet.known_records.proof_at(topic)).duration().as_secs_f64();
             gauge!("skylarkdock_belief_age_seconds", "topic" => name).set(age);
         }
+        self.set_source_gauges(now);
         gauge!("skylarkdock_answers_buffered_bytes").set(client::buffered() as f64);
         gauge!("skylarkdock_upstreams_listed").set(fleet.registry.listed().count() as f64);
         gauge!("skylarkdock_upstreams_kept").set(fleet.registry.kept(now).count() as f64);
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -91,13 +91,15 @@
 }
 
 impl OwnReads {
-    fn add(&mut self, topic: Topic, page: &Page) {
+    /// Counts a page. Returns its size in bytes.
+    fn add(&mut self, topic: Topic, page: &Page) -> usize {
         let sizes = page.records.iter().map(|record| record.key.len() + record.value.len());
         let bytes: usize = sizes.sum();
         self.calls += 1;
         self.bytes += bytes;
         counter!("skylarkdock_store_read_bytes_total", "topic" => format!("{topic:?}").to_lowercase())
             .increment(bytes as u64);
+        bytes
     }
 }
 
@@ -138,14 +140,21 @@
             }
             let reads = own_reads.get_or_insert_default();
             counter!("skylarkdock_store_calls_total", "call" => "read").increment(1);
+            let is_whole = cursor.is_none();
+            self.lateness.on_read(topic, is_whole, asked_at);
             let read = match cursor {
                 None => (self.store.newest)(topic).await,
                 Some(next) => (self.store.read)(topic, next, max_wait(topic)).await,
             };
+            self.lateness.on_read_end(topic);
+            let took = clock::now().since(asked_at);
             match read {
                 Ok(page) => {
                     backoff.on_success();
-                    reads.add(topic, &page);
+                    let bytes = reads.add(topic, &page);
+                    if is_whole {
+                        log::info!(topic:? = topic, bytes = bytes, took:% = took; "store: whole records were read");
+                    }
                     if topic == Topic::Upstreams {
                         let latency = clock::now().since(asked_at);
                         self.registry_read_at.set(Some(asked_at));
@@ -159,7 +168,6 @@
                             continue;
                         }
                     }
-                    let is_whole = cursor.is_none();
                     cursor = Some(page.next);
                     self.apply_page(topic, page, is_whole, asked_at);
                     if topic == Topic::Fleet {
@@ -176,6 +184,9 @@
                     cursor = None;
                 }
                 Err(e) => {
+                    if is_whole {
+                        log::info!(topic:? = topic, error:% = e, took:% = took; "store: whole records could not be read");
+                    }
                     if topic == Topic::Upstreams {
                         let mut fleet = self.fleet.borrow_mut();
                         fleet.registry.on_failed_read(asked_at);
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -146,6 +146,21 @@
 }
 
 impl UpdateResponse {
+    /// Returns the age of the answering host's configuration, and the offset after its last record.
+    pub(super) const fn config_state(&self) -> (Millis, u64) {
+        (self.config.age, self.config.next)
+    }
+
+    /// Returns the age of the answering host's registry.
+    pub(super) const fn registry_age(&self) -> Millis {
+        self.age
+    }
+
+    /// Returns whether the answering host's own reads of the registry fail.
+    pub(super) const fn reads_fail(&self) -> bool {
+        self.reads_fail
+    }
+
     fn decode(bytes: &[u8]) -> Result<Self, UpdateError> {
         if !deltas::is_compressed(bytes) {
             return serde_json::from_slice(bytes).map_err(UpdateError::Text);
@@ -303,13 +318,18 @@
                 continue;
             };
             if caller.as_ref().is_none_or(|caller| caller.addr() != addr) {
+                log::info!(peer:% = addr, turn:% = self.turn(); "news: another host is asked for updates");
                 caller = Some(ControlClient::new(addr));
                 known = (0, 0);
             }
             let Some(source) = caller.as_mut() else { continue };
             let request = self.update_request(known);
+            self.lateness.on_request(addr, now);
             let body = peers::call(source, peers::UPDATES_PATH, &request, UPDATE_PATIENCE).await;
-            match body.map(|body| UpdateResponse::decode(&body)) {
+            let response = body.map(|body| UpdateResponse::decode(&body));
+            let update = response.as_ref().ok().and_then(|response| response.as_ref().ok());
+            self.lateness.on_answer(update, clock::now());
+            match response {
                 Ok(Ok(response)) => {
                     let received = (response.run, response.version);
                     self.follower_number.set(response.number);
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -56,10 +56,14 @@
         self.config_proof_at.fetch_max(at.0, Ordering::Release);
     }
 
+    /// Returns the time since the latest proof that the store had no newer configuration.
+    pub fn config_age(&self, now: HostTime) -> Millis {
+        now.since(HostTime(self.config_proof_at.load(Ordering::Acquire)))
+    }
+
     /// Returns whether no configuration that was published at least `apply_time` ago is newer than `version`. The threads
     /// of a host learn of a configuration one after the other, so `version` is the one that the caller applies.
     pub fn is_config_current(&self, apply_time: Millis, now: HostTime, version: u64) -> bool {
-        let proof_at = HostTime(self.config_proof_at.load(Ordering::Acquire));
-        now.since(proof_at) <= apply_time && self.proven_version.load(Ordering::Relaxed) <= version
+        self.config_age(now) <= apply_time && self.proven_version.load(Ordering::Relaxed) <= version
     }
 }
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -78,6 +78,7 @@
 impl Traffic {
     pub(super) async fn serve(self: Rc<Self>, incoming: Incoming) -> Answer {
         let arrived = clock::now();
+        let config_age = self.status.config_age(arrived);
         let id = incoming.head.headers.get_str(self.protocol.names.request_id).map(str::to_owned);
         let req = match self.accept(incoming, arrived) {
             Ok(req) => req,
@@ -85,7 +86,8 @@
                 let (answer, reason) = (rejection.answer(), rejection.as_str());
                 framing::count_rejection(answer.status, reason);
                 let version = self.view.borrow().config.as_ref().map_or(0, |config| config.version);
-                log::warn!(request:? = id, status = answer.status, reason = reason, config = version;
+                log::warn!(request:? = id, status = answer.status, reason = reason, config = version,
+                    config_age_ms = config_age.0;
                     "request: rejected before routing");
                 return answer;
             }
@@ -98,12 +100,20 @@
         }
         let mut history = History::default();
         let (answer, end) = self.run_attempts(&req, &mut history).await;
-        self.record_end(&req, &history, &answer, end);
+        self.record_end(&req, &history, &answer, end, config_age);
         answer
     }
 
-    /// Updates the metrics and writes the log line of a request that has its answer.
-    fn record_end(&self, req: &Request, history: &History, answer: &Answer, end: RequestEnd) {
+    /// Updates the metrics and writes the log line of a request that has its answer. Its configuration had the given age when
+    /// it arrived.
+    fn record_end(
+        &self,
+        req: &Request,
+        history: &History,
+        answer: &Answer,
+        end: RequestEnd,
+        config_age: Millis,
+    ) {
         let took = clock::now().since(req.arrived);
         let kind = if req.route.idempotency == Idempotency::Once { "once" } else { "idempotent" };
         let (outcome, reason) = (end.outcome(), end.reason());
@@ -126,7 +136,7 @@
             RequestEnd::Unknown => "request: failed, may have run",
         };
         log::log!(level, request = req.id.as_str(), route = &*req.route.name, kind = kind,
-            service = req.service.as_str(), key:? = req.key, config = version,
+            service = req.service.as_str(), key:? = req.key, config = version, config_age_ms = config_age.0,
             status = answer.status, reason = reason, signed = is_signed, sent = history.sent,
             waited_ms = history.waited.0, took_ms = took.0, limit_ms = req.deadline.since(req.arrived).0,
             steps = history.steps.join(" "); "{message}");
