Shut a host down if one of its tasks panics

Symptom (of the report): hosts that read an odd record stopped following the list. No panic by a record is known here by now, but any would have had this effect and none would have been seen.

Cause: the executor catches the panic of a detached task and drops the task; the thread and the process go on. A panic in the task that reads the registry, applies publications, asks for updates or renews grants left a host that said that it was ready and served by what it last knew, for good: old configurations, upstreams that had left.

Change: the lasting tasks of both threads, and the calls that renew and move keys, are started by `tasks::spawn`, which records a panic in `Status`. The host then shuts down as after a stop signal, so that callers get their answers and others take over, and exits with a failure.

Weighed: an abort at any panic (cuts all requests), a restart of the task (its shared state may be inconsistent), an end of the thread noticed by a guard (the thread does not end). A panic while one connection is served ends that connection only, as before.

--- a/crates/edge/src/control/directory.rs
+++ b/crates/edge/src/control/directory.rs
@@ -49,7 +49,7 @@
 
 /// Starts the task that learns of the hosts of this zone.
 pub(super) fn start(control: &Rc<Control>) {
-    control.ex.spawn(Rc::clone(control).learn_hosts()).detach();
+    control.spawn("directory", Rc::clone(control).learn_hosts());
 }
 
 impl Control {
--- a/crates/edge/src/control/election.rs
+++ b/crates/edge/src/control/election.rs
@@ -35,8 +35,8 @@
 
 /// Starts the tasks that take part in the election and hand leadership over.
 pub(super) fn start(control: &Rc<Control>) {
-    control.ex.spawn(Rc::clone(control).take_part_in_election()).detach();
-    control.ex.spawn(Rc::clone(control).hand_over_leadership()).detach();
+    control.spawn("election", Rc::clone(control).take_part_in_election());
+    control.spawn("handover", Rc::clone(control).hand_over_leadership());
 }
 
 impl Control {
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -23,6 +23,7 @@
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::store::{Store, Topic};
+use crate::tasks;
 use crate::traffic::Sample;
 use crate::upstreams::Protocol;
 use crate::view::{Config, PeerInfo, Publication, UpstreamChange, View};
@@ -47,6 +48,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -330,6 +332,11 @@
         control
     }
 
+    /// Starts a task that the host can't do without.
+    fn spawn(&self, name: &'static str, task: impl Future<Output = ()> + 'static) {
+        tasks::spawn(&self.ex, &self.status, name, task);
+    }
+
     /// Returns the record by which other hosts know this one.
     fn own_record(&self) -> HostRecord {
         HostRecord {
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -50,8 +50,8 @@
 
 /// Starts the tasks that renew grants, lead services and process samples.
 pub(super) fn start(control: &Rc<Control>, samples: Receiver<Sample>) {
-    control.ex.spawn(Rc::clone(control).run_ownership()).detach();
-    control.ex.spawn(Rc::clone(control).process_samples(samples)).detach();
+    control.spawn("ownership", Rc::clone(control).run_ownership());
+    control.spawn("samples", Rc::clone(control).process_samples(samples));
 }
 
 impl Control {
@@ -88,7 +88,7 @@
         }
         drop(fleet);
         for (name, grant) in due {
-            self.ex.spawn(Rc::clone(self).send_renewal(name, grant)).detach();
+            self.spawn("renewal", Rc::clone(self).send_renewal(name, grant));
         }
     }
 
@@ -329,7 +329,7 @@
                 leader.tick(&leader_inputs, now)
             };
             for action in actions {
-                self.ex.spawn(Rc::clone(self).execute_action(service.clone(), action)).detach();
+                self.spawn("leader", Rc::clone(self).execute_action(service.clone(), action));
             }
         }
     }
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -58,7 +58,7 @@
                 })
             };
             let ex = Rc::clone(&control.ex);
-            ex.spawn(serve::accept(Rc::clone(&control.ex), listener, shared, handler)).detach();
+            control.spawn("peers", serve::accept(ex, listener, shared, handler));
         }
         Err(e) => log::error!("peers: can't listen at {}: {e}", control.settings.peers),
     }
--- a/crates/edge/src/control/registration.rs
+++ b/crates/edge/src/control/registration.rs
@@ -15,7 +15,7 @@
 
 /// Starts the task that keeps this host recorded.
 pub(super) fn start(control: &Rc<Control>) {
-    control.ex.spawn(Rc::clone(control).keep_registered()).detach();
+    control.spawn("registration", Rc::clone(control).keep_registered());
 }
 
 impl Control {
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -104,7 +104,7 @@
 /// Starts one task for each topic that keeps its records up to date.
 pub(super) fn start(control: &Rc<Control>) {
     for topic in [Topic::Config, Topic::Upstreams, Topic::Fleet] {
-        control.ex.spawn(Rc::clone(control).read_topic(topic)).detach();
+        control.spawn("store", Rc::clone(control).read_topic(topic));
     }
 }
 
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -213,7 +213,7 @@
 
 /// Starts the task that requests updates.
 pub(super) fn start(control: &Rc<Control>) {
-    control.ex.spawn(Rc::clone(control).poll_updates()).detach();
+    control.spawn("updates", Rc::clone(control).poll_updates());
 }
 
 impl Control {
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -6,6 +6,7 @@
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::store::Store;
+use crate::tasks;
 use crate::traffic::{Sample, Traffic};
 use crate::upstreams::Protocol;
 use crate::view::Publication;
@@ -13,8 +14,8 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
-use eyre::WrapErr;
-use futures_lite::{StreamExt, future};
+use eyre::{WrapErr, eyre};
+use futures_lite::{FutureExt, StreamExt, future};
 use skylarkdock_units::times::Millis;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -39,11 +40,12 @@
     status: Arc<Status>,
 }
 
-/// Runs a host until it receives a stop signal.
+/// Runs a host until it receives a stop signal. A host shuts down in the same way if one of its tasks panics, as it would
+/// serve by what it last knew.
 ///
 /// # Errors
 ///
-/// Fails if a listener, a thread, the metrics recorder or the signal handler can't be started.
+/// Fails if a listener, a thread, the metrics recorder or the signal handler can't be started, and after a panic.
 pub fn run(
     settings: Settings,
     protocol: Protocol,
@@ -105,7 +107,8 @@
         links.samples.0,
     );
     let handler = Rc::new(move |req: Incoming| traffic.answer(req));
-    ex.spawn(serve::accept(Rc::clone(&ex), callers, Rc::clone(&shared), handler)).detach();
+    let accept = serve::accept(Rc::clone(&ex), callers, Rc::clone(&shared), handler);
+    tasks::spawn(&ex, &links.status, "callers", accept);
     let ready_handler = {
         let shared = Rc::clone(&shared);
         let status = Arc::clone(&links.status);
@@ -115,15 +118,25 @@
         })
     };
     let ready_shared = Rc::new(ListenerState::default());
-    ex.spawn(serve::accept(Rc::clone(&ex), readiness, ready_shared, ready_handler)).detach();
+    let accept = serve::accept(Rc::clone(&ex), readiness, ready_shared, ready_handler);
+    tasks::spawn(&ex, &links.status, "readiness", accept);
     log::info!(host:% = settings.host, zone:% = settings.zone; "host: started");
+    let fault = async {
+        let task = links.status.wait_for_fault().await;
+        Err(eyre!("the task {task} has panicked"))
+    };
+    let end = wait_for_stop_signal(&mut signals).or(fault).await;
+    shut_down(&settings, &shared, &links.status).await;
+    end
+}
+
+async fn wait_for_stop_signal(signals: &mut Signals) -> eyre::Result<()> {
     while let Some(signal) = signals.next().await {
         match signal.wrap_err("can't receive signals")? {
             Signal::Hup => log::info!("host: settings are read at the next start"),
             _ => break,
         }
     }
-    shut_down(&settings, &shared, &links.status).await;
     Ok(())
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod settings;
 pub mod status;
 pub mod store;
+pub mod tasks;
 pub mod traffic;
 pub mod upstreams;
 pub mod view;
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -2,7 +2,9 @@
 
 use crate::detour::SharedPaths;
 use crate::notices::SharedNotices;
+use event_listener::Event;
 use skylarkdock_units::times::{HostTime, Millis};
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 /// State of a host, shared by its threads.
@@ -16,6 +18,10 @@
     proven_version: AtomicU64,
     paths: SharedPaths,
     notices: SharedNotices,
+    /// First task that has panicked.
+    faulty_task: OnceLock<&'static str>,
+    /// Notified when `faulty_task` is set.
+    has_fault: Event,
 }
 
 impl Status {
@@ -49,6 +55,24 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Records that a task that the host can't do without has panicked.
+    pub fn record_fault(&self, task: &'static str) {
+        // The first one may be the cause of others.
+        let _ = self.faulty_task.set(task);
+        self.has_fault.notify(usize::MAX);
+    }
+
+    /// Waits until a task that the host can't do without has panicked. Returns its name.
+    pub async fn wait_for_fault(&self) -> &'static str {
+        loop {
+            let listener = self.has_fault.listen();
+            if let Some(task) = self.faulty_task.get() {
+                return task;
+            }
+            listener.await;
+        }
+    }
+
     /// Records that the store had no configuration newer than `version` at a time.
     pub fn set_config_proof(&self, at: HostTime, version: u64) {
         // Whoever sees the proof also sees its version.
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -20,6 +20,7 @@
 use crate::serve::{Answer, AnswerFuture, Incoming, ListenerState};
 use crate::settings::Settings;
 use crate::status::Status;
+use crate::tasks;
 use crate::upstreams::Protocol;
 use crate::view::{ListedUpstream, Publication, View};
 use async_channel::{Receiver, Sender};
@@ -36,6 +37,7 @@
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::{HostTime, Millis};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -130,7 +132,7 @@
         let traffic = Rc::new(Self {
             settings,
             protocol,
-            ex: Rc::clone(&ex),
+            ex,
             shared,
             status,
             view: RefCell::default(),
@@ -160,15 +162,20 @@
             last_ticket: Cell::new(0),
             pool_checked_at: Cell::default(),
         });
-        ex.spawn(Rc::clone(&traffic).apply_publications(publications)).detach();
-        ex.spawn(Rc::clone(&traffic).poll_waiting()).detach();
-        ex.spawn(Rc::clone(&traffic).send_samples(samples)).detach();
+        traffic.spawn("publications", Rc::clone(&traffic).apply_publications(publications));
+        traffic.spawn("waiting", Rc::clone(&traffic).poll_waiting());
+        traffic.spawn("samples", Rc::clone(&traffic).send_samples(samples));
         reports::start(&traffic);
-        ex.spawn(Rc::clone(&traffic).keep_memberships()).detach();
-        ex.spawn(Rc::clone(&traffic).probe_failed_paths()).detach();
+        traffic.spawn("memberships", Rc::clone(&traffic).keep_memberships());
+        traffic.spawn("paths", Rc::clone(&traffic).probe_failed_paths());
         traffic
     }
 
+    /// Starts a task that the host can't do without.
+    fn spawn(&self, name: &'static str, task: impl Future<Output = ()> + 'static) {
+        tasks::spawn(&self.ex, &self.status, name, task);
+    }
+
     /// Routes a caller's request to an upstream. The future returns the upstream's answer, or the host's own if there
     /// is none to forward.
     pub fn answer(self: &Rc<Self>, req: Incoming) -> AnswerFuture {
--- a/crates/edge/src/traffic/reports.rs
+++ b/crates/edge/src/traffic/reports.rs
@@ -102,9 +102,8 @@
         }
     };
     *traffic.datagrams.borrow_mut() = Some(Rc::clone(&socket));
-    let ex = Rc::clone(&traffic.ex);
-    ex.spawn(send(Rc::clone(traffic), Rc::clone(&socket))).detach();
-    ex.spawn(receive(Rc::clone(traffic), socket)).detach();
+    traffic.spawn("reports", send(Rc::clone(traffic), Rc::clone(&socket)));
+    traffic.spawn("reports", receive(Rc::clone(traffic), socket));
 }
 
 async fn send(traffic: Rc<Traffic>, socket: Rc<Async<UdpSocket>>) {
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -31,7 +31,8 @@
 /// Longer than any test runs.
 pub const LONG: Millis = Millis(3_600_000);
 
-const PROTOCOL: Protocol = Protocol {
+/// Protocol of upstreams that answer to no grant.
+pub const PROTOCOL: Protocol = Protocol {
     names: HeaderNames {
         request_id: "Id",
         deadline: "Deadline",
@@ -111,7 +112,8 @@
     });
 }
 
-fn settings(apply_time: Millis) -> Settings {
+/// Returns settings by which a host listens at any port.
+pub fn settings(apply_time: Millis) -> Settings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     Settings {
         host: "h1".parse().unwrap(),
