Agree on an upstream whose entry is replaced by an unreadable one

Symptom: after another writer had put an entry that can't be read under the id of an upstream, hosts that had read the upstream's own entry used it for good, also if the upstream had ended; a host that read all entries dropped it at once. So hosts disagreed, and keys of such an upstream never moved.

Cause: unreadable entries were left out of what a page changes. In a page of changes that means that the earlier entry stays, in a page of all entries that it was deleted.

Change: `Registry::apply_page` knows which upstreams' newest entries can't be read. The entry before is kept for two heartbeat intervals, within which an upstream that runs writes its own again, and then dropped; that is the same in both kinds of pages, and followers are told of the drop as of any other. An unreadable entry of an unknown upstream lists none.

Weighed: dropping at once is the plainer reading of "names no upstream", but keys of an upstream that runs would go unserved for up to 3.7 s each time another writer hits its id; the unreadable entry itself is not used in either case.

--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -20,11 +20,15 @@
 /// heartbeat, and the last one before an outage may be one interval old.
 const MIN_OUTAGE_HEARTBEATS: u64 = 2;
 
+/// Time in which an upstream that still runs writes its entry again after another writer has replaced it, in heartbeat
+/// intervals.
+const REPLACED_ENTRY_HEARTBEATS: u64 = 2;
+
 #[derive(Debug, Clone)]
 struct RegisteredUpstream {
     listed: ListedUpstream,
-    /// When the entry is dropped unless it is written again before; `None` unless it was deleted and is kept in spite
-    /// of that.
+    /// When the entry is dropped unless it is written again before; `None` unless it was deleted or replaced by one that
+    /// can't be read, and is kept in spite of that.
     kept_until: Option<HostTime>,
 }
 
@@ -37,10 +41,21 @@
     Drop(UpstreamId),
 }
 
-/// Entry that a host keeps although it was deleted.
+/// What a host has read of the registry.
+#[derive(Debug, Default)]
+pub struct RegistryPage {
+    /// Readable entries and deletions, in the order in which they were recorded.
+    pub changes: Vec<RegistryChange>,
+    /// Upstreams whose newest entry can't be read.
+    pub unreadable: FastSet<UpstreamId>,
+    /// Whether the page has all entries.
+    pub is_whole: bool,
+}
+
+/// Entry that a host keeps although it was deleted or replaced by one that can't be read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptEntry {
-    /// The entry before its deletion.
+    /// The entry before that.
     pub entry: Entry,
     /// Time until it is dropped unless it is written again.
     pub remaining: Millis,
@@ -81,6 +96,34 @@
         self.failed_at = self.failed_at.max(asked_at);
     }
 
+    /// Applies a page that this host read from the store; see [`Registry::apply_read`]. Of an upstream whose newest entry
+    /// can't be read, the one before is kept until the upstream had the time to write another. If it was dropped at once,
+    /// the keys of an upstream that still runs would move because of what another writer did.
+    pub fn apply_page(
+        &mut self,
+        page: RegistryPage,
+        asked_at: HostTime,
+        now: HostTime,
+    ) -> Vec<RegistryChange> {
+        let RegistryPage { changes, unreadable, is_whole } = page;
+        // Before the changes, as those of a whole page don't contain the upstreams, and after them, as they may contain
+        // earlier entries of the upstreams.
+        self.keep_replaced(&unreadable, asked_at);
+        let significant = self.apply_read(changes, is_whole, asked_at, now);
+        self.keep_replaced(&unreadable, asked_at);
+        significant
+    }
+
+    fn keep_replaced(&mut self, unreadable: &FastSet<UpstreamId>, asked_at: HostTime) {
+        for id in unreadable {
+            let known = self.upstreams.get_mut(id).filter(|known| known.kept_until.is_none());
+            let Some(known) = known else { continue };
+            let until = asked_at + Millis(self.heartbeat.0 * REPLACED_ENTRY_HEARTBEATS);
+            known.kept_until = Some(until);
+            log::info!(upstream:% = id, until:% = until.since(asked_at); "registry: entry before an unreadable one is kept");
+        }
+    }
+
     /// Applies what this host read from the store, in the order in which it was recorded. The read was sent at
     /// `asked_at`. With `is_whole` the changes contain all entries, and others were deleted. Deleted entries are kept
     /// for now if the store was unavailable before the read. Returns the changes that are more than heartbeats.
@@ -299,13 +342,13 @@
         self.upstreams.values().map(|known| &known.listed)
     }
 
-    /// Returns the entries that were not deleted.
+    /// Returns the entries that are not kept only for a time.
     pub fn confirmed(&self) -> impl Iterator<Item = &Entry> {
         let upstreams = self.upstreams.values().filter(|known| known.kept_until.is_none());
         upstreams.map(|known| &known.listed.entry)
     }
 
-    /// Returns the entries that are kept although they were deleted.
+    /// Returns the entries that are kept although they were deleted or replaced by unreadable ones.
     pub fn kept(&self, now: HostTime) -> impl Iterator<Item = KeptEntry> {
         self.upstreams.values().filter_map(move |known| {
             let remaining = known.kept_until?.since(now);
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -1,7 +1,7 @@
 //! Synchronization with the store: reads of the operators' configuration, the registry of upstreams and the fleet
 //! topic, and writes of ownership tables to the fleet topic.
 
-use super::registry::{Registry, RegistryChange};
+use super::registry::{Registry, RegistryChange, RegistryPage};
 use super::{Control, FleetState, HOST_PREFIX, HostRecord};
 use crate::clock;
 use crate::store::{Page, Record, StoreError, Topic};
@@ -12,6 +12,8 @@
 use skylarkdock_spans::leader::Leader;
 use skylarkdock_spans::renewal::Renewals;
 use skylarkdock_spans::table::Table;
+use skylarkdock_units::collections::FastSet;
+use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -256,10 +258,8 @@
             }
             Topic::Upstreams => {
                 self.fleet.borrow_mut().known_records.record_page(topic, &page, is_whole, asked_at);
-                let changes = self.decode_entries(&page);
-                self.change_registry(|registry, now| {
-                    registry.apply_read(changes, is_whole, asked_at, now)
-                });
+                let page = self.decode_entries(&page, is_whole);
+                self.change_registry(|registry, now| registry.apply_page(page, asked_at, now));
                 self.resume_holders();
             }
             Topic::Fleet => {
@@ -299,27 +299,34 @@
         })
     }
 
-    /// Decodes a page of the registry. Entries that can't be decoded are logged and left out.
-    fn decode_entries(&self, page: &Page) -> Vec<RegistryChange> {
+    /// Decodes a page of the registry. Entries that can't be decoded are logged.
+    fn decode_entries(&self, page: &Page, is_whole: bool) -> RegistryPage {
         let mut changes = Vec::new();
+        let mut unreadable: FastSet<UpstreamId> = FastSet::default();
         for record in &page.records {
+            let id: Option<UpstreamId> = record.key.parse().ok();
             if record.value.is_empty() {
-                changes.extend(record.key.parse().ok().map(RegistryChange::Drop));
+                if let Some(id) = id {
+                    unreadable.remove(&id);
+                    changes.push(RegistryChange::Drop(id));
+                }
                 continue;
             }
             match (self.store.decode_entry)(record) {
                 Ok(mut entry) => {
                     entry.region = self.settings.zones.get(&entry.zone).cloned();
+                    unreadable.remove(&entry.id);
                     changes.push(RegistryChange::Put(entry));
                 }
                 Err(e) => {
                     counter!("skylarkdock_records_ignored_total", "topic" => "upstreams")
                         .increment(1);
                     log::warn!(key = record.key.as_str(), error:% = e; "registry: entry ignored");
+                    unreadable.extend(id);
                 }
             }
         }
-        changes
+        RegistryPage { changes, unreadable, is_whole }
     }
 
     /// Changes the registry with `apply`, which returns the changes that are more than heartbeats, and passes those on.
