Let a stopping host finish calls for other hosts, and send further ones to another intermediary

What callers saw: while a host has no path to an upstream, its requests go over another host. If that intermediary was told to stop, (1) it exited 2.4 s later although such a call was under way, so the caller of the other host got 502, for an order with an unknown result; (2) further calls over it failed with "another host does not reach the upstream either" although others could have made them, so requests were refused or went elsewhere, and the upstream looked as if it had ended.

Cause: (1) the exit waits for the requests of callers, and calls of other hosts are served by the control thread. (2) A host that leaves answered that it does not know the upstream, which two hosts say of one that has ended.

Change: calls for other hosts are counted, and the host exits once there has been none for 0.3 s, or at the end of the grace period as before.

--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -115,17 +115,18 @@
     async fn call_for_peer(&self, body: &[u8]) -> Result<Vec<u8>, postcard::Error> {
         let listed = |addr: SocketAddr| {
             let fleet = self.fleet.borrow();
-            // A call that is under way when this host ends would have an unknown result.
-            if self.status.is_leaving() {
-                return None;
-            }
             let entries = fleet.registry.listed().map(|listed| &listed.entry);
             // An address may have passed on to another upstream, and the entry of the earlier one is still there.
             let newest = entries.filter(|entry| entry.addr == addr).max_by_key(|entry| entry.born);
             newest.map(|entry| (entry.id.clone(), entry.born))
         };
-        let (paths, notices) = (self.status.paths(), self.status.notices());
-        self.detour_server.on_call(&Knowledge { paths, notices }, body, listed).await
+        let _forwarding = self.status.start_forwarding();
+        let knowledge = Knowledge {
+            paths: self.status.paths(),
+            notices: self.status.notices(),
+            is_leaving: self.status.is_leaving(),
+        };
+        self.detour_server.on_call(&knowledge, body, listed).await
     }
 
     fn on_sample(&self, sample: HostSample) -> Option<Vec<u8>> {
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -106,7 +106,8 @@
     Answered { status: u16, headers: Vec<(String, Vec<u8>)>, body: Vec<u8>, is_matched: bool },
     /// The call came too late, or for an earlier process. Nothing was sent.
     Expired,
-    /// The intermediary has no path to the upstream. Nothing was sent.
+    /// The intermediary has no path to the upstream; with `is_cut_off`, it reaches no upstream or is about to exit. Nothing
+    /// was sent.
     NoPath { is_cut_off: bool, is_refused: bool },
     /// The connection to the upstream broke.
     Broken,
@@ -280,6 +281,8 @@
     pub paths: &'a SharedPaths,
     /// What the upstreams asked of this host.
     pub notices: &'a SharedNotices,
+    /// Whether this host was told to stop. It makes no calls then, as it may exit before their answers.
+    pub is_leaving: bool,
 }
 
 /// Incarnation of an upstream, by its id and the time of its start.
@@ -305,7 +308,10 @@
         listed: impl Fn(SocketAddr) -> Option<(UpstreamId, u64)>,
     ) -> Result<Vec<u8>, postcard::Error> {
         let call: DetourCall = postcard::from_bytes(body)?;
-        let end = if call.run != self.run || clock::now().0 > call.send_by {
+        let end = if knowledge.is_leaving {
+            // Says nothing about the upstream, so the caller goes on to another intermediary.
+            DetourEnd::NoPath { is_cut_off: true, is_refused: false }
+        } else if call.run != self.run || clock::now().0 > call.send_by {
             DetourEnd::Expired
         } else if let Some(incarnation) = listed(call.upstream) {
             self.forward(knowledge, &incarnation, call).await
@@ -342,7 +348,7 @@
 
     async fn forward(
         &self,
-        &Knowledge { paths, notices }: &Knowledge<'_>,
+        &Knowledge { paths, notices, .. }: &Knowledge<'_>,
         incarnation: &Incarnation,
         call: DetourCall,
     ) -> DetourEnd {
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -130,7 +130,7 @@
     let mut last_busy_at = clock::now();
     loop {
         let now = clock::now();
-        if shared.busy.get() > 0 {
+        if shared.busy.get() > 0 || status.forwarding() > 0 {
             last_busy_at = now;
         }
         if shutdown.may_exit(last_busy_at, now) {
@@ -139,6 +139,6 @@
         Timer::after(SHUTDOWN_CHECK_INTERVAL.duration()).await;
     }
     let ShutdownEnds { answered, refused, unknown } = shared.shutdown_ends.get();
-    log::info!(in_flight = shared.in_flight.get(), busy = shared.busy.get(), open = shared.open.get(), answered = answered, refused = refused,
+    log::info!(in_flight = shared.in_flight.get(), busy = shared.busy.get(), forwarding = status.forwarding(), open = shared.open.get(), answered = answered, refused = refused,
         unknown = unknown; "host: stopped");
 }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -1,9 +1,9 @@
-//! Readiness, shutdown state, age of the configuration, paths and notices, shared by the threads of a host.
+//! Readiness, shutdown state, age of the configuration, paths, notices and calls for other hosts, shared by the threads of a host.
 
 use crate::detour::SharedPaths;
 use crate::notices::SharedNotices;
 use skylarkdock_units::times::{HostTime, Millis};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 /// State of a host, shared by its threads.
 #[derive(Debug, Default)]
@@ -14,10 +14,21 @@
     config_proof_at: AtomicU64,
     /// Version that was the newest at that time, or a later one.
     proven_version: AtomicU64,
+    /// Number of calls that this host makes for other hosts.
+    forwarding: AtomicUsize,
     paths: SharedPaths,
     notices: SharedNotices,
 }
 
+/// Counts a call for another host until it is dropped.
+pub struct Forwarding<'a>(&'a AtomicUsize);
+
+impl Drop for Forwarding<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Status {
     /// Returns the paths to the upstreams.
     pub const fn paths(&self) -> &SharedPaths {
@@ -49,6 +60,17 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Records that this host makes a call for another host, until the returned value is dropped.
+    pub fn start_forwarding(&self) -> Forwarding<'_> {
+        self.forwarding.fetch_add(1, Ordering::Relaxed);
+        Forwarding(&self.forwarding)
+    }
+
+    /// Returns the number of calls that this host makes for other hosts.
+    pub fn forwarding(&self) -> usize {
+        self.forwarding.load(Ordering::Relaxed)
+    }
+
     /// Records that the store had no configuration newer than `version` at a time.
     pub fn set_config_proof(&self, at: HostTime, version: u64) {
         // Whoever sees the proof also sees its version.
--- a/crates/edge/tests/detour.rs
+++ b/crates/edge/tests/detour.rs
@@ -102,7 +102,10 @@
 
 /// Starts an intermediary that knows the given upstreams.
 fn start_intermediary(listed: Vec<SocketAddr>) -> SocketAddr {
-    let server = thread_local_server();
+    start_intermediary_with(thread_local_server(), listed)
+}
+
+fn start_intermediary_with(server: Box<Serve>, listed: Vec<SocketAddr>) -> SocketAddr {
     serve(move |head, body| {
         assert_eq!(head.path(), "/detour");
         let is_listed = |addr| listed.contains(&addr);
@@ -118,11 +121,15 @@
 
 /// Returns an intermediary that stays on a thread of its own, as a host's does.
 fn thread_local_server() -> Box<Serve> {
+    thread_local_server_with(false)
+}
+
+fn thread_local_server_with(is_leaving: bool) -> Box<Serve> {
     let server = std::sync::Mutex::new(DetourServer::new(protocol(), DRAIN_TIME));
     let notices = SharedNotices::default();
     Box::new(move |body, is_listed| {
         let paths = SharedPaths::default();
-        let knowledge = Knowledge { paths: &paths, notices: &notices };
+        let knowledge = Knowledge { paths: &paths, notices: &notices, is_leaving };
         let listed = |addr| is_listed(addr).then(|| ("i-1".parse().unwrap(), 1));
         block_on(server.lock().unwrap().on_call(&knowledge, body, listed)).unwrap()
     })
@@ -191,6 +198,27 @@
     assert_eq!(count.load(Ordering::Relaxed), 8);
 }
 
+/// The answer of a host that was told to stop must not look like that of a second host without a path to the upstream.
+#[test]
+fn another_intermediary_is_used_if_the_first_is_leaving() {
+    let count = Arc::default();
+    let upstream = upstream(&count);
+    let leaving = start_intermediary_with(thread_local_server_with(true), vec![upstream]);
+    let intermediaries = [near(leaving), near(start_intermediary(vec![upstream]))];
+    for _ in 0..8 {
+        let (client, paths) = (DetourClient::default(), SharedPaths::default());
+        let req = request("/x", b"");
+        let call = client.call(&paths, &intermediaries, upstream, (&req, true), TIMEOUT);
+        assert_eq!(block_on(call).unwrap().unwrap().head.status, 201);
+    }
+    assert_eq!(count.load(Ordering::Relaxed), 8);
+    let (client, paths) = (DetourClient::default(), SharedPaths::default());
+    let req = request("/x", b"");
+    let call = client.call(&paths, &intermediaries[..1], upstream, (&req, true), TIMEOUT);
+    assert_eq!(block_on(call).unwrap_err(), DetourError::NoDetour);
+    assert_eq!(count.load(Ordering::Relaxed), 8);
+}
+
 /// A request that may have run must not look as if it had not been sent.
 #[test]
 fn a_connection_that_breaks_behind_the_intermediary_is_reported() {
