--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -1,11 +1,12 @@
-//! Readiness, shutdown state, age of the configuration, paths and notices, shared by the threads of a host.
+//! Readiness, shutdown state, age of the configuration, paths, notices, calls for other hosts and faults, shared by the
+//! threads of a host.
 
 use crate::detour::SharedPaths;
 use crate::notices::SharedNotices;
 use event_listener::Event;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::sync::OnceLock;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 /// State of a host, shared by its threads.
 #[derive(Debug, Default)]
@@ -16,6 +17,8 @@
     config_proof_at: AtomicU64,
     /// Version that was the newest at that time, or a later one.
     proven_version: AtomicU64,
+    /// Number of calls that this host makes for other hosts.
+    forwarding: AtomicUsize,
     paths: SharedPaths,
     notices: SharedNotices,
     /// First task that has panicked.
@@ -24,6 +27,15 @@
     has_fault: Event,
 }
 
+/// Counts a call for another host until it is dropped.
+pub struct Forwarding<'a>(&'a AtomicUsize);
+
+impl Drop for Forwarding<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Status {
     /// Returns the paths to the upstreams.
     pub const fn paths(&self) -> &SharedPaths {
@@ -73,6 +85,17 @@
         }
     }
 
+    /// Records that this host makes a call for another host, until the returned value is dropped.
+    pub fn start_forwarding(&self) -> Forwarding<'_> {
+        self.forwarding.fetch_add(1, Ordering::Relaxed);
+        Forwarding(&self.forwarding)
+    }
+
+    /// Returns the number of calls that this host makes for other hosts.
+    pub fn forwarding(&self) -> usize {
+        self.forwarding.load(Ordering::Relaxed)
+    }
+
     /// Records that the store had no configuration newer than `version` at a time.
     pub fn set_config_proof(&self, at: HostTime, version: u64) {
         // Whoever sees the proof also sees its version.
