Read no replaced records from the store

Callers were served by old configurations for longer the later a host was: a host that reads a topic on from its offset got every version written since, though only the newest counts. A host that had just started asked for a topic from offset 0, as nothing known counted as the offset 0: all versions that the log still has, or a refusal and another call.

- Without known records a host reads the newest record of each key.
- A host whose configuration is older than the age at which it asks any other host first asks for the end of the topic, and for the newest records if more than one is missing.
If the store refuses to tell, it reads on as before.

--- a/crates/edge/src/control/known_records.rs
+++ b/crates/edge/src/control/known_records.rs
@@ -147,12 +147,14 @@
     }
 
     /// Returns the offset from which to continue reading the store; `None` to start with the newest record of each key.
-    pub const fn next(&self, topic: Topic) -> Option<u64> {
-        match topic {
+    pub fn next(&self, topic: Topic) -> Option<u64> {
+        let next = match topic {
             Topic::Config => Some(self.config.next),
             // Changes received from other hosts have no offsets.
             Topic::Upstreams => None,
             Topic::Fleet => Some(self.fleet.next),
-        }
+        };
+        // The log still has replaced records.
+        next.filter(|next| *next > 0)
     }
 }
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -91,18 +91,20 @@
 }
 
 impl OwnReads {
-    /// Counts a page. Returns its size in bytes.
-    fn add(&mut self, topic: Topic, page: &Page) -> usize {
-        let sizes = page.records.iter().map(|record| record.key.len() + record.value.len());
-        let bytes: usize = sizes.sum();
+    fn add(&mut self, topic: Topic, page: &Page) {
+        let bytes = size(page);
         self.calls += 1;
         self.bytes += bytes;
         counter!("skylarkdock_store_read_bytes_total", "topic" => format!("{topic:?}").to_lowercase())
             .increment(bytes as u64);
-        bytes
     }
 }
 
+/// Returns the size of a page's records in bytes.
+fn size(page: &Page) -> usize {
+    page.records.iter().map(|record| record.key.len() + record.value.len()).sum()
+}
+
 /// Starts one task for each topic that keeps its records up to date.
 pub(super) fn start(control: &Rc<Control>) {
     for topic in [Topic::Config, Topic::Upstreams, Topic::Fleet] {
@@ -139,22 +141,10 @@
                 log::info!(topic:? = topic, age:% = age, has_source, turn:% = turn, leads = self.is_leader.get(), is_whole = cursor.is_none(); "store: this host reads it itself");
             }
             let reads = own_reads.get_or_insert_default();
-            counter!("skylarkdock_store_calls_total", "call" => "read").increment(1);
-            let is_whole = cursor.is_none();
-            self.lateness.on_read(topic, is_whole, asked_at);
-            let read = match cursor {
-                None => (self.store.newest)(topic).await,
-                Some(next) => (self.store.read)(topic, next, max_wait(topic)).await,
-            };
-            self.lateness.on_read_end(topic);
-            let took = clock::now().since(asked_at);
-            match read {
-                Ok(page) => {
+            match self.read_page(topic, cursor, asked_at).await {
+                Ok((page, is_whole)) => {
                     backoff.on_success();
-                    let bytes = reads.add(topic, &page);
-                    if is_whole {
-                        log::info!(topic:? = topic, bytes = bytes, took:% = took; "store: whole records were read");
-                    }
+                    reads.add(topic, &page);
                     if topic == Topic::Upstreams {
                         let latency = clock::now().since(asked_at);
                         self.registry_read_at.set(Some(asked_at));
@@ -184,9 +174,6 @@
                     cursor = None;
                 }
                 Err(e) => {
-                    if is_whole {
-                        log::info!(topic:? = topic, error:% = e, took:% = took; "store: whole records could not be read");
-                    }
                     if topic == Topic::Upstreams {
                         let mut fleet = self.fleet.borrow_mut();
                         fleet.registry.on_failed_read(asked_at);
@@ -198,6 +185,50 @@
         }
     }
 
+    /// Reads the records from an offset on, or the newest record of each key without one, or if so many records are missing
+    /// that most of them are replaced. Returns whether the page contains all keys.
+    async fn read_page(
+        &self,
+        topic: Topic,
+        next: Option<u64>,
+        asked_at: HostTime,
+    ) -> Result<(Page, bool), StoreError> {
+        let age = asked_at.since(self.fleet.borrow().known_records.proof_at(topic));
+        let mut next = next;
+        if let Some(offset) = next
+            && reading::skips_replaced(self.limits, records_of(topic), age)
+        {
+            counter!("skylarkdock_store_calls_total", "call" => "read").increment(1);
+            match (self.store.end)(topic).await {
+                Ok(end) => next = next.filter(|_| end <= offset + 1),
+                Err(e @ StoreError::Unanswered(_)) => return Err(e),
+                Err(e) => {
+                    log::warn!(topic:? = topic, error:% = e; "store: the end of a topic could not be read");
+                }
+            }
+        }
+        let is_whole = next.is_none();
+        self.lateness.on_read(topic, is_whole, asked_at);
+        counter!("skylarkdock_store_calls_total", "call" => "read").increment(1);
+        let read = match next {
+            None => (self.store.newest)(topic).await,
+            Some(next) => (self.store.read)(topic, next, max_wait(topic)).await,
+        };
+        self.lateness.on_read_end(topic);
+        if is_whole {
+            let took = clock::now().since(asked_at);
+            match &read {
+                Ok(page) => {
+                    log::info!(topic:? = topic, bytes = size(page), took:% = took; "store: whole records were read");
+                }
+                Err(e) => {
+                    log::info!(topic:? = topic, error:% = e, took:% = took; "store: whole records could not be read");
+                }
+            }
+        }
+        read.map(|page| (page, is_whole))
+    }
+
     /// Returns whether another host keeps this one up to date on a topic, so that it need not read the store itself. After
     /// a read of its own, it gives other hosts some time to do so.
     pub(super) fn is_updated_by_peer(&self, topic: Topic) -> bool {
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -84,6 +84,8 @@
 pub struct Store {
     /// Returns the newest record of each key of a topic.
     pub newest: Box<dyn Fn(Topic) -> StoreFuture<Page>>,
+    /// Returns the end offset of a topic, without records.
+    pub end: Box<dyn Fn(Topic) -> StoreFuture<u64>>,
     /// Returns the records from an offset on. If there are none yet, waits for one up to the given time.
     pub read: Box<dyn Fn(Topic, u64, Millis) -> StoreFuture<Page>>,
     /// Appends records and returns the new end offset of the topic.
--- a/crates/freshness/src/reading.rs
+++ b/crates/freshness/src/reading.rs
@@ -165,6 +165,12 @@
     known.age >= max_age + wait || known.registry_age >= limits.max_age() + wait
 }
 
+/// Returns whether a host that reads records finds out first how many it misses, as it may need only the newest record of
+/// each key. Few keys have large records, so most of what a host that is late misses is replaced.
+pub fn skips_replaced(limits: Limits, records: Records, age: Millis) -> bool {
+    records == Records::Config && age > limits.isolation_age()
+}
+
 /// Returns the time after which a host that need not read records itself checks that again. One that other hosts follow
 /// may have to read them at once when it loses its source. Each of the other hosts only has to find out in time that its
 /// records are too old, and there are hundreds of these.
