--- a/crates/edge/tests/panicked_task.rs
+++ b/crates/edge/tests/panicked_task.rs
@@ -20,6 +20,7 @@
     Store {
         newest: Box::new(|_| Box::pin(async { panic!("a fault of the program") })),
         read: Box::new(move |_, _, _| Box::pin(async move { Err(refused()) })),
+        end: Box::new(move |_| Box::pin(async move { Err(refused()) })),
         append: Box::new(move |_, _| Box::pin(async move { Err(refused()) })),
         join: Box::new(move || Box::pin(async move { Err(refused()) })),
         leave: Box::new(move || Box::pin(async move { Err(refused()) })),
