Play the simulation of ownership alike on all processors

The simulation starts the grants of a host in the order of a hash map, and each start takes random numbers.

Grants now start in the order of their holders. The former seeds stay as plays.

--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -82,9 +82,8 @@
 }
 
 /// A grant that had waited for another call was sent although its keys had another owner by then.
-#[test]
-fn a_grant_that_waited_is_checked_again() {
-    let seed = 120;
+#[rstest]
+fn a_grant_that_waited_is_checked_again(#[values(73, 120)] seed: u64) {
     run(seed, Safeguards::default()).unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
 }
 
@@ -108,9 +107,12 @@
 
 /// Seeds that ended with two holders of a key because a leader did not know of a grant that another host had sent.
 #[rstest]
+#[case::by_a_leader_that_the_table_did_not_name(835)]
 #[case::by_a_leader_that_the_table_did_not_name(1025)]
 #[case::by_a_leader_that_the_table_did_not_name(1081)]
 #[case::by_a_leader_that_the_table_did_not_name(1189)]
+#[case::by_a_keeper_that_was_replaced(51)]
+#[case::by_a_keeper_that_was_replaced(93)]
 #[case::by_a_keeper_that_was_replaced(1089)]
 #[case::by_a_keeper_that_was_replaced_again_while_the_leader_was_stopped(513)]
 fn a_grant_of_another_host_is_waited_for(#[case] seed: u64) {
@@ -129,7 +131,7 @@
     ..Safeguards::default()
 })]
 #[case::grants_are_sent_after_a_wait_without_another_look(100, Safeguards { confirms_sends: false, ..Safeguards::default() })]
-#[case::tables_are_written_after_a_wait_without_another_look(1, Safeguards { confirms_writes: false, ..Safeguards::default() })]
+#[case::tables_are_written_after_a_wait_without_another_look(1_700, Safeguards { confirms_writes: false, ..Safeguards::default() })]
 fn the_simulation_detects_a_missing_safeguard(#[case] first: u64, #[case] safeguards: Safeguards) {
     let found = (first..first + 400)
         .any(|seed| run(seed, safeguards).is_err_and(|violation| violation.contains("is held by")));
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -76,8 +76,10 @@
 
     /// Starts the next grant to each holder that has no other under way.
     pub(super) fn start_calls(&mut self, from: usize) {
-        let holders: Vec<Holder> =
+        let mut holders: Vec<Holder> =
             self.calls.keys().filter(|(host, _)| *host == from).map(|(_, h)| h.clone()).collect();
+        // The order of a map differs between processors, and each call takes random numbers.
+        holders.sort_by(|a, b| (&a.id, a.born).cmp(&(&b.id, b.born)));
         for holder in holders {
             while let Some((by_leader, grant)) = self.next_call(from, &holder) {
                 if self.may_send(from, by_leader, &grant) {
