Wait for the grants of an upstream that is listed anew at another address

What callers saw: two upstreams may hold the same keys. No record shows it.

Cause: a holder counted as certainly ended, and its keys were granted without a release or a wait, as soon as the registry showed an entry of its id with a later start at another address (Holder::has_ended, Inputs::dead). The start is what the writer of the entry claims. An entry of another writer, or of an upstream whose former process only lost its path to the store, ends nothing.

Evidence: the simulation gave an upstream one address for all its incarnations and let only upstreams write entries, so it never showed a dead holder to a leader. Now upstreams may start anew at other addresses, and other writers may replace entries of running ones.

Change: keys move only after a release, after an answer of another upstream at the address, or once the grants have lapsed. The registry no longer ends a wait. A later incarnation at the same address still takes its keys over at once, as the call reaches it and carries a larger token. The three assertions on Holder::has_ended go with the function; the test has the release at the former address of a later incarnation elsewhere instead, and the plan has a test of its own.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -381,10 +381,6 @@
             candidates.append(&mut resting);
         }
         candidates.sort_by(|a, b| a.holder.id.cmp(&b.holder.id));
-        let dead = renewals
-            .and_then(|renewals| renewals.table())
-            .map(|table| dead_holders(table, &fleet.registry))
-            .unwrap_or_default();
         let load = owners.key_loads.entry(service.clone()).or_insert_with(|| KeyLoad::new(now));
         let rates = load.rates(now);
         drop(owners);
@@ -394,7 +390,6 @@
             rates,
             hosts,
             cut_off: self.cut_off_hosts(),
-            dead,
             is_leaving: self.is_handing_over.get(),
         }
     }
@@ -571,17 +566,6 @@
     if count > 0.0 { sum / count } else { ASSUMED_SERVICE_MS }
 }
 
-/// Returns the holders in a table that have certainly ended, as a later incarnation is registered at another address.
-fn dead_holders(table: &Table, registry: &super::registry::Registry) -> Vec<Holder> {
-    let former = table.spans.iter().flat_map(|span| &span.former).map(|former| &former.holder);
-    let owners = table.spans.iter().map(|span| &span.owner);
-    let is_dead = |holder: &&Holder| {
-        let entry = registry.entry(&holder.id);
-        entry.is_some_and(|entry| holder.has_ended(entry.born, entry.addr))
-    };
-    former.chain(owners).filter(is_dead).cloned().collect()
-}
-
 #[expect(clippy::cast_precision_loss, reason = "a count of slots")]
 const fn slots(count: u32) -> f32 {
     count as f32
--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -68,9 +68,6 @@
     pub hosts: Vec<Keeper>,
     /// Hosts that seem to reach no upstream.
     pub cut_off: Vec<HostId>,
-    /// Incarnations of upstreams that have certainly ended, and with them their addresses: a later incarnation at the
-    /// same address may take a late renewal for the earlier one, unless it has released the keys.
-    pub dead: Vec<Holder>,
     /// Whether the leader is about to hand over. It finishes pending moves and plans no further ones.
     pub is_leaving: bool,
 }
@@ -261,7 +258,7 @@
     pub fn tick(&mut self, inputs: &Inputs, now: HostTime) -> Vec<Action> {
         let mut actions = Vec::new();
         self.track_moves(now);
-        self.advance_moves(inputs, now, &mut actions);
+        self.advance_moves(now, &mut actions);
         if !self.is_writing
             && now >= self.write_not_before
             && let Some(table) = self.next_table(inputs, now)
@@ -305,7 +302,7 @@
     }
 
     /// Sends the releases, grants and requests for acknowledgement that pending moves need next.
-    fn advance_moves(&mut self, inputs: &Inputs, now: HostTime, actions: &mut Vec<Action>) {
+    fn advance_moves(&mut self, now: HostTime, actions: &mut Vec<Action>) {
         let Some(table) = self.table.clone() else { return };
         // Later leaders ask only the hosts that a table names what they granted.
         let may_grant = table.leader == self.own_host;
@@ -318,10 +315,7 @@
             let has_expired: Vec<bool> = span
                 .former
                 .iter()
-                .map(|former| {
-                    inputs.dead.contains(&former.holder)
-                        || self.has_expired(&table, span, &former.holder, since, now)
-                })
+                .map(|former| self.has_expired(&table, span, &former.holder, since, now))
                 .collect();
             let Some(progress) = self.moves.get_mut(&id) else { continue };
             for (index, former) in span.former.iter().enumerate() {
@@ -445,8 +439,7 @@
         }
         if is_urgent || now.since(self.planned_at) >= PLAN_INTERVAL {
             self.planned_at = now;
-            let is_dead = |holder: &Holder| inputs.dead.contains(holder);
-            if let Some(spans) = plan::next_spans(&next, &candidates, &inputs.rates, is_dead) {
+            if let Some(spans) = plan::next_spans(&next, &candidates, &inputs.rates) {
                 next.spans = spans;
                 next.next_fence = FencingToken(next.next_fence.0 + 1);
             }
--- a/crates/spans/src/plan.rs
+++ b/crates/spans/src/plan.rs
@@ -73,19 +73,17 @@
 /// grants, merges spans; if there are none to merge, moves load to upstreams that own no span; if there is none to
 /// move, rebalances load. Returns `None` if nothing changes.
 ///
-/// `rates` has the requests per second of keys. `is_dead` returns whether an incarnation has certainly ended and none
-/// after it can take a grant that was meant for it, so that its grants need no release.
+/// `rates` has the requests per second of keys.
 pub fn next_spans(
     table: &Table,
     candidates: &[Candidate],
     rates: &[(u16, f32)],
-    is_dead: impl Fn(&Holder) -> bool,
 ) -> Option<Vec<Span>> {
     if candidates.is_empty() {
         return None;
     }
     let mut draft = Draft::new(table, candidates, rates);
-    let mut changed = draft.reassign_lost(&is_dead);
+    let mut changed = draft.reassign_lost();
     let pending = table.spans.iter().filter(|span| !span.is_granted).count();
     if !changed && pending <= (candidates.len() / UPSTREAMS_PER_PENDING).max(MIN_PENDING) {
         changed = draft.merge_neighbours() || draft.fill_unused() || draft.rebalance();
@@ -137,7 +135,7 @@
     }
 
     /// Reassigns the spans of upstreams that are not among the candidates; returns whether there were any.
-    fn reassign_lost(&mut self, is_dead: &impl Fn(&Holder) -> bool) -> bool {
+    fn reassign_lost(&mut self) -> bool {
         let candidates = self.candidates;
         let has_candidate = |span: &Span| candidates.iter().any(|c| c.holder == span.owner);
         if self.spans.iter().all(has_candidate) {
@@ -161,7 +159,7 @@
             let load = self.load(span.first, span.last);
             let same = self.candidates.iter().position(|c| c.holder.id == span.owner.id);
             let target = same.unwrap_or_else(|| self.least_loaded(load));
-            let moved = self.with_owner(span, target, is_dead);
+            let moved = self.with_owner(span, target);
             self.loads[target] += load;
             self.spans.push(moved);
         }
@@ -211,12 +209,11 @@
         (0..self.candidates.len()).min_by(|a, b| after(*a).total_cmp(&after(*b))).unwrap_or(0)
     }
 
-    /// Returns the span with another owner. The present owner's grant becomes a former one, which has to end first
-    /// unless that incarnation has ended.
-    fn with_owner(&self, span: Span, target: usize, is_dead: &impl Fn(&Holder) -> bool) -> Span {
+    /// Returns the span with another owner. The present owner's grant becomes a former one, which has to end first. A later
+    /// incarnation in the registry does not end it: its start is what a writer of the entry claims.
+    fn with_owner(&self, span: Span, target: usize) -> Span {
         let mut former = span.former;
         former.push(FormerGrant { holder: span.owner, fence: span.fence });
-        former.retain(|former| !is_dead(&former.holder));
         let owner = self.candidates[target].holder.clone();
         // An earlier grant to the new owner, or to an earlier incarnation at its address, needs no release: its new grant
         // covers the same keys and rules out renewals with smaller tokens.
@@ -362,7 +359,7 @@
     fn reassign_part(&mut self, index: usize, first: u16, last: u16, to: usize) {
         let span = self.spans.remove(index);
         let part = Span { first, last, ..span.clone() };
-        let moved = self.with_owner(part, to, &|_| false);
+        let moved = self.with_owner(part, to);
         let mut insert_at = index;
         if first > span.first {
             self.spans.insert(insert_at, Span { last: first - 1, ..span.clone() });
--- a/crates/spans/src/table.rs
+++ b/crates/spans/src/table.rs
@@ -46,12 +46,6 @@
 }
 
 impl Holder {
-    /// Returns whether the incarnation and its address have certainly ended, if one that started at `born` is registered
-    /// under its id at `addr`. At the same address, the later incarnation may take calls that are meant for this one.
-    pub fn has_ended(&self, born: u64, addr: SocketAddr) -> bool {
-        born > self.born && addr != self.addr
-    }
-
     /// Returns whether a call for one of two incarnations reaches the other if that is the one which runs.
     pub fn is_reached_as(&self, other: &Self) -> bool {
         self.id == other.id && self.addr == other.addr
--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -9,6 +9,8 @@
 use skylarkdock_units::times::Millis;
 
 const DEFAULT_CASES: u64 = 8;
+/// Cases with entries of other writers.
+const FOREIGN_ENTRY_CASES: u64 = 12;
 const FAULT_STEPS: usize = 2_400;
 /// Steps without faults before all keys must be held: enough for grants to expire without a keeper's acknowledgement of
 /// the table, and for the moves after that.
@@ -96,6 +98,18 @@
     }
 }
 
+/// Upstreams start anew at other addresses, and other writers replace entries of running ones by entries with a later
+/// start. A leader must not take that for the end of the incarnation before.
+#[test]
+fn no_two_upstreams_hold_a_key_when_other_writers_replace_entries() {
+    for seed in 1..=FOREIGN_ENTRY_CASES {
+        let safeguards = Safeguards { has_foreign_entries: true, ..Safeguards::default() };
+        let simulation = run_faults(seed, safeguards)
+            .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+        assert!(simulation.fault_counts.foreign_entries > 0, "seed {seed}");
+    }
+}
+
 /// A keeper without the store that was stopped for less than a grant's lifetime opens its first connection to the next
 /// incarnation of an owner that had released its keys.
 #[test]
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -165,11 +165,7 @@
 #[test]
 fn keys_are_released_at_a_later_incarnation_at_the_same_address() {
     let earlier = holder("b");
-    let elsewhere = ([127, 0, 0, 1], 9_001).into();
-    assert!(!earlier.has_ended(2, earlier.addr));
-    assert!(!earlier.has_ended(1, elsewhere));
-    assert!(earlier.has_ended(2, elsewhere));
-    // Neither candidate nor dead: the later incarnation is not listed as able to own keys yet.
+    // The later incarnation is not listed as able to own keys yet.
     let mut fixture = Fixture::new();
     let mut released = Vec::new();
     for _ in 0..20 {
@@ -184,6 +180,29 @@
     assert!(!released.is_empty() && released.iter().all(|holder| *holder == earlier));
 }
 
+/// The start in an entry is what its writer claims, and the upstream may still hold its keys at the former address.
+#[test]
+fn keys_are_released_at_the_former_address_before_a_later_incarnation_elsewhere_is_granted_them() {
+    let earlier = holder("b");
+    let later =
+        Holder { born: earlier.born + 1, addr: ([127, 0, 0, 1], 9_999).into(), ..earlier.clone() };
+    let mut fixture = Fixture::new();
+    let mut inputs = inputs(&["a"]);
+    inputs.candidates.push(Candidate { holder: later, ..inputs.candidates[0].clone() });
+    let mut released = Vec::new();
+    for _ in 0..20 {
+        fixture.now = fixture.now + Millis(50);
+        for action in fixture.leader.tick(&inputs, fixture.now) {
+            match action {
+                Action::Grant(grant) => panic!("granted before the release: {grant:?}"),
+                Action::Release(release) => released.push(release.holder),
+                other => fixture.carry_out(other),
+            }
+        }
+    }
+    assert!(!released.is_empty() && released.iter().all(|holder| *holder == earlier));
+}
+
 /// A keeper that another one of its availability zone replaced has sent grants that its successor knows nothing of.
 #[test]
 fn keys_are_not_granted_before_the_grants_of_a_replaced_keeper_expire() {
--- a/crates/spans/tests/plan.rs
+++ b/crates/spans/tests/plan.rs
@@ -38,7 +38,7 @@
 fn replan(table: &Table, candidates: &[Candidate], rates: &[f32]) -> Option<Table> {
     let rates: Vec<(u16, f32)> =
         (0..=u16::MAX).zip(rates).map(|(key, rate)| (key, *rate)).collect();
-    let spans = plan::next_spans(table, candidates, &rates, |_| false)?;
+    let spans = plan::next_spans(table, candidates, &rates)?;
     let next = Table { spans, next_fence: FencingToken(table.next_fence.0 + 1), ..table.clone() };
     next.check().unwrap();
     Some(next)
@@ -152,14 +152,25 @@
     let table = table(&["a", "b"]);
     let mut candidates = candidates(&["a", "b"]);
     candidates[1].holder.born = 2;
-    let spans = plan::next_spans(&table, &candidates, &[], |dead| {
-        dead.born == 1 && dead.id.as_str() == "b"
-    });
-    let spans = spans.unwrap();
+    let spans = plan::next_spans(&table, &candidates, &[]).unwrap();
     let owned = spans.iter().find(|span| span.owner == candidates[1].holder).unwrap();
     assert_eq!((owned.fence, owned.former.len(), owned.is_granted), (FencingToken(2), 0, false));
 }
 
+/// An entry with a later start may come from another writer, while the upstream still holds its keys at its address.
+#[test]
+fn an_upstream_listed_anew_at_another_address_has_to_release_its_keys() {
+    let table = table(&["a", "b"]);
+    let mut candidates = candidates(&["a", "b"]);
+    let earlier = candidates[1].holder.clone();
+    candidates[1].holder =
+        Holder { born: u64::MAX, addr: ([127, 0, 0, 2], 9_000).into(), ..earlier.clone() };
+    let spans = plan::next_spans(&table, &candidates, &[]).unwrap();
+    let owned = spans.iter().find(|span| span.owner == candidates[1].holder).unwrap();
+    let former: Vec<&Holder> = owned.former.iter().map(|former| &former.holder).collect();
+    assert_eq!((former, owned.is_granted), (vec![&earlier], false));
+}
+
 #[rstest]
 #[case(0.0)]
 #[case(0.01)]
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -38,6 +38,9 @@
     /// Whether hosts stop and upstreams crash several times as often, and hosts renew before they read the store. Not a
     /// safeguard, but some are needed only then.
     pub has_frequent_faults: bool,
+    /// Whether upstreams start anew at other addresses, and other writers replace entries of running upstreams by ones
+    /// with a later start. Not a safeguard either.
+    pub has_foreign_entries: bool,
 }
 
 pub const TIMING: Timing =
@@ -53,6 +56,7 @@
             confirms_sends: true,
             confirms_writes: true,
             has_frequent_faults: false,
+            has_foreign_entries: false,
         }
     }
 }
@@ -91,6 +95,8 @@
     pub withheld_grants: u64,
     /// Grants on a connection that a later incarnation than their holder accepted.
     pub later_incarnations: u64,
+    /// Entries of running upstreams that another writer replaced.
+    pub foreign_entries: u64,
 }
 
 pub struct Simulation {
@@ -230,6 +236,17 @@
             let down_ms = self.rng.u64(500..6_000);
             let born_increase = self.rng.u64(1..5);
             self.upstreams[index].crash(now, down_ms, born_increase);
+            if self.safeguards.has_foreign_entries && self.rng.bool() {
+                self.upstreams[index].change_address();
+            }
+        }
+        if self.safeguards.has_foreign_entries && self.rng.u32(..200) == 0 {
+            let index = self.rng.usize(..UPSTREAMS);
+            let born_increase = self.rng.u64(1..1_000);
+            let is_elsewhere = self.rng.bool();
+            let until = now + self.rng.u64(300..4_000);
+            self.upstreams[index].overwrite_entry(born_increase, is_elsewhere, until);
+            self.fault_counts.foreign_entries += 1;
         }
         if self.rng.u32(..600) == 0 {
             let index = self.rng.usize(..UPSTREAMS);
@@ -306,7 +323,9 @@
         // The registry confirms an incarnation one second after its suspension.
         for (holder, at) in host.renewals.suspended() {
             let is_confirmed = self.upstreams.iter().any(|upstream| {
-                upstream.holder() == holder && upstream.reaches_store && upstream.is_up(self.now)
+                upstream.listed_holder(self.now) == holder
+                    && upstream.reaches_store
+                    && upstream.is_up(self.now)
             });
             if is_confirmed && self.now > at.0 + 1_000 {
                 host.renewals.resume(&holder, HostTime(self.now));
@@ -324,7 +343,7 @@
             .upstreams
             .iter()
             .filter(listed)
-            .map(|upstream| Candidate { holder: upstream.holder(), capacity: 10.0 })
+            .map(|upstream| Candidate { holder: upstream.listed_holder(now), capacity: 10.0 })
             .collect();
         // The hot key changes every two seconds, so that rebalancing moves keys.
         let hot = (now / 2_000 * 7_919) % 0x1_0000;
@@ -337,8 +356,7 @@
         }
         let has_no_path = |host: &&Host| host.reachable_upstreams.iter().all(|reaches| !reaches);
         let cut_off = self.hosts.iter().filter(has_no_path).map(|host| host.id.clone()).collect();
-        // The incarnations of an upstream have one address, so none is known to have ended with it.
-        Inputs { candidates, rates, hosts, cut_off, dead: Vec::new(), is_leaving: false }
+        Inputs { candidates, rates, hosts, cut_off, is_leaving: false }
     }
 
     fn carry_out(&mut self, index: usize, action: Action) {
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -124,7 +124,9 @@
         let is_reached = is_direct || (may_detour && self.is_reached_over_other_host(from, index));
         self.fault_counts.detours += u64::from(!is_direct && is_reached);
         let upstream = &self.upstreams[index];
-        let (is_up, born) = (upstream.is_up(now), upstream.born());
+        // Nothing listens at other addresses, or another upstream, which refuses the call.
+        let is_up = upstream.is_up(now) && upstream.holder().addr == grant.holder.addr;
+        let born = upstream.born();
         let key = (from, grant.holder.clone());
         let calls = self.calls.entry(key).or_default();
         let mut end = None;
@@ -316,6 +318,8 @@
     fn reachable_upstream(&self, from: usize, holder: &Holder) -> Option<usize> {
         let index = self.index_of(holder);
         let is_reached = self.hosts[from].reachable_upstreams[index];
-        (is_reached && self.upstreams[index].is_up(self.now)).then_some(index)
+        let upstream = &self.upstreams[index];
+        let is_there = upstream.is_up(self.now) && upstream.holder().addr == holder.addr;
+        (is_reached && is_there).then_some(index)
     }
 }
--- a/crates/spans/tests/simulation/upstream.rs
+++ b/crates/spans/tests/simulation/upstream.rs
@@ -21,8 +21,14 @@
     held: Vec<Held>,
     seen_fences: Vec<(u16, u16, FencingToken)>,
     clock_drift_percent: u64,
+    port: u16,
+    /// Entry that another writer put in place of this upstream's, and until when it stands.
+    foreign: Option<(Holder, u64)>,
 }
 
+/// Ports between the addresses of two incarnations of an upstream.
+const PORTS_PER_MOVE: u16 = 10;
+
 impl Upstream {
     pub fn new(index: usize, rng: &mut fastrand::Rng) -> Self {
         Self {
@@ -35,6 +41,8 @@
             held: Vec::new(),
             seen_fences: Vec::new(),
             clock_drift_percent: rng.u64(0..=2),
+            port: 9_000 + u16::try_from(index).unwrap_or_default(),
+            foreign: None,
         }
     }
 
@@ -50,7 +58,7 @@
         Holder {
             id: format!("u{}", self.index).parse().unwrap_or_else(|e| panic!("{e}")),
             born: self.born,
-            addr: ([127, 0, 0, 1], 9_000).into(),
+            addr: ([127, 0, 0, 1], self.port).into(),
             region: if self.index.is_multiple_of(2) { "east" } else { "west" }
                 .parse()
                 .unwrap_or_else(|e| panic!("{e}")),
@@ -65,6 +73,27 @@
         self.seen_fences.clear();
     }
 
+    /// Moves the upstream to another address, where its next incarnation will listen.
+    pub const fn change_address(&mut self) {
+        self.port += PORTS_PER_MOVE;
+    }
+
+    /// Puts an entry with a later start in place of the upstream's, until the upstream writes its own again.
+    pub fn overwrite_entry(&mut self, born_increase: u64, is_elsewhere: bool, until: u64) {
+        let own = self.holder();
+        let port = if is_elsewhere { self.port + PORTS_PER_MOVE / 2 } else { self.port };
+        let addr = ([127, 0, 0, 1], port).into();
+        self.foreign = Some((Holder { born: own.born + born_increase, addr, ..own }, until));
+    }
+
+    /// Returns the incarnation that the registry shows.
+    pub fn listed_holder(&self, now: u64) -> Holder {
+        match &self.foreign {
+            Some((holder, until)) if now < *until => holder.clone(),
+            _ => self.holder(),
+        }
+    }
+
     /// Carries out a grant that arrived at `arrived`, from which time its lifetime counts.
     pub fn grant(
         &mut self,
