List an upstream again after an entry with a later start

What callers saw: nothing on record. An upstream whose clock was ahead when its former process started, or in whose place another writer put an entry with a start far ahead, is shut out for as long as it runs: its own entries look older and are dropped, its leaving too. And renewals to the process before resume, as the entry in the store counts as a sign of its life, so the one that runs gets grants of the former with their tokens.

Cause: Registry::put drops each entry with an earlier start than the known one, to ignore late writes of a former process. Registry::has_written_since only asks whether some entry of the id is there.

Change: after a late write of a former process, the one that runs writes its entry again within a heartbeat interval. So an entry with an earlier start replaces the known one once it has been the store's entry for three intervals in which the registry was read, after which the store would have dropped the known one; or at once if the known one was deleted and only kept. Meanwhile the known entry shows no life. Keys can't get a second holder by it: no entry ends the wait for a holder any more.

Tests that hold before and after: late writes of a former process have no effect, and an outage of the store does not count.

--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -13,6 +13,9 @@
 use skylarkdock_units::times::{HostTime, Millis};
 
 /// Heartbeat intervals of silence after which the store drops an entry.
+///
+/// An entry with an earlier start is first taken for a late write of a former process. If it stands for this long, the
+/// process with the later start does not write: there was none, or the upstream's clock was set back.
 const EXPIRY_HEARTBEATS: u64 = 3;
 /// Time after the end of an outage within which upstreams that still run write their expired entries again.
 const REWRITE_TIME: Millis = Millis(2_000);
@@ -26,6 +29,8 @@
     /// When the entry is dropped unless it is written again before; `None` unless it was deleted and is kept in spite
     /// of that.
     kept_until: Option<HostTime>,
+    /// Entry with an earlier start that the store has in place of this one, and when it was first known.
+    earlier: Option<(Entry, HostTime)>,
 }
 
 /// Change of one entry of the registry.
@@ -106,7 +111,7 @@
         let missing = missing.into_iter().map(RegistryChange::Drop);
         for change in missing.chain(changes) {
             let is_significant = match &change {
-                RegistryChange::Put(entry) => self.put(entry.clone(), now),
+                RegistryChange::Put(entry) => self.put(entry.clone(), asked_at, now),
                 RegistryChange::Drop(id) => match kept_until {
                     Some(until) => self.keep(id, until, now),
                     None => self.drop_deleted(id, now),
@@ -116,6 +121,7 @@
                 significant.push(change);
             }
         }
+        significant.extend(self.take_earlier(now));
         significant.extend(self.drop_expired(asked_at, now).into_iter().map(RegistryChange::Drop));
         significant
     }
@@ -140,7 +146,9 @@
     /// Returns whether an upstream has certainly written its entry after `since`, in the incarnation that is listed: the
     /// store drops an entry after some heartbeat intervals of silence, and has been read without a pause for longer.
     pub fn has_written_since(&self, id: &UpstreamId, since: HostTime) -> bool {
-        let known = self.upstreams.get(id).filter(|known| known.kept_until.is_none());
+        let is_in_store =
+            |known: &&RegisteredUpstream| known.kept_until.is_none() && known.earlier.is_none();
+        let known = self.upstreams.get(id).filter(is_in_store);
         let silence = Millis(self.heartbeat.0 * (EXPIRY_HEARTBEATS + 1));
         known.is_some() && self.read_at.since(since.max(self.read_since)) >= silence
     }
@@ -166,7 +174,9 @@
         }
         for change in changes {
             let is_significant = match &change {
-                RegistryChange::Put(entry) => !self.is_older(entry) && self.put(entry.clone(), now),
+                RegistryChange::Put(entry) => {
+                    !self.is_older(entry) && self.put(entry.clone(), read_at, now)
+                }
                 RegistryChange::Drop(id) => self.drop_deleted(id, now),
             };
             if is_significant {
@@ -175,7 +185,7 @@
         }
         for KeptEntry { entry, remaining } in kept {
             let id = entry.id.clone();
-            if is_first && self.put(entry.clone(), now) {
+            if is_first && self.put(entry.clone(), read_at, now) {
                 significant.push(RegistryChange::Put(entry));
             }
             // Hosts that tell each other of an entry must not extend its time.
@@ -184,6 +194,7 @@
             self.keep(&id, known_until.map_or(until, |known| known.min(until)), now);
         }
         self.advance(read_at);
+        significant.extend(self.take_earlier(now));
         significant
     }
 
@@ -198,13 +209,18 @@
         known.is_some_and(|known| known.born == entry.born && known.seq > entry.seq)
     }
 
-    /// Stores an entry, unless one of a later incarnation is known. Returns whether the stored entry changed in
-    /// more than its heartbeat.
-    fn put(&mut self, entry: Entry, now: HostTime) -> bool {
-        let known = self.upstreams.get(&entry.id);
-        if known.is_some_and(|known| known.listed.entry.born > entry.born) {
+    /// Stores an entry that the store had at `read_at`, unless one of a later incarnation is known. Returns whether the
+    /// stored entry changed in more than its heartbeat.
+    fn put(&mut self, entry: Entry, read_at: HostTime, now: HostTime) -> bool {
+        if let Some(known) = self.upstreams.get_mut(&entry.id)
+            && known.kept_until.is_none()
+            && known.listed.entry.born > entry.born
+        {
+            let since = known.earlier.take().map_or(read_at, |(_, since)| since);
+            known.earlier = Some((entry, since));
             return false;
         }
+        let known = self.upstreams.get(&entry.id);
         let cold_until = match known {
             Some(known) if known.listed.entry.cold == entry.cold => known.listed.cold_until,
             _ => now + entry.cold,
@@ -225,11 +241,37 @@
         }
         self.upstreams.insert(
             id,
-            RegisteredUpstream { listed: ListedUpstream { entry, cold_until }, kept_until: None },
+            RegisteredUpstream {
+                listed: ListedUpstream { entry, cold_until },
+                kept_until: None,
+                earlier: None,
+            },
         );
         is_change
     }
 
+    /// Replaces entries by those with an earlier start that the store has had in their place for long enough, while it was
+    /// read. Returns the changes.
+    fn take_earlier(&mut self, now: HostTime) -> Vec<RegistryChange> {
+        let silence = Millis(self.heartbeat.0 * EXPIRY_HEARTBEATS);
+        let (read_at, read_since) = (self.read_at, self.read_since);
+        let has_stood = |since: HostTime| read_at.since(since.max(read_since)) >= silence;
+        let due = self.upstreams.values_mut().filter_map(|known| {
+            let (entry, _) = known.earlier.take_if(|(_, since)| has_stood(*since))?;
+            Some((entry, known.listed.entry.born))
+        });
+        let due: Vec<(Entry, u64)> = due.collect();
+        let mut changes = Vec::new();
+        for (entry, former) in due {
+            log::info!(upstream:% = entry.id, born = entry.born, former = former, age:% = self.age(now); "registry: entry with an earlier start taken");
+            self.upstreams.remove(&entry.id);
+            self.put(entry.clone(), read_at, now);
+            changes.push(RegistryChange::Drop(entry.id.clone()));
+            changes.push(RegistryChange::Put(entry));
+        }
+        changes
+    }
+
     /// Keeps an entry until `until` although it was deleted. Returns `false`, as the entry stays.
     fn keep(&mut self, id: &UpstreamId, until: HostTime, now: HostTime) -> bool {
         let age = self.age(now);
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -261,3 +261,90 @@
     fleet.apply(Millis(300), vec![RegistryChange::Drop("a".parse().unwrap())], false);
     assert!(!fleet.registry.has_written_since(&id, since));
 }
+
+/// Returns the entry of `a` from a process that started at `born`.
+fn started(born: u64, seq: u64) -> Entry {
+    Entry { born, ..entry("a", seq) }
+}
+
+fn put_started(born: u64, seq: u64) -> RegistryChange {
+    RegistryChange::Put(started(born, seq))
+}
+
+fn known_born(registry: &Registry) -> Option<u64> {
+    registry.entry(&"a".parse().unwrap()).map(|entry| entry.born)
+}
+
+/// The clock of an upstream may have been ahead when its former process started, and another writer may give any start.
+/// The upstream must not be shut out by that for as long as it runs.
+#[rstest]
+#[case::clock_set_back(7)]
+#[case::another_writer(u64::MAX)]
+fn an_upstream_is_listed_again_after_an_entry_with_a_later_start(#[case] former: u64) {
+    let mut reads = Reads::start(vec![put_started(former, 1)]);
+    reads.apply(Millis(300), vec![put_started(3, 1)], false);
+    assert_eq!(
+        known_born(&reads.registry),
+        Some(former),
+        "may be a late write of an earlier process"
+    );
+    for _ in 0..2 {
+        assert_eq!(reads.apply(HEARTBEAT, Vec::new(), false), []);
+        assert_eq!(known_born(&reads.registry), Some(former), "not all heartbeats are missed yet");
+    }
+    let expected = [delete("a"), put_started(3, 1)];
+    assert_eq!(reads.apply(HEARTBEAT, Vec::new(), false), expected);
+    assert_eq!(known_born(&reads.registry), Some(3));
+
+    let mut follower = Reads::start(vec![put_started(former, 1)]);
+    assert_eq!(follower.update(Millis(10), expected.to_vec()), expected);
+    assert_eq!(known_born(&follower.registry), Some(3));
+}
+
+/// The process that runs writes its entry again one heartbeat after a late write of an earlier one.
+#[test]
+fn a_late_write_of_an_earlier_process_has_no_effect() {
+    let mut reads = Reads::start(vec![put_started(2, 1)]);
+    for beat in 2..9 {
+        reads.apply(Millis(300), vec![put_started(1, 20)], false);
+        assert_eq!(reads.apply(HEARTBEAT, vec![put_started(2, beat)], false), []);
+        assert_eq!(known_born(&reads.registry), Some(2));
+    }
+}
+
+/// While the store is away, nobody can write an entry, so that time shows nothing.
+#[test]
+fn an_outage_does_not_count_for_an_entry_with_an_earlier_start() {
+    let mut reads = Reads::start(vec![put_started(2, 1)]);
+    reads.apply(Millis(300), vec![put_started(1, 20)], false);
+    reads.fail(Millis(300));
+    assert_eq!(reads.apply(Millis(7_700), Vec::new(), false), []);
+    assert_eq!(known_born(&reads.registry), Some(2));
+    reads.apply(Millis(300), vec![put_started(2, 9)], false);
+    assert_eq!(known_born(&reads.registry), Some(2));
+}
+
+/// Renewals to a holder resume once its incarnation has certainly written its entry. If the entry is another one's, the
+/// process that runs would get the grants of the one before, with the same tokens.
+#[test]
+fn an_entry_of_another_incarnation_shows_no_life_of_the_one_before() {
+    let mut reads = Reads::start(vec![put_started(2, 1)]);
+    let (id, since) = ("a".parse().unwrap(), reads.now);
+    reads.apply(Millis(300), vec![put_started(1, 1)], false);
+    for _ in 0..5 {
+        reads.apply(HEARTBEAT, Vec::new(), false);
+        let is_confirmed = reads.registry.has_written_since(&id, since);
+        assert!(!is_confirmed || known_born(&reads.registry) == Some(1));
+    }
+}
+
+/// An entry that expired in an outage is no reason to wait: the store has the later one no more.
+#[test]
+fn an_entry_with_an_earlier_start_replaces_an_expired_one() {
+    let mut reads = Reads::start(vec![put_started(2, 1)]);
+    reads.fail(Millis(300));
+    reads.apply(Millis(7_700), vec![delete("a")], false);
+    assert_eq!(known_born(&reads.registry), Some(2));
+    reads.apply(Millis(300), vec![put_started(1, 1)], false);
+    assert_eq!(known_born(&reads.registry), Some(1));
+}
