Read changes of the registry, and space large reads of late hosts

Cause: nothing bounded how much late hosts read. All hosts of a region read the whole registry at 0.75 T, each of them again and again: what a host learns of it from others had no offset to read on from. Further hosts began to read the configuration at equal intervals, however long the reads before took. Once the link between the regions carried less than that, no read ended, and updates, which are small, were late on the same link.

Evidence: the emulator of recovery had only the loss of hosts, which these rules survive. Its registry log now has changes only, as a heartbeat that changes nothing appends no record, and a relay that is avoided is passed over, as on real hosts.

Change: - Updates bring the offset of the registry, and a late host reads on from it: a few kilobytes instead of all entries. A host that keeps deleted entries passes none on, as the deletions are behind it. - Hosts without that offset, such as those that start, take the turns of large reads for the registry as well. The wait for these turns doubles, up to 3 T, then grows evenly: the only host that is left of a zone must still read.

It holds without hosts hearing each other: in the time T at most three hosts of a zone make large reads of a topic, and later reads come further apart than earlier ones take. The first host of a zone and the second one read when they did.

--- a/crates/edge/src/control/known_records.rs
+++ b/crates/edge/src/control/known_records.rs
@@ -33,6 +33,11 @@
     pub versions: FastMap<String, Versions>,
     /// Latest time at which the store is known to have had no newer change of the registry.
     pub registry_proof_at: HostTime,
+    /// Offset after the last record of the registry that this host has applied; `None` if it must read all entries.
+    pub registry_next: Option<u64>,
+    /// Whether this host keeps entries that were deleted. Others may not know of the deletions, so they must not read on
+    /// from this host's offset.
+    pub keeps_entries: bool,
     /// Latest time at which the store is known to have accepted a leader's heartbeat; `None` if it never did.
     pub leader_seen_at: Option<HostTime>,
     /// Latest changes of the registry, at most `MAX_CHANGES`.
@@ -55,6 +60,8 @@
             fleet: TopicRecords::default(),
             versions: FastMap::default(),
             registry_proof_at: HostTime(0),
+            registry_next: None,
+            keeps_entries: false,
             leader_seen_at: None,
             changes: VecDeque::new(),
             version: 0,
@@ -72,11 +79,12 @@
     }
 
     /// Stores a page of a topic, of which the store had no newer records at `proof_at`. For the registry only the
-    /// time is stored. With `is_whole` the page contains all keys, and others count as deleted. Records that this host knows
+    /// time and the offset are stored. With `is_whole` the page contains all keys, and others count as deleted. Records that this host knows
     /// from after the page stay: it may have written them while the page was read.
     pub fn record_page(&mut self, topic: Topic, page: &Page, is_whole: bool, proof_at: HostTime) {
         if topic == Topic::Upstreams {
             self.registry_proof_at = self.registry_proof_at.max(proof_at);
+            self.registry_next = Some(page.next);
             return;
         }
         let known = if topic == Topic::Config { &mut self.config } else { &mut self.fleet };
@@ -146,12 +154,17 @@
         self.leader_seen_at = self.leader_seen_at.max(Some(at));
     }
 
+    /// Returns the offset from which a host that has applied all of this one's updates can read the registry on; `None` if it
+    /// must read all entries.
+    pub fn registry_next_for_others(&self) -> Option<u64> {
+        self.registry_next.filter(|_| !self.keeps_entries)
+    }
+
     /// Returns the offset from which to continue reading the store; `None` to start with the newest record of each key.
     pub fn next(&self, topic: Topic) -> Option<u64> {
         let next = match topic {
             Topic::Config => Some(self.config.next),
-            // Changes received from other hosts have no offsets.
-            Topic::Upstreams => None,
+            Topic::Upstreams => self.registry_next,
             Topic::Fleet => Some(self.fleet.next),
         };
         // The log still has replaced records.
--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -295,6 +295,11 @@
         upstreams.map(|known| &known.listed.entry)
     }
 
+    /// Returns whether any entries are kept although they were deleted.
+    pub fn keeps_entries(&self) -> bool {
+        self.upstreams.values().any(|known| known.kept_until.is_some())
+    }
+
     /// Returns the entries that are kept although they were deleted.
     pub fn kept(&self, now: HostTime) -> impl Iterator<Item = KeptEntry> {
         self.upstreams.values().filter_map(move |known| {
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -153,7 +153,7 @@
                         self.fleet.borrow_mut().known_records.set_reads_fail(false);
                         if self.fleet.borrow().known_records.proof_at(topic) > asked_at {
                             // Meanwhile another host sent a later state, which this page must not replace.
-                            cursor = None;
+                            cursor = self.fleet.borrow().known_records.next(topic);
                             Timer::after(REGISTRY_INTERVAL.duration()).await;
                             continue;
                         }
@@ -172,6 +172,9 @@
                 Err(StoreError::Deleted) => {
                     log::info!(topic:? = topic; "store: records at the read offset were deleted; reading the newest record of each key");
                     cursor = None;
+                    if topic == Topic::Upstreams {
+                        self.fleet.borrow_mut().known_records.registry_next = None;
+                    }
                 }
                 Err(e) => {
                     if topic == Topic::Upstreams {
@@ -273,6 +276,7 @@
             age: age(topic),
             registry_age: age(Topic::Upstreams),
             is_known: known.proof_at(topic).0 > 0,
+            reads_whole: known.next(topic).is_none(),
             leader_age: known.leader_seen_at().map(|seen_at| now.since(seen_at)),
             has_source: known.has_source() && !self.is_source_late.get(),
             turn,
@@ -373,6 +377,7 @@
             let mut fleet = self.fleet.borrow_mut();
             let significant = apply(&mut fleet.registry, clock::now());
             fleet.known_records.record_changes(&significant);
+            fleet.known_records.keeps_entries = fleet.registry.keeps_entries();
             let FleetState { service_ms, registry, .. } = &mut *fleet;
             service_ms.retain(|id, _| registry.entry(id).is_some());
             !significant.is_empty()
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -103,6 +103,10 @@
     waited: Millis,
     /// Time since the latest proof that the registry had no newer change.
     age: Millis,
+    /// Offset after the last record of the registry that `changes` lead to; `None` if the requesting host must not read
+    /// on from there.
+    #[serde(default)]
+    registry_next: Option<u64>,
     /// Whether `changes` and `kept` contain all entries.
     is_whole: bool,
     changes: Vec<RegistryChange>,
@@ -280,6 +284,7 @@
             version: known.version,
             waited: now.since(asked_at),
             age: now.since(known.registry_proof_at),
+            registry_next: known.registry_next_for_others(),
             is_whole: missing.is_none(),
             changes,
             kept,
@@ -404,6 +409,9 @@
             let tolerance = if response.is_whole { Millis(0) } else { PROOF_TOLERANCE };
             let is_newer = proof_at + tolerance >= known.registry_proof_at;
             known.registry_proof_at = known.registry_proof_at.max(proof_at);
+            if is_newer {
+                known.registry_next = response.registry_next;
+            }
             if let Some(age) = response.leader_age {
                 known.record_leader(proof(age));
             }
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -132,15 +132,33 @@
         "| hosts | lost | rules | leader, ms | leaving upstream known, ms | configuration known, ms | MB between regions | store calls |"
     );
     println!("| ---: | --- | --- | ---: | ---: | ---: | ---: | ---: |");
+    let loss = |lost| recovery::Scenario {
+        hosts: 0,
+        lost,
+        configs: 12,
+        silent_ms: 0,
+        link_share: 1.0,
+        rules: recovery::Rules::Changes,
+        seed,
+    };
+    let silent = recovery::Scenario { silent_ms: 3_000, ..loss(1.0) };
+    let cases = [
+        ("the leader", loss(0.0)),
+        ("40 %", loss(0.4)),
+        ("all, then no updates for 3 s", silent),
+        ("the same, links x 0.36", recovery::Scenario { link_share: 0.36, ..silent }),
+    ];
+    let all_rules = [
+        ("alone", recovery::Rules::Alone),
+        ("turns", recovery::Rules::Turns),
+        ("turns, changes", recovery::Rules::Changes),
+    ];
     for hosts in [12, 79, 300] {
-        for (name, lost) in [("the leader", 0.0), ("40 %", 0.4)] {
-            for (rules_name, rules) in
-                [("alone", recovery::Rules::Alone), ("turns", recovery::Rules::Turns)]
-            {
+        for (name, scenario) in cases {
+            for (rules_name, rules) in all_rules {
                 let recoveries: Vec<Recovery> = (seed..seed + RECOVERY_SEEDS)
                     .map(|seed| {
-                        let configs = 12;
-                        recovery::simulate(recovery::Scenario { hosts, lost, configs, rules, seed })
+                        recovery::simulate(recovery::Scenario { hosts, rules, seed, ..scenario })
                     })
                     .collect();
                 let worst = |value: &dyn Fn(&Recovery) -> u64| recoveries.iter().map(value).max();
--- a/crates/emulator/src/recovery.rs
+++ b/crates/emulator/src/recovery.rs
@@ -12,6 +12,7 @@
 const STEP_MS: u64 = 10;
 const ZONES: usize = 6;
 /// Free capacities of links in bytes a millisecond: of the first host of a zone, of the others and between the regions.
+/// A scenario may have a share of them.
 const FIRST_HOST_LINK: f64 = 10_000.0;
 const HOST_LINK: f64 = 625.0;
 const REGION_LINK: f64 = 3_000.0;
@@ -20,14 +21,18 @@
 /// Latency of a call between the regions over a free link, and within one.
 const FAR_MS: u64 = 17;
 const NEAR_MS: u64 = 5;
-/// Sizes in bytes: of a configuration, of the whole registry, of its records in a millisecond, of the fleet topic, and of
-/// an update from another host, also to one that has just started.
+/// Sizes in bytes: of a configuration, of the whole registry for each host and at least, of its records in a millisecond
+/// (heartbeats that change nothing append none), of the fleet topic, and of an update from another host, also to one
+/// that has just started.
 const CONFIG_BYTES: f64 = 400_000.0;
-const REGISTRY_BYTES: f64 = 85_000.0;
-const REGISTRY_BYTES_PER_MS: f64 = 52.0;
+const REGISTRY_BYTES_PER_HOST: f64 = 700.0;
+const MIN_REGISTRY_BYTES: f64 = 85_000.0;
+const REGISTRY_BYTES_PER_MS: f64 = 4.0;
 const FLEET_BYTES: f64 = 85_000.0;
 const UPDATE_BYTES: f64 = 1_500.0;
 const FIRST_UPDATE_BYTES: f64 = 60_000.0;
+/// How much larger records are in the list of the newest ones than in the log.
+const NEWEST_FACTOR: f64 = 4.0 / 3.0;
 /// Time within which a change must have an effect.
 const EFFECT_TIME: Millis = Millis(3_000);
 /// Time between configurations.
@@ -60,8 +65,11 @@
 pub enum Rules {
     /// Each host that is late reads the store and stands. The rules up to the turns of hosts.
     Alone,
-    /// The hosts of a zone take turns.
+    /// The hosts of a zone take turns at equal intervals, and read the whole registry.
     Turns,
+    /// The hosts of a zone take turns, of which those for large reads are further and further apart, and read the changes
+    /// of a registry that they know.
+    Changes,
 }
 
 /// What happens in a simulation.
@@ -73,6 +81,10 @@
     pub lost: f64,
     /// Number of configurations in series after the loss.
     pub configs: u64,
+    /// Time after the loss in which no host gets an answer from another.
+    pub silent_ms: u64,
+    /// Capacity of all links, as a share of the usual one.
+    pub link_share: f64,
     /// By which rules hosts act.
     pub rules: Rules,
     /// Seed of the random number generator.
@@ -235,6 +247,15 @@
         host.is_up && self.now_ms < host.leads_until_ms
     }
 
+    fn region_link(&self) -> f64 {
+        REGION_LINK * self.scenario.link_share
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "a small number of hosts")]
+    fn registry_bytes(&self) -> f64 {
+        MIN_REGISTRY_BYTES.max(self.hosts.len() as f64 * REGISTRY_BYTES_PER_HOST)
+    }
+
     /// Returns the newest configuration in the store, and when it was written.
     fn stored_config(&self) -> (u64, u64) {
         let first_ms = LOSS_MS - 3 * CONFIG_INTERVAL_MS;
@@ -257,7 +278,7 @@
             clippy::cast_sign_loss,
             reason = "a few seconds"
         )]
-        let queue_ms = (queued / REGION_LINK) as u64;
+        let queue_ms = (queued / self.region_link()) as u64;
         FAR_MS + queue_ms
     }
 
@@ -266,11 +287,16 @@
     fn sources(&self, index: usize) -> Vec<usize> {
         let keeper = zone(index);
         let leader = (0..self.hosts.len()).find(|host| self.leads(*host)).unwrap_or(0);
-        let relay = (0..self.hosts.len()).find(|host| {
-            zone(*host) == keeper && *host < index && *host != keeper && self.hosts[*host].is_up
+        let is_avoided =
+            |host: usize| self.hosts[index].avoided.iter().any(|(other, _)| *other == host);
+        let relay = (0..index).find(|host| {
+            zone(*host) == keeper
+                && *host != keeper
+                && self.hosts[*host].is_up
+                && !is_avoided(*host)
         });
         let mut sources = if index == keeper { Vec::new() } else { vec![keeper] };
-        if self.scenario.rules == Rules::Turns && index != keeper {
+        if self.scenario.rules != Rules::Alone && index != keeper {
             sources.extend(relay);
         }
         sources.push(leader);
@@ -353,7 +379,7 @@
                     || age(host.registry_ms) >= OLD_MAX_AGE_MS
                     || (is_keeper && lacks_leader && records != Records::Fleet)
             }
-            Rules::Turns => {
+            Rules::Turns | Rules::Changes => {
                 if records != Records::Fleet
                     && host.fleet_ms.is_none()
                     && self.now_ms < host.up_since_ms + 400
@@ -365,13 +391,19 @@
                     age: Millis(age(known_ms)),
                     registry_age: Millis(age(host.registry_ms)),
                     is_known: known_ms.is_some(),
+                    reads_whole: known_ms.is_none(),
                     leader_age: leader_age.map(Millis),
                     has_source: host.has_source,
                     turn: self.turn(index),
                 };
-                let limits = Limits::new(EFFECT_TIME, EFFECT_TIME);
-                (is_keeper && lacks_leader && records != Records::Fleet)
-                    || reading::reads_store(limits, records, &knowledge)
+                let reads_store = match self.scenario.rules {
+                    Rules::Changes => {
+                        let limits = Limits::new(EFFECT_TIME, EFFECT_TIME);
+                        reading::reads_store(limits, records, &knowledge)
+                    }
+                    _ => reads_store_at_intervals(records, &knowledge),
+                };
+                (is_keeper && lacks_leader && records != Records::Fleet) || reads_store
             }
         }
     }
@@ -419,14 +451,26 @@
                 continue;
             }
             let latency_ms = self.latency_ms(is_far(index));
+            let registry_bytes = self.registry_bytes();
             let host = &mut self.hosts[index];
             let bytes_left = match records {
                 // The log of heartbeats since the last read, or the newest record of each key.
-                Records::Registry => match host.read_ok_ms {
-                    Some(at) if now_ms < at + 1_000 => (now_ms - at) as f64 * REGISTRY_BYTES_PER_MS,
-                    _ => REGISTRY_BYTES,
-                },
-                Records::Config => (stored - host.version) as f64 * CONFIG_BYTES,
+                Records::Registry => {
+                    let known_ms = match self.scenario.rules {
+                        Rules::Changes => host.registry_ms,
+                        _ => host.read_ok_ms.filter(|at| now_ms < at + 1_000),
+                    };
+                    known_ms
+                        .map_or(registry_bytes, |at| (now_ms - at) as f64 * REGISTRY_BYTES_PER_MS)
+                }
+                Records::Config => {
+                    let missing = stored - host.version;
+                    let is_newest = host.config_ms.is_none() || missing > 1;
+                    match self.scenario.rules {
+                        Rules::Changes if is_newest => CONFIG_BYTES * NEWEST_FACTOR,
+                        _ => missing as f64 * CONFIG_BYTES,
+                    }
+                }
                 Records::Fleet if host.fleet_ms.is_some() => FLEET_BYTES / 4.0,
                 Records::Fleet => FLEET_BYTES,
             };
@@ -452,7 +496,7 @@
                 (lacks_leader || self.wants_to_read(index, Records::Fleet))
                     && self.now_ms >= host.unheard_since_ms + remote + small
             }
-            Rules::Turns => election::stands(&Candidate {
+            Rules::Turns | Rules::Changes => election::stands(&Candidate {
                 leader_age: leader_age.map(Millis),
                 uptime: Millis(self.now_ms - host.up_since_ms),
                 read_age: host.read_ok_ms.map(|at| Millis(self.now_ms - at)),
@@ -511,7 +555,7 @@
             self.holder = self.dealt_to;
         }
         if latency_ms > HEARTBEAT_LIMIT_MS {
-            if self.scenario.rules == Rules::Turns {
+            if self.scenario.rules != Rules::Alone {
                 self.hosts[index].paused_until_ms =
                     now_ms + HEARTBEAT_LIMIT_MS + election::FAILED_PAUSE.0;
             }
@@ -530,11 +574,13 @@
     fn transfer(&mut self) {
         let far_count = (0..self.hosts.len()).map(|host| self.far_transfers(host)).sum::<usize>();
         #[expect(clippy::cast_precision_loss, reason = "a few hundred transfers")]
-        let far_rate = REGION_LINK / (far_count.max(1)) as f64;
+        let far_rate = self.region_link() / (far_count.max(1)) as f64;
         let now_ms = self.now_ms;
+        let is_silent = (LOSS_MS..LOSS_MS + self.scenario.silent_ms).contains(&now_ms);
         let mut far_bytes = 0.0;
         for index in 0..self.hosts.len() {
             let link = if index < ZONES { FIRST_HOST_LINK } else { HOST_LINK };
+            let link = link * self.scenario.link_share;
             let is_far_host = is_far(index);
             let host = &mut self.hosts[index];
             let count = host.reads.len() + usize::from(host.update.is_some());
@@ -553,7 +599,7 @@
                 move_bytes(&mut read.bytes_left, is_far_host);
                 read.moved_ms = now_ms;
             }
-            if let Some((source, bytes_left, _)) = &mut host.update {
+            if let Some((source, bytes_left, _)) = host.update.as_mut().filter(|_| !is_silent) {
                 move_bytes(bytes_left, is_far(*source) != is_far_host);
             }
         }
@@ -578,7 +624,7 @@
         if is_led && self.measured.leader_ms.is_none() {
             self.measured.leader_ms = Some(self.now_ms - LOSS_MS);
         }
-        if self.now_ms < LOSS_MS + 5_000 {
+        if self.now_ms < LOSS_MS + 5_000 + self.scenario.silent_ms {
             return;
         }
         let (stored, stored_ms) = self.stored_config();
@@ -595,6 +641,28 @@
     }
 }
 
+/// Returns whether a host reads the store by the rules up to the reads of changes.
+fn reads_store_at_intervals(records: Records, known: &Knowledge) -> bool {
+    let bulk_factor = if known.has_source { 12 } else { 4 };
+    let percent = match records {
+        Records::Registry => 20.min(5 * known.turn.0),
+        Records::Config | Records::Fleet => 5 * known.turn.0 * bulk_factor,
+    };
+    let wait = Millis(EFFECT_TIME.0 * percent / 100);
+    if !known.is_known {
+        return known.age >= wait;
+    }
+    if !known.has_source && known.turn == Turn::FIRST {
+        return true;
+    }
+    let unled_age = Millis(5_000 + EFFECT_TIME.0 * 5 * known.turn.0 * bulk_factor / 100);
+    if records == Records::Registry && known.leader_age.is_some_and(|age| age >= unled_age) {
+        return true;
+    }
+    let max_age = Millis(if records == Records::Fleet { 4_000 } else { OLD_MAX_AGE_MS });
+    known.age >= max_age + wait || known.registry_age >= Millis(OLD_MAX_AGE_MS) + wait
+}
+
 /// Returns the bytes of a host's reads that wait for the link between the regions.
 fn queued_bytes(host: &Host) -> f64 {
     host.reads.iter().map(|read| read.bytes_left.clamp(0.0, WINDOW)).sum()
--- a/crates/emulator/tests/distribution.rs
+++ b/crates/emulator/tests/distribution.rs
@@ -34,3 +34,21 @@
     let spread = distribution::simulate(scenario(hosts, 1_400, Rules::Whole));
     assert!(spread.last_host_ms.is_none_or(|ms| ms > 2 * GOAL_MS), "{spread:?}");
 }
+
+/// A site with 0.36 of the traffic has that share of the links, and configurations as large as ever.
+#[rstest]
+fn a_configuration_is_in_force_everywhere_over_thin_links(
+    #[values(79, 300)] hosts: usize,
+    #[values(0, 100, 1_400)] routes: usize,
+) {
+    const LINK_SHARE: f64 = 0.36;
+    let taken = |traffic: f64| 1.0 - (1.0 - traffic) * LINK_SHARE;
+    let usual = scenario(hosts, routes, Rules::Differences);
+    let thin = Scenario {
+        host_traffic: taken(usual.host_traffic),
+        region_traffic: taken(usual.region_traffic),
+        ..usual
+    };
+    let spread = distribution::simulate(thin);
+    assert!(spread.last_host_ms.is_some_and(|ms| ms <= GOAL_MS), "{spread:?}");
+}
--- a/crates/freshness/src/reading.rs
+++ b/crates/freshness/src/reading.rs
@@ -13,10 +13,14 @@
 /// Longest wait for a turn to read the registry, in percent of the same time. An upstream that leaves must get no more
 /// requests in time also where no other host has helped; the reads of all hosts of a region take a part of a second.
 const MAX_REGISTRY_WAIT_PERCENT: u64 = 20;
-/// Factors of that time for the configuration and the fleet topic, whose records are large. Hosts that have them send
-/// differences, so one that is sent updates leaves it to the first hosts for longer.
+/// Factors of that time for large reads: of the configuration, the fleet topic and the whole registry. Hosts that have
+/// them send differences, so one that is sent updates leaves it to the first hosts for longer.
 const BULK_FACTOR: u64 = 4;
 const SOURCED_BULK_FACTOR: u64 = 12;
+/// Upper limit of the part of the wait for a large read that doubles with each turn, in percent of the same time, and of the
+/// number of doublings. The only host that is left of a zone may have a late turn, and must still read.
+const MAX_DOUBLED_PERCENT: u64 = 300;
+const MAX_DOUBLINGS: u64 = 8;
 /// Age of records of the fleet topic at which the first host of a zone reads that topic. It is read less often than the
 /// others.
 const MAX_FLEET_AGE: Millis = Millis(4_000);
@@ -76,6 +80,19 @@
     Fleet,
 }
 
+/// How much a read of the store returns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Read {
+    /// Changes of the registry since a known state.
+    Changes,
+    /// Large records, or the whole registry.
+    Bulk,
+}
+
+const fn bulk_factor(has_source: bool) -> u64 {
+    if has_source { SOURCED_BULK_FACTOR } else { BULK_FACTOR }
+}
+
 /// Limits of the age of what hosts know.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -110,16 +127,29 @@
         Millis(self.effect_time.0 * FIRST_UPDATES_PERCENT / 100)
     }
 
-    /// Returns the additional time after which a host reads records itself, by its turn and by whether another host sends
-    /// it updates.
-    pub const fn wait_for_turn(self, turn: Turn, records: Records, has_source: bool) -> Millis {
-        let percent = TURN_PERCENT * turn.0;
-        let percent = match records {
-            Records::Registry if percent > MAX_REGISTRY_WAIT_PERCENT => MAX_REGISTRY_WAIT_PERCENT,
-            Records::Registry => percent,
-            Records::Config | Records::Fleet if has_source => percent * SOURCED_BULK_FACTOR,
-            Records::Config | Records::Fleet => percent * BULK_FACTOR,
-        };
+    /// Returns the additional time after which a host makes a read itself, by its turn and by whether another host sends it
+    /// updates. The wait for large reads doubles with each turn: if those of the hosts before take longer than usual, as
+    /// the link is full, further ones at equal intervals would add to it faster than it carries them.
+    pub const fn wait_for_turn(self, turn: Turn, read: Read, has_source: bool) -> Millis {
+        match read {
+            Read::Changes => {
+                let percent = TURN_PERCENT * turn.0;
+                let is_longer = percent > MAX_REGISTRY_WAIT_PERCENT;
+                self.share(if is_longer { MAX_REGISTRY_WAIT_PERCENT } else { percent })
+            }
+            Read::Bulk => {
+                let turn_percent = TURN_PERCENT * bulk_factor(has_source);
+                let doublings = if turn.0 > MAX_DOUBLINGS { MAX_DOUBLINGS } else { turn.0 };
+                let doubled = turn_percent * ((1 << doublings) - 1);
+                let is_longer = doubled > MAX_DOUBLED_PERCENT;
+                let doubled = if is_longer { MAX_DOUBLED_PERCENT } else { doubled };
+                self.share(doubled + turn_percent * turn.0.saturating_sub(1))
+            }
+        }
+    }
+
+    /// Returns a part of the time within which a change must have an effect, in percent.
+    const fn share(self, percent: u64) -> Millis {
         Millis(self.effect_time.0 * percent / 100)
     }
 
@@ -138,6 +168,8 @@
     pub registry_age: Millis,
     /// Whether the records are known at all.
     pub is_known: bool,
+    /// Whether a read returns all records, as no offset is known from which to read on.
+    pub reads_whole: bool,
     /// Time since the latest known heartbeat of a leader that the store accepted; `None` if none is known.
     pub leader_age: Option<Millis>,
     /// Whether another host sends this one updates that are young enough, or could be.
@@ -148,14 +180,16 @@
 
 /// Returns whether a host should read records of the store itself. Leaders do so in any case.
 pub fn reads_store(limits: Limits, records: Records, known: &Knowledge) -> bool {
-    let wait = limits.wait_for_turn(known.turn, records, known.has_source);
+    let is_small = records == Records::Registry && !known.reads_whole;
+    let read = if is_small { Read::Changes } else { Read::Bulk };
+    let wait = limits.wait_for_turn(known.turn, read, known.has_source);
     if !known.is_known {
         return known.age >= wait;
     }
     if !known.has_source && known.turn == Turn::FIRST {
         return true;
     }
-    let unled_wait = limits.wait_for_turn(known.turn, Records::Config, known.has_source);
+    let unled_wait = limits.share(TURN_PERCENT * bulk_factor(known.has_source) * known.turn.0);
     let is_unled = known.leader_age.is_some_and(|age| age >= UNLED_READ_AGE + unled_wait);
     if records == Records::Registry && is_unled {
         return true;
--- a/crates/freshness/tests/reading.rs
+++ b/crates/freshness/tests/reading.rs
@@ -1,7 +1,9 @@
 //! Turns of the hosts of a zone, and the ages from which they read the store.
 
+#![allow(clippy::unwrap_used)]
+
 use rstest::rstest;
-use skylarkdock_freshness::reading::{self, Knowledge, Limits, Records, Turn};
+use skylarkdock_freshness::reading::{self, Knowledge, Limits, Read, Records, Turn};
 use skylarkdock_units::times::Millis;
 
 /// Times of the platform within which a configuration has to be in force and an upstream that leaves must get no more
@@ -13,6 +15,7 @@
         age: Millis(age),
         registry_age: Millis(age),
         is_known: true,
+        reads_whole: false,
         leader_age: Some(Millis(0)),
         has_source: true,
         turn,
@@ -89,6 +92,67 @@
     assert!(bytes * 10 <= LINK_BYTES_PER_SECOND * 5, "{bytes} bytes in a second");
 }
 
+/// Returns how many of the hosts of a zone make a large read within the effect time, from the moment on at which the first
+/// one does, while none of them hears another.
+fn count_large_reads(hosts: u32, effect_time: Millis, reads: impl Fn(u64, Turn) -> bool) -> u64 {
+    let first = (0..100_000).find(|age| reads(*age, Turn::FIRST)).unwrap();
+    let readers = turns(hosts).filter(|turn| reads(first + effect_time.0, *turn));
+    readers.count() as u64
+}
+
+/// With a share of the traffic links are thinner, and configurations and tables as large as ever. The hosts of a far region
+/// that lost their sources began to read whole records faster than the link carried them, so no read ended.
+#[rstest]
+fn large_reads_of_late_hosts_fit_a_thin_link(
+    #[values(20, 50, 150)] hosts: u32,
+    #[values(false, true)] is_known: bool,
+) {
+    const NEWEST_CONFIG_BYTES: u64 = 533_000;
+    const ZONES_OF_REGION: u64 = 2;
+    const LINK_BYTES_PER_SECOND: u64 = 2_700_000;
+    let effect_time = Millis(3_000);
+    let limits = Limits::new(effect_time, effect_time);
+    let reads = |age, turn| {
+        let has_source = turn == Turn::FIRST;
+        let known =
+            Knowledge { is_known, reads_whole: !is_known, has_source, ..knowledge(age, turn) };
+        reading::reads_store(limits, Records::Config, &known)
+    };
+    let bytes =
+        count_large_reads(hosts, effect_time, reads) * ZONES_OF_REGION * NEWEST_CONFIG_BYTES;
+    assert!(bytes * 2 <= LINK_BYTES_PER_SECOND * effect_time.0 / 1_000, "{bytes} bytes");
+}
+
+/// All hosts that started together read the whole registry within a fifth of the effect time.
+#[test]
+fn hosts_that_know_no_registry_take_turns() {
+    for effect_time in EFFECT_TIMES {
+        let limits = Limits::new(effect_time, effect_time);
+        let reads = |age, turn| {
+            let known = Knowledge {
+                is_known: false,
+                reads_whole: true,
+                has_source: false,
+                leader_age: None,
+                ..knowledge(age, turn)
+            };
+            reading::reads_store(limits, Records::Registry, &known)
+        };
+        let readers = count_large_reads(150, effect_time, reads);
+        assert!(readers <= 4, "{readers} hosts");
+    }
+}
+
+/// The last host of a zone may have a late turn, and nobody to ask.
+#[rstest]
+fn a_host_that_is_left_alone_reads_in_time_to_recover(#[values(1, 4, 8)] turn: u64) {
+    const RECOVERY: Millis = Millis(15_000);
+    for effect_time in EFFECT_TIMES {
+        let limits = Limits::new(effect_time, effect_time);
+        assert!(limits.wait_for_turn(Turn(turn), Read::Bulk, false) < RECOVERY);
+    }
+}
+
 /// A host that has no other one to ask must not wait until its records are too old.
 #[test]
 fn the_first_host_reads_at_once_without_a_source() {
@@ -103,10 +167,11 @@
 #[test]
 fn a_host_that_starts_reads_at_its_turn() {
     let limits = Limits::new(Millis(3_000), Millis(3_000));
-    let starting = |age, turn| Knowledge { is_known: false, ..knowledge(age, turn) };
+    let starting =
+        |age, turn| Knowledge { is_known: false, reads_whole: true, ..knowledge(age, turn) };
     assert!(reading::reads_store(limits, Records::Config, &starting(0, Turn::FIRST)));
     for has_source in [false, true] {
-        let wait = limits.wait_for_turn(Turn(1), Records::Config, has_source).0;
+        let wait = limits.wait_for_turn(Turn(1), Read::Bulk, has_source).0;
         let known = |age| Knowledge { has_source, ..starting(age, Turn(1)) };
         assert!(!reading::reads_store(limits, Records::Config, &known(wait - 1)));
         assert!(reading::reads_store(limits, Records::Config, &known(wait)));
