--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -22,6 +22,7 @@
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
 use skylarkdock_deltas::{self as deltas, DeltaError};
+use skylarkdock_freshness::proof;
 use skylarkdock_spans::leader::SpanId;
 use skylarkdock_units::ids::{HostId, ServiceName};
 use skylarkdock_units::times::{HostTime, Millis};
@@ -395,9 +396,8 @@
     /// Applies updates. Returns `false` if those of the registry were older than what is known, and so were not
     /// applied.
     fn apply_updates(&self, response: UpdateResponse, asked_at: HostTime) -> bool {
-        // The answering host measured the ages at the end of the wait.
-        let measured_at = asked_at + response.waited;
-        let proof = |age: Millis| HostTime(measured_at.0.saturating_sub(age.0));
+        let waited = response.waited;
+        let proof = |age: Millis| proof::passed_on(asked_at, waited, age);
         let proof_at = proof(response.age);
         let is_newer = {
             let mut fleet = self.fleet.borrow_mut();
--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -7,5 +7,6 @@
 //! only if the state is still too old at the time of its turn.
 
 pub mod election;
+pub mod proof;
 pub mod reading;
 pub mod registration;
