--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -388,6 +388,12 @@
         upstreams.map(|known| &known.listed.entry)
     }
 
+    /// Returns whether what is known of any upstream differs from the store's entry: it is kept in spite of that entry, or
+    /// the store's has an earlier start.
+    pub fn keeps_entries(&self) -> bool {
+        self.upstreams.values().any(|known| known.kept_until.is_some() || known.earlier.is_some())
+    }
+
     /// Returns the entries that are kept although they were deleted or replaced by unreadable ones.
     pub fn kept(&self, now: HostTime) -> impl Iterator<Item = KeptEntry> {
         self.upstreams.values().filter_map(move |known| {
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -22,6 +22,7 @@
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
 use skylarkdock_deltas::{self as deltas, DeltaError};
+use skylarkdock_freshness::proof;
 use skylarkdock_spans::leader::SpanId;
 use skylarkdock_units::ids::{HostId, ServiceName};
 use skylarkdock_units::times::{HostTime, Millis};
@@ -103,6 +104,10 @@
     waited: Millis,
     /// Time since the latest proof that the registry had no newer change.
     age: Millis,
+    /// Offset after the last record of the registry that `changes` lead to; `None` if the requesting host must not read
+    /// on from there.
+    #[serde(default)]
+    registry_next: Option<u64>,
     /// Whether `changes` and `kept` contain all entries.
     is_whole: bool,
     changes: Vec<RegistryChange>,
@@ -280,6 +285,7 @@
             version: known.version,
             waited: now.since(asked_at),
             age: now.since(known.registry_proof_at),
+            registry_next: known.registry_next_for_others(),
             is_whole: missing.is_none(),
             changes,
             kept,
@@ -390,9 +396,8 @@
     /// Applies updates. Returns `false` if those of the registry were older than what is known, and so were not
     /// applied.
     fn apply_updates(&self, response: UpdateResponse, asked_at: HostTime) -> bool {
-        // The answering host measured the ages at the end of the wait.
-        let measured_at = asked_at + response.waited;
-        let proof = |age: Millis| HostTime(measured_at.0.saturating_sub(age.0));
+        let waited = response.waited;
+        let proof = |age: Millis| proof::passed_on(asked_at, waited, age);
         let proof_at = proof(response.age);
         let is_newer = {
             let mut fleet = self.fleet.borrow_mut();
@@ -404,6 +409,9 @@
             let tolerance = if response.is_whole { Millis(0) } else { PROOF_TOLERANCE };
             let is_newer = proof_at + tolerance >= known.registry_proof_at;
             known.registry_proof_at = known.registry_proof_at.max(proof_at);
+            if is_newer {
+                known.registry_next = response.registry_next;
+            }
             if let Some(age) = response.leader_age {
                 known.record_leader(proof(age));
             }
