--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -148,22 +148,15 @@
         let mut significant = Vec::new();
         let missing = missing.into_iter().map(RegistryChange::Drop);
         for change in missing.chain(changes) {
-            let is_significant = match &change {
-                // The store's order is the right one, whatever number an entry before had. Other hosts would take this one
-                // for an earlier heartbeat, so they are told to forget the one before.
-                RegistryChange::Put(entry) if self.is_older(entry) => {
-                    significant.push(RegistryChange::Drop(entry.id.clone()));
-                    self.put(entry.clone(), now);
-                    true
+            match change {
+                RegistryChange::Put(entry) => significant.extend(self.put_newest(entry, now)),
+                RegistryChange::Drop(id) => {
+                    let is_dropped = match kept_until {
+                        Some(until) => self.keep(&id, until, now),
+                        None => self.drop_deleted(&id, now),
+                    };
+                    significant.extend(is_dropped.then_some(RegistryChange::Drop(id)));
                 }
-                RegistryChange::Put(entry) => self.put(entry.clone(), now),
-                RegistryChange::Drop(id) => match kept_until {
-                    Some(until) => self.keep(id, until, now),
-                    None => self.drop_deleted(id, now),
-                },
-            };
-            if is_significant {
-                significant.push(change);
             }
         }
         significant.extend(self.drop_expired(asked_at, now).into_iter().map(RegistryChange::Drop));
@@ -215,24 +208,30 @@
             significant.extend(dropped.map(RegistryChange::Drop));
         }
         for change in changes {
-            let is_significant = match &change {
+            match change {
                 // All entries at a time are no older than what is known. Single changes may be.
-                RegistryChange::Put(entry) => {
-                    (is_whole || !self.is_older(entry)) && self.put(entry.clone(), now)
+                RegistryChange::Put(entry) if is_whole || !self.is_older(&entry) => {
+                    significant.extend(self.put_newest(entry, now));
+                }
+                RegistryChange::Put(_) => {}
+                RegistryChange::Drop(id) => {
+                    let is_dropped = self.drop_deleted(&id, now);
+                    significant.extend(is_dropped.then_some(RegistryChange::Drop(id)));
                 }
-                RegistryChange::Drop(id) => self.drop_deleted(id, now),
-            };
-            if is_significant {
-                significant.push(change);
             }
         }
         for KeptEntry { entry, remaining } in kept {
             let id = entry.id.clone();
-            if is_first && self.put(entry.clone(), now) {
-                significant.push(RegistryChange::Put(entry));
-            }
+            let known = self.upstreams.get(&id);
             // Hosts that tell each other of an entry must not extend its time.
-            let known_until = self.upstreams.get(&id).and_then(|known| known.kept_until);
+            let known_until = known.and_then(|known| known.kept_until);
+            // It may have changed just before it was deleted or replaced.
+            let is_news = known.map_or(is_first, |known| {
+                self.is_older(&entry) || !is_alike(&known.listed.entry, &entry)
+            });
+            if is_news {
+                significant.extend(self.put_newest(entry, now));
+            }
             let until = now + remaining;
             self.keep(&id, known_until.map_or(until, |known| known.min(until)), now);
         }
@@ -251,6 +250,17 @@
         known.is_some_and(|known| known.born == entry.born && known.seq > entry.seq)
     }
 
+    /// Stores an entry that is the newest one of its upstream, and returns the changes that are more than heartbeats.
+    fn put_newest(&mut self, entry: Entry, now: HostTime) -> Vec<RegistryChange> {
+        if self.is_older(&entry) {
+            // The store's order is the right one, whatever number an entry before had. Other hosts would take this entry
+            // for an earlier heartbeat, so they are told to forget the one before.
+            self.put(entry.clone(), now);
+            return vec![RegistryChange::Drop(entry.id.clone()), RegistryChange::Put(entry)];
+        }
+        if self.put(entry.clone(), now) { vec![RegistryChange::Put(entry)] } else { Vec::new() }
+    }
+
     /// Stores an entry, unless one of a later incarnation is known. Returns whether the stored entry changed in
     /// more than its heartbeat.
     fn put(&mut self, entry: Entry, now: HostTime) -> bool {
@@ -263,10 +273,7 @@
             _ => now + entry.cold,
         };
         let is_change = known.is_none_or(|known| {
-            let mut previous = known.listed.entry.clone();
-            previous.seq = entry.seq;
-            previous.cold = entry.cold;
-            previous != entry || known.kept_until.is_some()
+            !is_alike(&known.listed.entry, &entry) || known.kept_until.is_some()
         });
         if entry.is_leaving && known.is_none_or(|known| !known.listed.entry.is_leaving) {
             let age = self.age(now);
@@ -362,6 +369,11 @@
     }
 }
 
+/// Returns whether two entries differ in no more than what each heartbeat changes.
+fn is_alike(one: &Entry, other: &Entry) -> bool {
+    *one == Entry { seq: one.seq, cold: one.cold, ..other.clone() }
+}
+
 /// Returns the ids of the entries that changes put.
 fn present(changes: &[RegistryChange]) -> FastSet<&UpstreamId> {
     let puts = changes.iter().filter_map(|change| match change {
--- a/crates/edge/tests/followed_entries.rs
+++ b/crates/edge/tests/followed_entries.rs
@@ -140,6 +140,23 @@
     }
 }
 
+/// The follower went on sending requests to an upstream that leaves, as it did not take over what an entry said that its
+/// source keeps for a time only.
+#[test]
+fn a_change_just_before_an_unreadable_entry_is_known_to_a_host_that_is_told_of_all_entries() {
+    let mut hosts = Hosts::start(vec![entry("a", 5)]);
+    let leaving = Entry { is_leaving: true, ..entry("a", 6) };
+    let page = RegistryPage {
+        changes: vec![RegistryChange::Put(leaving.clone())],
+        unreadable: std::iter::once(leaving.id.clone()).collect(),
+        is_whole: false,
+    };
+    hosts.now = hosts.now + INTERVAL;
+    hosts.reader.apply_page(page, hosts.now, hosts.now);
+    hosts.tell_all();
+    assert_eq!(hosts.follower_entry("a"), Some(&leaving));
+}
+
 #[test]
 fn an_unreadable_entry_lists_no_upstream_that_is_not_known() {
     let mut hosts = Hosts::start(vec![entry("a", 5)]);
