Refuse requests by a configuration that is known to be out of date

Cause: a host judges its configuration by the age of its own proof only, and that only turns a 404 into a 503, as all proofs are old in an outage. That a newer version exists travels with the record and nowhere else, so a host whose record is late can't know it, although datagrams of others arrive all the while.

The two counter-tests (store down for all, host cut off from all) passed before and do now.

Change: hosts tell each other the versions that they have, each with its origin and the longest time for which it may have existed, in a datagram beside the load reports, for 10 s after a publication. A host that lacks a version which may have existed for 0.9 of the apply time answers 503 (`config_outdated`, Retry-After 0.25 s) and isn't ready until it has it. `freshness::versions` decides; program and tests share it.

Why it holds: the time counts from the last proof that the store did not have the version, which lies before its acknowledgement; it is cut to 0.55 of the apply time before the first reader got it. So each request that arrives the apply time after the acknowledgement is refused, if the first reader had the version within 0.65 of it and a notice arrived. A wrong claim is refuted by a later read of the store; without one, a sole origin counts for 5 s from its first claim on. Hosts of the version before take the datagram for a damaged report and ignore it.

Measured: outdated_config passes, also in three processes at once beside a load of 13 on 8 cores. Eight changes to `freshness::versions` that undo a rule each turn tests red.

Not done: refusing only requests whose route may have changed, and asking the origin of a notice for the record.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -156,6 +156,8 @@
 /// State of the fleet as this host knows it from the store and from other hosts.
 struct FleetState {
     config: Option<Arc<Config>>,
+    /// Time from which on the configuration may have been published; zero without one.
+    config_published_after: HostTime,
     registry: Registry,
     hosts: FastMap<HostId, HostRecord>,
     /// The other hosts as published; `None` if the host records have changed since.
@@ -178,6 +180,7 @@
     fn new(heartbeat: Millis) -> Self {
         Self {
             config: None,
+            config_published_after: HostTime(0),
             registry: Registry::new(heartbeat),
             hosts: FastMap::default(),
             published_peers: None,
@@ -421,6 +424,7 @@
         let keys = keys.collect();
         let view = View {
             config: fleet.config.clone(),
+            config_published_after: fleet.config_published_after,
             keys,
             peers: (fleet.fleet_end > 0).then(|| fleet.peers(&self.settings.host)),
             host_count: self.host_count.get(),
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use metrics::counter;
 use skylarkdock_freshness::reading::{self, Knowledge, Records};
+use skylarkdock_freshness::versions;
 use skylarkdock_spans::leader::Leader;
 use skylarkdock_spans::renewal::Renewals;
 use skylarkdock_spans::table::Table;
@@ -292,6 +293,8 @@
         newest.map(|(record, config)| {
             if known < config.version {
                 log::info!(version = config.version, routes = config.routes.len(); "config: in force");
+                let absent_at = self.fleet.borrow().known_records.proof_at(Topic::Config);
+                self.record_config_publication(absent_at, None);
                 self.fleet.borrow_mut().config = Some(Arc::new(config));
                 self.publish();
             }
@@ -299,6 +302,14 @@
         })
     }
 
+    /// Records from when on the configuration that is now in force may have been published; see
+    /// [`versions::published_after`].
+    pub(super) fn record_config_publication(&self, absent_at: HostTime, told: Option<HostTime>) {
+        let limits = versions::Limits::new(self.settings.apply_time);
+        self.fleet.borrow_mut().config_published_after =
+            versions::published_after(absent_at, told, limits, clock::now());
+    }
+
     /// Decodes a page of the registry. Entries that can't be decoded are logged and left out.
     fn decode_entries(&self, page: &Page) -> Vec<RegistryChange> {
         let mut changes = Vec::new();
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -113,6 +113,9 @@
     #[serde(default)]
     reads_fail: bool,
     config: TopicUpdate,
+    /// Longest time for which the configuration in force may have been published; `None` from a host of an earlier version.
+    #[serde(default)]
+    config_age: Option<Millis>,
     fleet: TopicUpdate,
     /// Time since the latest heartbeat of a leader that the store is known to have accepted; `None` if none is known.
     #[serde(default)]
@@ -270,6 +273,7 @@
             kept,
             reads_fail: known.reads_fail,
             config,
+            config_age: Some(now.since(fleet.config_published_after)),
             fleet: fleet_topic,
             leader_age: known.leader_seen_at.map(|seen_at| now.since(seen_at)),
             granted: self.owners.borrow().unrecorded_grants(),
@@ -395,10 +399,17 @@
                 registry.apply_update(changes, response.kept, is_whole, proof_at, now)
             });
         }
+        let known_config = self.config_version();
+        let absent_at = self.fleet.borrow().known_records.proof_at(Topic::Config);
         let mut is_decoded = true;
         for (topic, update) in [(Topic::Config, response.config), (Topic::Fleet, response.fleet)] {
             is_decoded &= self.apply_topic_update(topic, update, proof);
         }
+        if known_config < self.config_version()
+            && let Some(age) = response.config_age
+        {
+            self.record_config_publication(absent_at, Some(proof(age)));
+        }
         self.needs_whole_records.set(!is_decoded);
         if response.hosts > 0 && !self.is_leader.get() {
             self.set_host_count(response.hosts);
@@ -411,6 +422,11 @@
         is_newer
     }
 
+    /// Returns the version of the configuration in force; zero without one.
+    fn config_version(&self) -> u64 {
+        self.fleet.borrow().config.as_ref().map_or(0, |config| config.version)
+    }
+
     /// Applies an update of a topic, if it reflects a later state of the store than this host knows. Returns `false` if a
     /// record can't be decoded; nothing is applied then.
     fn apply_topic_update(
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -110,7 +110,8 @@
         let shared = Rc::clone(&shared);
         let status = Arc::clone(&links.status);
         Rc::new(move |_: Incoming| -> AnswerFuture {
-            let is_ready = status.is_ready() && !shared.is_leaving.get();
+            let is_ready =
+                status.is_ready() && !status.is_config_outdated() && !shared.is_leaving.get();
             Box::pin(async move { Answer::empty(if is_ready { 200 } else { 503 }) })
         })
     };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod store;
 pub mod traffic;
 pub mod upstreams;
+pub mod version_notices;
 pub mod view;
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -2,6 +2,7 @@
 
 use crate::detour::SharedPaths;
 use crate::notices::SharedNotices;
+use skylarkdock_freshness::versions::Proof;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
@@ -14,6 +15,7 @@
     config_proof_at: AtomicU64,
     /// Version that was the newest at that time, or a later one.
     proven_version: AtomicU64,
+    is_config_outdated: AtomicBool,
     paths: SharedPaths,
     notices: SharedNotices,
 }
@@ -49,6 +51,22 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether the host refuses requests because its configuration is out of date.
+    pub fn is_config_outdated(&self) -> bool {
+        self.is_config_outdated.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the host refuses requests because its configuration is out of date.
+    pub fn set_config_outdated(&self, is_outdated: bool) {
+        self.is_config_outdated.store(is_outdated, Ordering::Relaxed);
+    }
+
+    /// Returns the latest proof that the store had no newer configuration.
+    pub fn config_proof(&self) -> Proof {
+        let at = HostTime(self.config_proof_at.load(Ordering::Acquire));
+        Proof { at, version: self.proven_version.load(Ordering::Relaxed) }
+    }
+
     /// Records that the store had no configuration newer than `version` at a time.
     pub fn set_config_proof(&self, at: HostTime, version: u64) {
         // Whoever sees the proof also sees its version.
@@ -59,7 +77,7 @@
     /// Returns whether no configuration that was published at least `apply_time` ago is newer than `version`. The threads
     /// of a host learn of a configuration one after the other, so `version` is the one that the caller applies.
     pub fn is_config_current(&self, apply_time: Millis, now: HostTime, version: u64) -> bool {
-        let proof_at = HostTime(self.config_proof_at.load(Ordering::Acquire));
-        now.since(proof_at) <= apply_time && self.proven_version.load(Ordering::Relaxed) <= version
+        let proof = self.config_proof();
+        now.since(proof.at) <= apply_time && proof.version <= version
     }
 }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 mod crash_reports;
 mod detours;
 mod history;
+mod newer_versions;
 mod permits;
 mod race;
 mod rejection;
@@ -16,6 +17,7 @@
 use crate::clock;
 use crate::detour::DetourClient;
 use crate::listing::{Listing, ListingUpdate};
+use crate::load_reports::NameHash;
 use crate::pool::{self, Pool};
 use crate::serve::{Answer, AnswerFuture, Incoming, ListenerState};
 use crate::settings::Settings;
@@ -32,6 +34,7 @@
 use skylarkdock_dispatch::service::Service;
 use skylarkdock_dispatch::trials::{TrialAsker, TrialDesk};
 use skylarkdock_dispatch::upstream::{Distance, UpstreamInfo};
+use skylarkdock_freshness::versions::{KnownVersions, Origin};
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::{HostTime, Millis};
@@ -70,6 +73,10 @@
     status: Arc<Status>,
     view: RefCell<Arc<View>>,
     replaced_configs: RefCell<replaced_configs::ReplacedConfigs>,
+    /// Configuration versions that this host or others have.
+    versions: RefCell<KnownVersions>,
+    /// Since when this host refuses requests because its configuration is out of date.
+    config_outdated_since: Cell<Option<HostTime>>,
     services: RefCell<FastMap<ServiceName, ServiceState>>,
     listing: RefCell<Listing>,
     /// Number of notices of upstreams that were applied to their states.
@@ -127,6 +134,7 @@
         publications: Receiver<Publication>,
         samples: Sender<Sample>,
     ) -> Rc<Self> {
+        let own = Origin(NameHash::of(settings.host.as_str()).0);
         let traffic = Rc::new(Self {
             settings,
             protocol,
@@ -135,6 +143,8 @@
             status,
             view: RefCell::default(),
             replaced_configs: RefCell::default(),
+            versions: RefCell::new(KnownVersions::new(own)),
+            config_outdated_since: Cell::default(),
             services: RefCell::default(),
             listing: RefCell::default(),
             applied_notices: Cell::default(),
@@ -191,6 +201,8 @@
         let view = publication.view;
         if let Some(config) = &view.config {
             self.shared.limits.set(Some(config.limits));
+            let since = view.config_published_after;
+            self.versions.borrow_mut().on_in_force(config.version, since, clock::now());
         }
         let update = self.listing.borrow_mut().apply(publication.upstreams);
         self.record_ends(&update);
--- a/crates/edge/src/traffic/rejection.rs
+++ b/crates/edge/src/traffic/rejection.rs
@@ -7,11 +7,17 @@
 /// `Retry-After` while the configuration, or the service of a request, is not known yet.
 pub(super) const STARTUP_RETRY_AFTER: Millis = Millis(500);
 
+/// `Retry-After` while the configuration is out of date. A new connection mostly leads to another host, which has the newer
+/// one.
+const OUTDATED_RETRY_AFTER: Millis = Millis(250);
+
 /// Reason for which a request is rejected before it is routed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Rejection {
     /// No configuration is known yet.
     NoConfig,
+    /// Other hosts have had a newer configuration for longer than this one may take to get it.
+    ConfigOutdated,
     /// No route matches or there is no valid key, but a newer configuration may have a route or need no key.
     StaleConfig,
     /// The `Host` header is missing or is not valid UTF-8.
@@ -36,6 +42,7 @@
     pub(super) const fn as_str(self) -> &'static str {
         match self {
             Self::NoConfig => "no_config",
+            Self::ConfigOutdated => "config_outdated",
             Self::StaleConfig => "stale_config",
             Self::NoHost => "no_host",
             Self::NoRoute => "no_route",
@@ -50,6 +57,7 @@
     /// Builds the answer to the caller.
     pub(super) fn answer(self) -> Answer {
         match self {
+            Self::ConfigOutdated => refusal(OUTDATED_RETRY_AFTER),
             Self::NoConfig | Self::StaleConfig | Self::KeyNewlyNeeded => {
                 refusal(STARTUP_RETRY_AFTER)
             }
--- a/crates/edge/src/traffic/reports.rs
+++ b/crates/edge/src/traffic/reports.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::load_reports::{self, CrashReport, NameHash, Report, Scope};
 use crate::relays::{self, Rank};
+use crate::version_notices;
 use crate::view::PeerInfo;
 use async_io::{Async, Timer};
 use metrics::counter;
@@ -32,6 +33,8 @@
 const FAR_REPORT_EVERY: u64 = 8;
 /// The same for relayed reports.
 const RELAYED_FAR_REPORT_EVERY: u64 = 5;
+/// Number of rounds of reports in which other regions are told of a new configuration version; a datagram may be lost.
+const NEWS_ROUNDS: u64 = 2;
 /// Time without reports after which a relay in the own region counts as gone.
 const MAX_RELAY_SILENCE: Millis = Millis(700);
 /// Time without reports after which a relay in another region counts as gone.
@@ -122,13 +125,17 @@
         traffic.update_peer_load(&expired, now);
         let crashes = traffic.crashes_to_report();
         let far_every = if is_direct { FAR_REPORT_EVERY } else { RELAYED_FAR_REPORT_EVERY };
-        // Other regions learn of a new crash at once.
+        // Other regions learn of a new crash and of a new configuration at once.
         let includes_far = round.is_multiple_of(far_every)
-            || traffic.crash_tracker.borrow().has_crash_since(interval, now);
+            || traffic.crash_tracker.borrow().has_crash_since(interval, now)
+            || traffic.has_version_news(Millis(interval.0 * NEWS_ROUNDS), now);
+        let is_outdated = traffic.is_config_outdated(now);
+        traffic.set_version_gauges(is_outdated);
+        let notice = traffic.version_notice(includes_far, now);
         let digest = if includes_far { traffic.crash_digest() } else { Digest::default() };
         let digest = if digest.is_empty() { None } else { crash_reports::encode_digest(&digest) };
         let own = traffic.own_load();
-        let is_idle = own.is_empty() && crashes.is_empty() && digest.is_none();
+        let is_idle = own.is_empty() && crashes.is_empty() && digest.is_none() && notice.is_none();
         let outgoing = if is_direct && is_idle && was_idle {
             Vec::new()
         } else if is_direct {
@@ -145,6 +152,11 @@
             {
                 log::debug!("crashes: can't send a digest to {addr}: {e}");
             }
+            if let Some(notice) = &notice
+                && let Err(e) = socket.send_to(notice, addr).await
+            {
+                log::debug!("config: can't send a notice of versions to {addr}: {e}");
+            }
         }
     }
 }
@@ -162,6 +174,9 @@
             Ok((len, _)) if crash_reports::is_digest(&buf[..len]) => {
                 traffic.apply_digest(&buf[..len]);
             }
+            Ok((len, _)) if version_notices::is_notice(&buf[..len]) => {
+                traffic.on_version_notice(&buf[..len]);
+            }
             Ok((len, from)) => match load_reports::decode(&buf[..len]) {
                 Ok((report, reads_packed)) => traffic.apply_report(report, reads_packed, from),
                 Err(e) => log::debug!("reports: can't read a report: {e}"),
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -137,6 +137,9 @@
         let names = &self.protocol.names;
         let view = Arc::clone(&self.view.borrow());
         let Some(config) = &view.config else { return Err(Rejection::NoConfig) };
+        if self.is_config_outdated(arrived) {
+            return Err(Rejection::ConfigOutdated);
+        }
         let Incoming { head, body } = incoming;
         let Some(host) = head.headers.get_str("host") else { return Err(Rejection::NoHost) };
         // What is wrong by this configuration may be right by a newer one that should be in force by now.
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -125,6 +125,8 @@
 pub struct View {
     /// The configuration in force, if one is known.
     pub config: Option<Arc<Config>>,
+    /// Time from which on the configuration may have been published; zero without one.
+    pub config_published_after: HostTime,
     /// Owners of keys, for each sharded service.
     pub keys: Vec<(ServiceName, KeyMap)>,
     /// The other hosts; `None` until the host records have been read.
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -24,7 +24,7 @@
 use skylarkdock_units::measures::HostSize;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -57,6 +57,8 @@
 pub struct Host {
     pub traffic: Rc<Traffic>,
     pub status: Arc<Status>,
+    /// Address at which it gets datagrams of other hosts.
+    pub reports: SocketAddr,
     publications: Sender<Publication>,
     metrics: PrometheusHandle,
 }
@@ -83,6 +85,11 @@
         self.traffic.answer(Incoming { head, body: Vec::new() }).await
     }
 
+    /// Returns whether the rendered metrics contain a metric with these labels.
+    pub fn has_metric_with(&self, labelled: &str) -> bool {
+        self.metrics.render().lines().any(|rendered| rendered.starts_with(labelled))
+    }
+
     /// Returns whether the rendered metrics contain a line.
     pub fn has_metric(&self, line: &str) -> bool {
         self.metrics.render().lines().any(|rendered| rendered == line)
@@ -98,8 +105,10 @@
         let (publications, received) = async_channel::unbounded();
         let (samples, _received_samples) = async_channel::unbounded();
         let status = Arc::new(Status::default());
+        let settings = settings(apply_time);
+        let reports = settings.reports;
         let traffic = Traffic::start(
-            settings(apply_time),
+            settings,
             PROTOCOL,
             Rc::clone(&ex),
             Rc::default(),
@@ -107,12 +116,14 @@
             received,
             samples,
         );
-        async_io::block_on(ex.run(test(Host { traffic, status, publications, metrics })));
+        async_io::block_on(ex.run(test(Host { traffic, status, reports, publications, metrics })));
     });
 }
 
 fn settings(apply_time: Millis) -> Settings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    // The port is free again when the host opens it.
+    let reports = UdpSocket::bind(any).unwrap().local_addr().unwrap();
     Settings {
         host: "h1".parse().unwrap(),
         zone: "z1".parse().unwrap(),
@@ -122,7 +133,7 @@
         callers: any,
         readiness: any,
         peers: any,
-        reports: any,
+        reports,
         metrics: any,
         seeds: Vec::new(),
         heartbeat: Millis(870),
@@ -195,6 +206,7 @@
     });
     let view = View {
         config: Some(Arc::clone(config)),
+        config_published_after: HostTime(0),
         keys: Vec::new(),
         peers: Some(Arc::default()),
         host_count: 0,
--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod election;
 pub mod reading;
 pub mod registration;
+pub mod versions;
--- a/crates/hostlog/src/explanation.rs
+++ b/crates/hostlog/src/explanation.rs
@@ -143,6 +143,7 @@
 fn rejection_text(reason: &str) -> &str {
     match reason {
         "no_config" => "no configuration is known yet",
+        "config_outdated" => "other hosts have a newer configuration, which this host lacks",
         "stale_config" => "no route or no key, but a newer configuration may take it",
         "no_route" => "no route",
         "no_host" => "the host header is missing",
