--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod tasks;
 pub mod traffic;
 pub mod upstreams;
+pub mod version_notices;
 pub mod view;
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -4,6 +4,7 @@
 use crate::detour::SharedPaths;
 use crate::notices::SharedNotices;
 use event_listener::Event;
+use skylarkdock_freshness::versions::Proof;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -19,6 +20,7 @@
     proven_version: AtomicU64,
     /// Number of calls that this host makes for other hosts.
     forwarding: AtomicUsize,
+    is_config_outdated: AtomicBool,
     paths: SharedPaths,
     notices: SharedNotices,
     /// First task that has panicked.
@@ -96,6 +98,22 @@
         self.forwarding.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the host refuses requests because its configuration is out of date.
+    pub fn is_config_outdated(&self) -> bool {
+        self.is_config_outdated.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the host refuses requests because its configuration is out of date.
+    pub fn set_config_outdated(&self, is_outdated: bool) {
+        self.is_config_outdated.store(is_outdated, Ordering::Relaxed);
+    }
+
+    /// Returns the latest proof that the store had no newer configuration.
+    pub fn config_proof(&self) -> Proof {
+        let at = HostTime(self.config_proof_at.load(Ordering::Acquire));
+        Proof { at, version: self.proven_version.load(Ordering::Relaxed) }
+    }
+
     /// Records that the store had no configuration newer than `version` at a time.
     pub fn set_config_proof(&self, at: HostTime, version: u64) {
         // Whoever sees the proof also sees its version.
@@ -111,6 +129,7 @@
     /// Returns whether no configuration that was published at least `apply_time` ago is newer than `version`. The threads
     /// of a host learn of a configuration one after the other, so `version` is the one that the caller applies.
     pub fn is_config_current(&self, apply_time: Millis, now: HostTime, version: u64) -> bool {
-        self.config_age(now) <= apply_time && self.proven_version.load(Ordering::Relaxed) <= version
+        let proof = self.config_proof();
+        now.since(proof.at) <= apply_time && proof.version <= version
     }
 }
--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod proof;
 pub mod reading;
 pub mod registration;
+pub mod versions;
