--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -219,7 +219,9 @@
 
     /// Records whether the connection has a request without a complete answer.
     fn update_busy(&mut self) {
-        let is_receiving = self.partial.is_some() || !self.input.is_empty();
+        // What follows the last answer is not read.
+        let is_receiving =
+            !self.is_input_closed && (self.partial.is_some() || !self.input.is_empty());
         let is_busy = is_receiving || !self.pending.is_empty() || !self.output.is_empty();
         if is_busy != self.busy.is_some() {
             self.busy = is_busy.then(|| Busy::new(&self.shared));
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -166,6 +166,23 @@
     });
 }
 
+/// What is behind the last answer of a connection is never read, so it must not keep a host that is shutting down.
+#[test]
+fn a_connection_is_not_busy_with_what_follows_its_last_answer() {
+    with_server(|server| async move {
+        let stream = connect(server.addr).await;
+        send(&stream, &get(50)).await;
+        while server.started.get() == 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        server.shared.is_leaving.set(true);
+        send(&stream, &get(0)).await;
+        assert!(read(&stream, 2).await.contains("Connection: close"));
+        // The caller still keeps its side of the connection open.
+        assert_eq!(server.shared.busy.get(), 0);
+    });
+}
+
 #[rstest]
 #[case::no_head("nonsense\r\n\r\n", "400")]
 #[case::two_lengths("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400")]
