Write the last log lines before a stopping host exits

What operators saw: `host: stopped`, and lines of requests that ended just before it, were missing from the logs of some planned stops, so what became of these requests could not be looked up (1 of 3 runs of the test of many callers).

Cause: a thread of its own writes the lines, and the process ends without waiting for it.

Evidence, on the code before (edge, logging; 3 of 3 runs red): 28, 10 and 10 lines of 50 are written.

Change: the queue takes a mark that the log thread answers once it has written all lines before it. The host waits for it for 0.15 s at most, within the 0.3 s that are left before it may be killed.

After: 50 of 50 lines in 3 of 3 runs; `host: stopped` is in the log of 10 of 10 stops of path and 3 of 3 of stopping_host; all tests of edge green.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::control::Control;
 use crate::listener::{ListenerState, ShutdownEnds};
+use crate::logging;
 use crate::net;
 use crate::serve::{self, Answer, AnswerFuture, Incoming};
 use crate::settings::Settings;
@@ -23,6 +24,8 @@
 use std::sync::Arc;
 use std::thread;
 
+/// Longest time to write the last log lines, within the time that is left before the host is killed.
+const LOG_FLUSH_TIMEOUT: Millis = Millis(150);
 /// Interval at which the conditions for the exit are checked.
 const SHUTDOWN_CHECK_INTERVAL: Millis = Millis(50);
 
@@ -141,4 +144,5 @@
     let ShutdownEnds { answered, refused, unknown } = shared.shutdown_ends.get();
     log::info!(in_flight = shared.in_flight.get(), busy = shared.busy.get(), forwarding = status.forwarding(), open = shared.open.get(), answered = answered, refused = refused,
         unknown = unknown; "host: stopped");
+    logging::flush(LOG_FLUSH_TIMEOUT);
 }
--- a/crates/edge/src/logging.rs
+++ b/crates/edge/src/logging.rs
@@ -8,9 +8,10 @@
 use logforth::record::{Level, LevelFilter, Record};
 use logforth::{Append, Diagnostic, Layout};
 use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::times::Millis;
 use std::io::{self, Write};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::{Mutex, PoisonError};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::thread;
 use std::time::Instant;
 
@@ -23,6 +24,20 @@
 /// Number of kinds with a limit of their own; lines of further kinds share one.
 const MAX_KINDS: usize = 256;
 
+/// Pause between two tries to flush while the queue is full.
+const FULL_QUEUE_PAUSE: Millis = Millis(5);
+
+/// Queue of the log thread, once it is started.
+static QUEUE: OnceLock<SyncSender<Entry>> = OnceLock::new();
+
+/// Entry of the queue of the log thread.
+#[derive(Debug)]
+enum Entry {
+    Line(Vec<u8>),
+    /// Tells the receiver that all earlier lines are written.
+    Flush(SyncSender<()>),
+}
+
 /// Lines of one kind in the current second, and those held back since one was last written.
 #[derive(Debug, Default, Clone, Copy)]
 struct KindState {
@@ -66,7 +81,7 @@
 #[derive(Debug)]
 struct QueueAppender {
     layout: JsonLayout,
-    lines: SyncSender<Vec<u8>>,
+    queue: SyncSender<Entry>,
     limiter: Mutex<RateLimiter>,
 }
 
@@ -90,7 +105,7 @@
         if held_back > 0 {
             line.extend_from_slice(held_back_line(record, &kind, held_back).as_bytes());
         }
-        if self.lines.try_send(line).is_err() {
+        if self.queue.try_send(Entry::Line(line)).is_err() {
             metrics::counter!("skylarkdock_log_lines_dropped_total").increment(1);
         }
         Ok(())
@@ -121,16 +136,42 @@
     let (tx, rx) = sync_channel(MAX_QUEUED_LINES);
     thread::Builder::new().name("log".to_owned()).spawn(move || write_lines(&rx))?;
     let limiter = Mutex::new(RateLimiter { started: Instant::now(), kinds: FastMap::default() });
-    let append = QueueAppender { layout: JsonLayout::default(), lines: tx, limiter };
+    let append = QueueAppender { layout: JsonLayout::default(), queue: tx.clone(), limiter };
+    QUEUE.get_or_init(|| tx);
     logforth::starter_log::builder()
         .dispatch(|d| d.filter(LevelFilter::MoreSevereEqual(Level::Info)).append(append))
         .apply();
     Ok(())
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>) {
+/// Waits until the lines logged so far are written, at most for `timeout`. A process that exits without this loses them.
+pub fn flush(timeout: Millis) {
+    let Some(queue) = QUEUE.get() else { return };
+    let give_up_at = Instant::now() + timeout.duration();
+    let (tx, rx) = sync_channel(1);
+    let mut entry = Entry::Flush(tx);
+    // While the queue is full, lines are written or the reader is too slow.
+    while let Err(TrySendError::Full(refused)) = queue.try_send(entry) {
+        if Instant::now() >= give_up_at {
+            return;
+        }
+        entry = refused;
+        thread::sleep(FULL_QUEUE_PAUSE.duration());
+    }
+    // Fails if the time is over, as the process may exit then.
+    let _ = rx.recv_timeout(give_up_at.saturating_duration_since(Instant::now()));
+}
+
+fn write_lines(entries: &Receiver<Entry>) {
     let mut out = io::stdout();
-    while let Ok(line) = lines.recv() {
+    while let Ok(entry) = entries.recv() {
+        let line = match entry {
+            Entry::Line(line) => line,
+            Entry::Flush(done) => {
+                let _ = done.try_send(());
+                continue;
+            }
+        };
         if out.write_all(&line).and_then(|()| out.flush()).is_err() {
             metrics::counter!("skylarkdock_log_lines_dropped_total").increment(1);
         }
