--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -126,7 +126,8 @@
 
 /// Shuts the host down: finishes the requests in flight while the load balancer sends new callers to other hosts.
 async fn shut_down(settings: &Settings, shared: &ListenerState, status: &Status) {
-    log::info!(in_flight = shared.in_flight.get(), open = shared.open.get(), grace:% = settings.grace; "host: leaving");
+    log::info!(in_flight = shared.in_flight.get(), open = shared.open.get(),
+        grace:% = settings.grace; "host: leaving");
     let shutdown = Shutdown::new(clock::now(), settings.grace);
     shared.start_shutdown(shutdown);
     status.set_leaving();
@@ -142,7 +143,8 @@
         Timer::after(SHUTDOWN_CHECK_INTERVAL.duration()).await;
     }
     let ShutdownEnds { answered, refused, unknown } = shared.shutdown_ends.get();
-    log::info!(in_flight = shared.in_flight.get(), busy = shared.busy.get(), forwarding = status.forwarding(), open = shared.open.get(), answered = answered, refused = refused,
-        unknown = unknown; "host: stopped");
+    log::info!(in_flight = shared.in_flight.get(), busy = shared.busy.get(),
+        forwarding = status.forwarding(), open = shared.open.get(), answered = answered,
+        refused = refused, unknown = unknown; "host: stopped");
     logging::flush(LOG_FLUSH_TIMEOUT);
 }
