Take another upstream's entry at an address for no certain end

What callers saw: nothing on record. Requests in flight at a running upstream may count as in flight at a crash, and are then refused as crashing upstreams after further ones.

Cause: an upstream counted as ended for certain once an entry with a later start stood at its address, whoever wrote it, and whichever clock that start is from. With proof for certain all unanswered requests of the host to it become suspects, also those sent a moment ago. The listing only feeds the crash tracker: it grants no keys.

Change: such an entry counts like one that lapsed: attempts that broke, or had no answer for 2 s, are suspects. A later entry of the same id, a refused connection and an answer of another upstream stay certain. The oracle of whole lists in the test has the same rule now; it still compares each end and whether it is certain, and what counts as an end is as before.

--- a/crates/dispatch/src/crash_tracker.rs
+++ b/crates/dispatch/src/crash_tracker.rs
@@ -81,9 +81,10 @@
 /// How an upstream is known to have ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndProof {
-    /// It refuses connections, or another incarnation is at its address.
+    /// It refuses connections, another upstream answers at its address, or it has started anew.
     Certain,
-    /// Its entry in the registry lapsed. It may only have lost its path to the registry.
+    /// Its entry in the registry lapsed, or there is one of another upstream at its address. It may only have lost its path
+    /// to the registry, and another writer may have written that entry.
     Lapsed,
 }
 
--- a/crates/edge/src/listing.rs
+++ b/crates/edge/src/listing.rs
@@ -17,7 +17,8 @@
     pub id: UpstreamId,
     /// Unix time in milliseconds at which the incarnation started, by its own clock.
     pub born: u64,
-    /// Whether it has ended for certain or its entry may only have expired.
+    /// Whether it has ended for certain. The start of another upstream at its address does not show that: it is what the
+    /// writer of that entry claims.
     pub proof: EndProof,
 }
 
@@ -118,10 +119,9 @@
             let entry = &listed.entry;
             let known_born = self.upstreams.get(&entry.id).map(|known| known.entry.born);
             let proof = match known_born {
-                _ if self.newest_at(entry.addr) > Some(entry.born) => EndProof::Certain,
                 Some(born) if born != entry.born => EndProof::Certain,
-                Some(_) => continue,
-                None => EndProof::Lapsed,
+                Some(_) if self.newest_at(entry.addr) <= Some(entry.born) => continue,
+                Some(_) | None => EndProof::Lapsed,
             };
             ended.push(EndedUpstream { id: entry.id.clone(), born: entry.born, proof });
         }
@@ -134,10 +134,10 @@
                 let Some(entry) = self.upstreams.get(id).map(|listed| &listed.entry) else {
                     continue;
                 };
-                let end =
-                    EndedUpstream { id: id.clone(), born: entry.born, proof: EndProof::Certain };
-                if !entry.is_leaving && newest > Some(entry.born) && !ended.contains(&end) {
-                    ended.push(end);
+                let is_known = ended.iter().any(|end| end.id == *id && end.born == entry.born);
+                if !entry.is_leaving && newest > Some(entry.born) && !is_known {
+                    let (id, born) = (id.clone(), entry.born);
+                    ended.push(EndedUpstream { id, born, proof: EndProof::Lapsed });
                 }
             }
         }
--- a/crates/edge/tests/listing.rs
+++ b/crates/edge/tests/listing.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use rstest::rstest;
-use skylarkdock_dispatch::crash_tracker::EndProof;
+use skylarkdock_dispatch::crash_tracker::{CrashTracker, EndProof, Fingerprint, IncarnationHash};
 use skylarkdock_edge::control::key_maps::KeyMaps;
 use skylarkdock_edge::control::registry::{Registry, RegistryChange};
 use skylarkdock_edge::listing::Listing;
@@ -134,6 +134,30 @@
     assert!(restarted.shares_owners_with(&first), "nor does a restart");
 }
 
+fn listed(entry: Entry) -> UpstreamChange {
+    UpstreamChange::Listed(Box::new(ListedUpstream { entry, cold_until: HostTime(0) }))
+}
+
+/// Addresses pass on only after an upstream has ended, but the start in an entry is what its writer claims: a clock that
+/// is ahead, or another writer, must not make the requests in flight at a running upstream suspects.
+#[rstest]
+#[case::another_writer(1, u64::MAX)]
+#[case::clock_of_the_former_one_ahead(50, 100)]
+fn another_upstream_at_an_address_is_no_certain_end(#[case] running: u64, #[case] other: u64) {
+    let (running, other) =
+        (Entry { born: running, ..entry(1) }, Entry { born: other, addr: addr(1), ..entry(2) });
+    let mut listing = Listing::default();
+    let now = HostTime(10_000);
+    let mut crashes = CrashTracker::default();
+    crashes.on_sent(&running.id, Fingerprint(7), now);
+    listing.apply(vec![listed(running.clone())]);
+    let update = listing.apply(vec![listed(other)]);
+    let [end] = update.ended.as_slice() else { panic!("{:?}", update.ended) };
+    assert_eq!((&end.id, end.proof), (&running.id, EndProof::Lapsed));
+    let crash = crashes.on_ended(&end.id, IncarnationHash(1), end.proof, now + Millis(100));
+    assert!(crash.is_none(), "{crash:?}");
+}
+
 /// What whole lists show: the state after each change, and the incarnations that have ended.
 #[derive(Default)]
 struct WholeLists {
@@ -155,9 +179,9 @@
             let at_addr = self.entries.values().filter(|other| other.addr == entry.addr);
             let newest = at_addr.map(|other| other.born).max();
             let listed_born = self.entries.get(&entry.id).map(|listed| listed.born);
-            let is_certain =
-                newest > Some(entry.born) || listed_born.is_some_and(|born| born != entry.born);
-            if (is_certain || listed_born.is_none())
+            let is_certain = listed_born.is_some_and(|born| born != entry.born);
+            let has_successor = newest > Some(entry.born);
+            if (is_certain || has_successor || listed_born.is_none())
                 && self.ended.insert((entry.id.clone(), entry.born))
             {
                 ended.insert((entry.id.clone(), entry.born), is_certain);
