Assign all keys when no upstream states a slot

What callers saw: nothing on record. If all upstreams that are listed when a service gets its first table state 0 slots, no key of the service gets an owner, also once others are there.

Cause: the first table of candidates without capacity has no spans. The leader records it without a check, and no later plan adds spans; other hosts refuse to read it.

Evidence, on the code before: all_keys_have_owners_whatever_the_capacities::case_1_none ... FAILED called `Result::unwrap()` on an `Err` value: Gap(0)

Change: without any capacity, keys are assigned evenly. The other cases of the test hold before and after: one upstream with slots among others, and as many slots as the field takes, over up to ten plans.

--- a/crates/spans/src/plan.rs
+++ b/crates/spans/src/plan.rs
@@ -37,17 +37,17 @@
     pub capacity: f32,
 }
 
-/// Returns the spans of a service that has no table yet. Each upstream gets keys in proportion to its capacity.
+/// Returns the spans of a service that has no table yet. Each upstream gets keys in proportion to its capacity, or as many
+/// as the others if none has any.
 pub fn initial_spans(candidates: &[Candidate], fence: FencingToken) -> Vec<Span> {
-    let total: f32 = candidates.iter().map(|candidate| candidate.capacity).sum();
-    if candidates.is_empty() || total <= 0.0 {
-        return Vec::new();
-    }
+    let sum: f32 = candidates.iter().map(|candidate| candidate.capacity).sum();
+    let has_capacity = sum > 0.0;
+    let total = if has_capacity { sum } else { as_f32(candidates.len()) };
     let mut spans = Vec::new();
     let mut first: u32 = 0;
     let mut assigned_capacity = 0.0;
     for (index, candidate) in candidates.iter().enumerate() {
-        assigned_capacity += candidate.capacity;
+        assigned_capacity += if has_capacity { candidate.capacity } else { 1.0 };
         let end = if index + 1 == candidates.len() {
             0x1_0000
         } else {
--- a/crates/spans/tests/plan.rs
+++ b/crates/spans/tests/plan.rs
@@ -205,3 +205,33 @@
     let after = max_utilization(&next, &candidates, &rates);
     assert!(after < 1.1, "{after}");
 }
+
+/// Capacity of an upstream whose entry says that it has as many slots as fit the field.
+const MAX_CAPACITY: f32 = 4.3e12;
+
+/// The numbers of slots in entries may be odd. Without a span for each key, the table would be of no use, and no later plan
+/// would add them.
+#[rstest]
+#[case::none(&[0.0, 0.0, 0.0])]
+#[case::only_one(&[0.0, 20.0, 0.0])]
+#[case::first_far_too_many(&[MAX_CAPACITY, 20.0, 20.0])]
+#[case::last_far_too_many(&[20.0, 0.0, MAX_CAPACITY])]
+#[case::all_far_too_many(&[MAX_CAPACITY, MAX_CAPACITY, MAX_CAPACITY])]
+fn all_keys_have_owners_whatever_the_capacities(#[case] capacities: &[f32]) {
+    let mut candidates = candidates(&["a", "b", "c"]);
+    for (candidate, capacity) in candidates.iter_mut().zip(capacities) {
+        candidate.capacity = *capacity;
+    }
+    let spans = plan::initial_spans(&candidates, FencingToken(1));
+    let mut table = with_all_granted(Table { spans, ..table(&["a"]) });
+    table.check().unwrap();
+    let rates = vec![0.01; 0x1_0000];
+    for _ in 0..10 {
+        let Some(next) = replan(&table, &candidates, &rates) else { break };
+        table = with_all_granted(next);
+        table.check().unwrap();
+    }
+    candidates.pop();
+    table = replan(&table, &candidates, &rates).map_or(table, with_all_granted);
+    table.check().unwrap();
+}
