Answer requests that are for one upstream with 421

Symptom: with an entry that has a host's own address, a host took its own request for a caller's and sent it on, to itself or the other host, until all slots of the entries were taken: 24 times for one request of a caller. The caller got 502, and was not told that the request had not run.

Cause: each request to an upstream names the only upstream that may run it, and hosts ignored and replaced that field in requests from callers.

Change: a request with this field is rejected with 421 and the reason `for_upstream`. The sender takes that as from another upstream at the address: not run, and after two in a row the entry is avoided for a time.

Ruled out: leaving out entries with known addresses of hosts. A host does not know where others listen for callers.

--- a/crates/edge/src/traffic/rejection.rs
+++ b/crates/edge/src/traffic/rejection.rs
@@ -10,6 +10,9 @@
 /// Reason for which a request is rejected before it is routed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Rejection {
+    /// The request is for one upstream only, and this is none: a host found its own or another host's address in an
+    /// upstream's entry.
+    ForUpstream,
     /// No configuration is known yet.
     NoConfig,
     /// No route matches or there is no valid key, but a newer configuration may have a route or need no key.
@@ -35,6 +38,7 @@
     /// Returns the value of the `reason` label in metrics and field in logs.
     pub(super) const fn as_str(self) -> &'static str {
         match self {
+            Self::ForUpstream => "for_upstream",
             Self::NoConfig => "no_config",
             Self::StaleConfig => "stale_config",
             Self::NoHost => "no_host",
@@ -53,6 +57,7 @@
             Self::NoConfig | Self::StaleConfig | Self::KeyNewlyNeeded => {
                 refusal(STARTUP_RETRY_AFTER)
             }
+            Self::ForUpstream => Answer::empty(421),
             Self::NoRoute => Answer::empty(404),
             Self::NoHost
             | Self::NoRequestId
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -135,6 +135,9 @@
     /// Finds the route of a request and validates its headers.
     fn accept(&self, incoming: Incoming, arrived: HostTime) -> Result<Request, Rejection> {
         let names = &self.protocol.names;
+        if incoming.head.headers.get(names.expected).is_some() {
+            return Err(Rejection::ForUpstream);
+        }
         let view = Arc::clone(&self.view.borrow());
         let Some(config) = &view.config else { return Err(Rejection::NoConfig) };
         let Incoming { head, body } = incoming;
--- a/crates/edge/tests/rejections.rs
+++ b/crates/edge/tests/rejections.rs
@@ -12,6 +12,7 @@
 
 /// Guards against rejections whose cause can't be told from the metrics.
 #[rstest]
+#[case::for_an_upstream(&format!("{HEAD}Id: a\r\nKey: 1\r\nExpected: i-1\r\n"), 421, "for_upstream")]
 #[case::no_host("GET /read/x HTTP/1.1\r\nId: a\r\n", 400, "no_host")]
 #[case::no_route("GET /none/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n", 404, "no_route")]
 #[case::no_request_id(HEAD, 400, "no_request_id")]
