--- a/crates/edge/src/traffic/rejection.rs
+++ b/crates/edge/src/traffic/rejection.rs
@@ -14,6 +14,9 @@
 /// Reason for which a request is rejected before it is routed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Rejection {
+    /// The request is for one upstream only, and this is none: a host found its own or another host's address in an
+    /// upstream's entry.
+    ForUpstream,
     /// No configuration is known yet.
     NoConfig,
     /// Other hosts have had a newer configuration for longer than this one may take to get it.
@@ -41,6 +44,7 @@
     /// Returns the value of the `reason` label in metrics and field in logs.
     pub(super) const fn as_str(self) -> &'static str {
         match self {
+            Self::ForUpstream => "for_upstream",
             Self::NoConfig => "no_config",
             Self::ConfigOutdated => "config_outdated",
             Self::StaleConfig => "stale_config",
@@ -61,6 +65,7 @@
             Self::NoConfig | Self::StaleConfig | Self::KeyNewlyNeeded => {
                 refusal(STARTUP_RETRY_AFTER)
             }
+            Self::ForUpstream => Answer::empty(421),
             Self::NoRoute => Answer::empty(404),
             Self::NoHost
             | Self::NoRequestId
