Record an ownership table again if its newest record can't be read

A host that starts reads only the newest record of each key since. With a record under the table's key that can't be read, it had no owners and refused all keys (key_unowned) for as long as the table did not change otherwise, while the hosts that knew the table served.

Cause: a record that can't be read was ignored by each host, and nobody put the table back in its place.

Change: hosts note whether the newest record of a table can be read, and a leader that knows the table records it again with the next version. A leader that knows no table plans a first one as before.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -1,6 +1,6 @@
 //! Renewal of grants and, on the leader, the actions that change owners of keys.
 
-use super::{Control, FleetState, HostRecord};
+use super::{Control, FleetState, HostRecord, store_sync};
 use crate::client::{ControlClient, Failure, Outgoing, Reply};
 use crate::clock;
 use crate::detour::DetourError;
@@ -389,6 +389,8 @@
         candidates.sort_by(|a, b| a.holder.id.cmp(&b.holder.id));
         let load = owners.key_loads.entry(service.clone()).or_insert_with(|| KeyLoad::new(now));
         let rates = load.rates(now);
+        let key = store_sync::table_key(service);
+        let is_record_unreadable = fleet.unreadable_tables.contains(&key);
         drop(owners);
         drop(fleet);
         Inputs {
@@ -397,6 +399,7 @@
             hosts,
             cut_off: self.cut_off_hosts(),
             is_leaving: self.is_handing_over.get(),
+            is_record_unreadable,
         }
     }
 
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -14,7 +14,7 @@
 use skylarkdock_spans::renewal::Renewals;
 use skylarkdock_spans::table::Table;
 use skylarkdock_units::collections::FastSet;
-use skylarkdock_units::ids::UpstreamId;
+use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::{HostTime, Millis};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -115,6 +115,11 @@
     }
 }
 
+/// Returns the key of the record of a service's ownership table.
+pub(super) fn table_key(service: &ServiceName) -> String {
+    format!("{TABLE_PREFIX}{service}")
+}
+
 impl Control {
     /// Reads a topic of the store again and again, except while another host keeps this one up to date on it.
     async fn read_topic(self: Rc<Self>, topic: Topic) {
@@ -441,17 +446,19 @@
             let mut readers = self.table_readers.borrow_mut();
             readers.entry(record.key.clone()).or_default().read(&record.value)
         };
-        match table {
-            Ok(table) if table.check().is_ok() => self.adopt_table(table),
+        let table = match table {
+            Ok(table) if table.check().is_ok() => Some(table),
             Ok(_) => {
                 log::error!(key = record.key.as_str(); "fleet: inconsistent table ignored");
-                false
+                None
             }
             Err(e) => {
                 log::warn!(key = record.key.as_str(), error:% = e; "fleet: table ignored");
-                false
+                None
             }
-        }
+        };
+        self.fleet.borrow_mut().record_readability(&record.key, table.is_some());
+        table.is_some_and(|table| self.adopt_table(table))
     }
 
     /// Replaces the ownership table of a service if this one is newer, and returns whether it is. A newer table of another
@@ -498,13 +505,14 @@
                 return false;
             }
         };
-        let record = Record { key: format!("{TABLE_PREFIX}{}", table.service), value };
+        let record = Record { key: table_key(&table.service), value };
         counter!("skylarkdock_store_calls_total", "call" => "append").increment(1);
         let asked_at = clock::now();
         match (self.store.append)(vec![record.clone()], Some(end)).await {
             Ok(end) => {
                 let mut fleet = self.fleet.borrow_mut();
                 fleet.fleet_end = fleet.fleet_end.max(end);
+                fleet.record_readability(&record.key, true);
                 // Hosts that start in an outage need the table even if this host can't read it any more.
                 let page = Page { records: vec![record], next: end };
                 fleet.known_records.record_page(Topic::Fleet, &page, false, asked_at);
--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -70,6 +70,8 @@
     pub cut_off: Vec<HostId>,
     /// Whether the leader is about to hand over. It finishes pending moves and plans no further ones.
     pub is_leaving: bool,
+    /// Whether the newest record of the table can't be read. Hosts that start have no table then.
+    pub is_record_unreadable: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -435,7 +437,7 @@
         let has_lost_owner = |span: &Span| !available.contains(&span.owner);
         let is_urgent = next.spans.iter().any(has_lost_owner);
         if inputs.is_leaving {
-            return Self::with_next_version(next, &table);
+            return Self::with_next_version(next, &table, inputs);
         }
         if is_urgent || now.since(self.planned_at) >= PLAN_INTERVAL {
             self.planned_at = now;
@@ -445,12 +447,13 @@
             }
         }
         self.choose_keepers(&mut next, inputs, now);
-        Self::with_next_version(next, &table)
+        Self::with_next_version(next, &table, inputs)
     }
 
-    /// Returns `next` with the version after that of `table`, `None` if the two are equal.
-    fn with_next_version(next: Table, table: &Table) -> Option<Table> {
-        (next != *table).then(|| Table { version: table.version + 1, ..next })
+    /// Returns `next` with the version after that of `table`, `None` if the two are equal and the recorded one can be read.
+    fn with_next_version(next: Table, table: &Table, inputs: &Inputs) -> Option<Table> {
+        let is_due = next != *table || inputs.is_record_unreadable;
+        is_due.then(|| Table { version: table.version + 1, ..next })
     }
 
     fn first_table(
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -458,3 +458,21 @@
     assert_eq!(keepers(&["h", "h2", "x1", "x2"]).len(), 2);
     assert_eq!(keepers(&[]).len(), 2);
 }
+
+/// Hosts that start get the newest record of the table only. With one that can't be read they had no owners.
+#[test]
+fn a_table_whose_record_cannot_be_read_is_recorded_again() {
+    let mut fixture = Fixture::new();
+    let table = fixture.leader.table().unwrap().clone();
+    fixture.now = fixture.now + Millis(50);
+    let damaged = Inputs { is_record_unreadable: true, ..inputs(&["a", "b"]) };
+    let actions = fixture.leader.tick(&damaged, fixture.now);
+    let [Action::Write(written)] = actions.as_slice() else { panic!("{actions:?}") };
+    assert_eq!((written.version, &written.spans), (table.version + 1, &table.spans));
+    assert!(fixture.leader.tick(&damaged, fixture.now).is_empty());
+    fixture.leader.on_written(written.clone(), true, fixture.now);
+    for _ in 0..20 {
+        let actions = fixture.tick(&["a", "b"]);
+        assert!(!actions.iter().any(|action| matches!(action, Action::Write(_))), "{actions:?}");
+    }
+}
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -356,7 +356,7 @@
         }
         let has_no_path = |host: &&Host| host.reachable_upstreams.iter().all(|reaches| !reaches);
         let cut_off = self.hosts.iter().filter(has_no_path).map(|host| host.id.clone()).collect();
-        Inputs { candidates, rates, hosts, cut_off, is_leaving: false }
+        Inputs { candidates, rates, hosts, cut_off, ..Inputs::default() }
     }
 
     fn carry_out(&mut self, index: usize, action: Action) {
