Revert "Send no grant by old proof over a new connection"

The trace shows renewals resumed and none sent.

Cause: a host that reads the fleet topic itself waits up to 1.5 s for records (FLEET_WAIT) and counts its proof from the start of the call. So its proof is 1.5 to 3.1 s old while all is well, and that of others up to about 4 s; the limit was 1.5 s. In the simulation proof is 0.1 s old, so its figures on the cost don't hold for the daemon: the simulation assumed more than the daemon does. On the reverted commit itself only resumed and answering holders got new connections, and a first grant to an upstream in another region would wait for the next table that is recorded.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -13,7 +13,7 @@
 use skylarkdock_spans::leader::{Action, Inputs};
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::plan::Candidate;
-use skylarkdock_spans::renewal::{CallEnd, Connection, Grant, Purpose, Release};
+use skylarkdock_spans::renewal::{CallEnd, Grant, Purpose, Release};
 use skylarkdock_spans::resting::is_widely_resting;
 use skylarkdock_spans::table::{Holder, Keeper, Table};
 use skylarkdock_units::collections::FastMap;
@@ -123,24 +123,19 @@
         let caller = self.caller(&grant.holder);
         let mut caller = caller.lock().await;
         let started = clock::now();
-        let is_direct = paths.lock().is_direct(addr);
-        let is_open = is_direct && caller.is_connected();
-        let conn = if is_open { Connection::Open } else { Connection::New };
-        if !self.confirm_send(service, grant, purpose, conn, started) {
+        if !self.confirm_send(service, grant, purpose, started) {
             let waited = started.since(decided_at);
-            log::debug!(service:% = service, first = grant.first, last = grant.last, upstream:% = grant.holder.id, waited:% = waited, connection:? = conn; "owners: grant not sent, as it is no longer due");
+            log::debug!(service:% = service, first = grant.first, last = grant.last, upstream:% = grant.holder.id, waited:% = waited; "owners: grant not sent, as it is no longer due");
             return None;
         }
         // Another host opens a new connection, which a later incarnation may have accepted.
-        let may_detour = {
+        let may_detour = purpose == Purpose::Move || {
             let owners = self.owners.borrow();
             let renewals = owners.renewals.get(service);
-            renewals.is_some_and(|renewals| match purpose {
-                Purpose::Renewal => renewals.has_recent_answer(&grant.holder, started),
-                Purpose::Move => renewals.may_connect(&grant.holder, started),
-            })
+            renewals.is_some_and(|renewals| renewals.has_recent_answer(&grant.holder, started))
         };
         let req = (self.protocol.build_grant)(grant, self.timing.hold);
+        let is_direct = paths.lock().is_direct(addr);
         if is_direct {
             let failure = match caller.call(&req, self.timing.call_timeout).await {
                 Ok(reply) => {
@@ -188,7 +183,6 @@
         service: &ServiceName,
         grant: &Grant,
         purpose: Purpose,
-        conn: Connection,
         now: HostTime,
     ) -> bool {
         let entry_born =
@@ -196,7 +190,7 @@
         let mut owners = self.owners.borrow_mut();
         let renewals = owners.renewals.get_mut(service);
         entry_born <= grant.holder.born
-            && renewals.is_some_and(|renewals| renewals.confirm_send(grant, purpose, conn, now))
+            && renewals.is_some_and(|renewals| renewals.confirm_send(grant, purpose, now))
     }
 
     /// Records what the answer to a grant or release asks of this host.
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -1,7 +1,7 @@
 //! Calls between hosts and upstreams, which may be delayed, lost or carried out without an answer.
 
 use super::Simulation;
-use skylarkdock_spans::renewal::{Ack, CallEnd, Connection, Grant, Purpose, Release};
+use skylarkdock_spans::renewal::{Ack, CallEnd, Grant, Purpose, Release};
 use skylarkdock_spans::table::{Holder, Table};
 use skylarkdock_units::times::HostTime;
 use std::collections::VecDeque;
@@ -100,14 +100,8 @@
     fn may_send(&mut self, from: usize, by_leader: bool, grant: &Grant) -> bool {
         let now = HostTime(self.now);
         let purpose = if by_leader { Purpose::Move } else { Purpose::Renewal };
-        // A connection that broke counts as open until a call shows that.
-        let calls = self.calls.get(&(from, grant.holder.clone()));
-        let is_connected = calls.is_some_and(|calls| calls.connected_to.is_some());
-        let index = self.index_of(&grant.holder);
-        let is_direct = self.hosts[from].reachable_upstreams[index];
-        let conn = if is_connected && is_direct { Connection::Open } else { Connection::New };
         let renewals = &mut self.hosts[from].renewals;
-        renewals.confirm_send(grant, purpose, conn, now) || !self.safeguards.confirms_sends
+        renewals.confirm_send(grant, purpose, now) || !self.safeguards.confirms_sends
     }
 
     fn on_withheld(&mut self, from: usize, by_leader: bool, grant: &Grant) {
