Keep no registered entry for an earlier deletion

A host drops a deleted entry two seconds after an outage unless it is written again. It took over that an entry is kept also from a host that knew only the incarnation before, or the deletion before the entry was written again; and an update that confirmed the entry did not end that if its heartbeat was older than the known one. So the entry was dropped, and its upstream got no requests, although it was registered. Reads of the whole registry used to bring it back.

The new test of the registry fails on the code before: "of a later incarnation".

--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -175,6 +175,9 @@
         }
         for KeptEntry { entry, remaining } in kept {
             let id = entry.id.clone();
+            if self.upstreams.get(&id).is_some_and(|known| known.listed.entry.born > entry.born) {
+                continue;
+            }
             if is_first && self.put(entry.clone(), now) {
                 significant.push(RegistryChange::Put(entry));
             }
@@ -192,9 +195,10 @@
         self.upstreams.keys().filter(|id| !present.contains(id)).cloned().collect()
     }
 
-    /// Returns whether a later heartbeat of the same incarnation is known.
+    /// Returns whether a later heartbeat of the same incarnation is known, of an entry that was not deleted.
     fn is_older(&self, entry: &Entry) -> bool {
-        let known = self.upstreams.get(&entry.id).map(|known| &known.listed.entry);
+        let known = self.upstreams.get(&entry.id).filter(|known| known.kept_until.is_none());
+        let known = known.map(|known| &known.listed.entry);
         known.is_some_and(|known| known.born == entry.born && known.seq > entry.seq)
     }
 
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -261,3 +261,22 @@
     fleet.apply(Millis(300), vec![RegistryChange::Drop("a".parse().unwrap())], false);
     assert!(!fleet.registry.has_written_since(&id, since));
 }
+
+/// A host took over that an entry is kept from one that knew only the incarnation before, or the deletion before it was written
+/// again, and dropped it two seconds later although its upstream was registered.
+#[test]
+fn an_entry_that_is_registered_again_is_not_kept_for_an_earlier_deletion() {
+    let now = HostTime(20_000);
+    let kept = |entry| vec![KeptEntry { entry, remaining: Millis(2_000) }];
+    let later = |born, seq| RegistryChange::Put(Entry { born, ..entry("a", seq) });
+    let mut registry = Registry::new(HEARTBEAT);
+    registry.apply_read(vec![later(2, 9)], true, now, now);
+    registry.apply_update(Vec::new(), kept(entry("a", 5)), true, now, now);
+    assert!(!registry.keeps_entries(), "of a later incarnation");
+    let again = Entry { born: 2, ..entry("a", 7) };
+    registry.apply_update(Vec::new(), kept(again), true, now, now);
+    registry.apply_update(vec![later(2, 8)], Vec::new(), true, now, now);
+    assert!(!registry.keeps_entries(), "of one that another host has read again");
+    registry.apply_read(Vec::new(), false, now + Millis(3_000), now + Millis(3_000));
+    assert_eq!(listed(&registry), ["a"]);
+}
