Refute claims of versions only by reads that were sent later

A claim that was heard in the millisecond in which a read of the store was sent counted as refuted, and with it all claims of its origin until a newer version was there: the host would have gone on handling requests by the older configuration. Times are whole milliseconds, so the version may have been published after that read. A read must be later now.

A host that has no configuration yet no longer reports that it is out of date (a log line and a gauge at its start, seen in a logged run of big_configuration); its requests were refused as `no_config` all along.

--- a/crates/freshness/src/versions.rs
+++ b/crates/freshness/src/versions.rs
@@ -218,9 +218,11 @@
         self.claims.iter().map(|known| known.version).max().unwrap_or_default().max(self.in_force)
     }
 
-    /// Returns why this host, which has `proof`, must not handle requests by the configuration in force; `None` if it may.
+    /// Returns why this host, which has `proof`, must not handle requests by the configuration in force; `None` if it may,
+    /// or has none.
     pub fn outdated(&self, proof: Proof, limits: Limits, now: HostTime) -> Option<Outdated> {
-        if self.claims.iter().all(|known| known.version <= self.in_force) {
+        let has_newer = self.claims.iter().any(|known| known.version > self.in_force);
+        if self.in_force == 0 || !has_newer {
             return None;
         }
         let mut witnesses = self.witnesses(proof);
@@ -244,8 +246,9 @@
     fn witnesses(&self, proof: Proof) -> Vec<Witness> {
         let mut witnesses: Vec<Witness> = Vec::new();
         let newer = || self.claims.iter().filter(|known| known.version > self.in_force);
+        // Within the same millisecond the claim may have been heard after the read.
         let is_refuted =
-            |known: &KnownClaim| proof.version < known.version && proof.at >= known.heard_at;
+            |known: &KnownClaim| proof.version < known.version && proof.at > known.heard_at;
         for known in newer() {
             if newer().any(|other| other.origin == known.origin && is_refuted(other)) {
                 continue;
