Keep a claim of a newer version in place of claims of the one in force

What callers saw: nothing yet; found by reading. With configurations two or three seconds apart, a late host went on handling requests by the former one although other hosts had told it of the newer one.

Cause: a host keeps the claims of six other hosts, and those of the version in force for ten seconds, to pass them on. A claim of a newer version by a seventh host was not kept then.

Evidence: freshness versions, claims_of_the_version_in_force_leave_room_for_a_newer_one: newest known version 12 instead of 14, and no refusal.

Change: a claim of a version newer than the one in force takes the place of the host whose newest claim is the oldest, if that is not newer than the one in force.

Result: the tests of freshness versions pass.

--- a/crates/freshness/src/versions.rs
+++ b/crates/freshness/src/versions.rs
@@ -163,6 +163,7 @@
         } else if of_origin == 0
             && claim.origin != self.own
             && self.count_other_origins() >= MAX_ORIGINS
+            && !(claim.version > in_force && self.remove_oldest_origin())
         {
             return;
         }
@@ -183,6 +184,24 @@
         }
     }
 
+    /// Removes the claims of the other host with the oldest newest version, if that is not newer than the one in force. Returns
+    /// whether there was one.
+    fn remove_oldest_origin(&mut self) -> bool {
+        let newest_of = |origin: Origin| {
+            let claims = self.claims.iter().filter(|known| known.origin == origin);
+            claims.map(|known| known.version).max().unwrap_or_default()
+        };
+        let others =
+            self.claims.iter().map(|known| known.origin).filter(|other| *other != self.own);
+        let oldest = others.map(|origin| (newest_of(origin), origin)).min();
+        let Some((version, origin)) = oldest else { return false };
+        if version > self.in_force {
+            return false;
+        }
+        self.claims.retain(|known| known.origin != origin);
+        true
+    }
+
     /// Returns the number of other hosts of which claims are kept.
     fn count_other_origins(&self) -> usize {
         let mut origins: Vec<Origin> = self.claims.iter().map(|known| known.origin).collect();
--- a/crates/freshness/tests/versions.rs
+++ b/crates/freshness/tests/versions.rs
@@ -221,3 +221,19 @@
         assert!(refused >= 1_500, "seed {seed}: {refused} ms");
     }
 }
+
+/// Guards against versions in series, of which the later one is first on a host whose earlier claims were not kept.
+#[test]
+fn claims_of_the_version_in_force_leave_room_for_a_newer_one() {
+    let mut known = host();
+    for origin in 2..20 {
+        known.on_claim(claim(origin, 12, 300), START);
+    }
+    known.on_in_force(12, START, START + Millis(500));
+    let told_at = START + Millis(2_000);
+    known.on_claim(claim(30, 14, 0), told_at);
+    known.on_claim(claim(31, 14, 0), told_at);
+    assert_eq!(known.newest(), 14);
+    assert!(refuses(&known, OLD_PROOF, 2_000 + REFUSE_AFTER));
+    assert_eq!(known.claims_to_tell(told_at).first().map(|claim| claim.version), Some(14));
+}
