Take no table from which leaders can't count on

What callers saw: nothing yet; found by reading. Under the key of an ownership table, a readable record with the highest version ended each host that led, one after the other; in a release build no later change of owners was recorded any more.

Cause: leaders add one to the version and to the next fencing token of the recorded table. Table::check looked at its spans only.

Change: a table whose version or next fencing token is larger than hosts ever count to is inconsistent, and so counts as one that can't be read.

--- a/crates/spans/src/table.rs
+++ b/crates/spans/src/table.rs
@@ -135,6 +135,9 @@
     pub spans: Vec<Span>,
 }
 
+/// Largest version and next fencing token of a consistent table. Hosts count from 1, some numbers a second.
+const MAX_NUMBER: u64 = 1 << 53;
+
 /// Inconsistency found by [`Table::check`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum TableError {
@@ -144,15 +147,23 @@
     /// A span has a fencing token that the table would assign again.
     #[error("fencing token {0} is not below next_fence")]
     FencingToken(FencingToken),
+    /// The version or the next fencing token leaves too few larger numbers.
+    #[error("{0} is larger than any version or fencing token of hosts")]
+    TooLarge(u64),
 }
 
 impl Table {
-    /// Checks that the spans cover each key exactly once, in order, and that all fencing tokens are below `next_fence`.
+    /// Checks that the spans cover each key exactly once, in order, that all fencing tokens are below `next_fence`, and that
+    /// hosts can count on from `version` and `next_fence`.
     ///
     /// # Errors
     ///
-    /// Returns the first inconsistency in key order.
+    /// Returns the first inconsistency, those of spans in key order.
     pub fn check(&self) -> Result<(), TableError> {
+        let largest = self.version.max(self.next_fence.0);
+        if largest > MAX_NUMBER {
+            return Err(TableError::TooLarge(largest));
+        }
         let mut expected_first: u32 = 0;
         for span in &self.spans {
             if u32::from(span.first) != expected_first || span.last < span.first {
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -2,10 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
+use rstest::rstest;
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::{CallEnd, Grant, Purpose, Renewals};
-use skylarkdock_spans::table::{Holder, Keeper};
+use skylarkdock_spans::table::{FencingToken, Holder, Keeper, Table};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::measures::HostSize;
 use skylarkdock_units::times::{HostTime, Millis};
@@ -471,3 +472,14 @@
         assert!(!actions.iter().any(|action| matches!(action, Action::Write(_))), "{actions:?}");
     }
 }
+
+/// Each version and each token is followed by a larger one. Leaders ended, or recorded no change any more, where there is none.
+#[rstest]
+#[case::version(u64::MAX, 2)]
+#[case::fencing_token(1, u64::MAX)]
+fn a_table_with_no_larger_number_is_not_consistent(#[case] version: u64, #[case] next_fence: u64) {
+    let table = Fixture::new().leader.table().unwrap().clone();
+    assert_eq!(table.check(), Ok(()));
+    let odd = Table { version, next_fence: FencingToken(next_fence), ..table };
+    assert!(odd.check().is_err());
+}
