List a first table over an unreadable record as known red

Hosts that know the former table renew it meanwhile, so two upstreams could hold keys. It takes a damaged record in a topic that only hosts write to. Refusing to plan is one line, but would leave a service whose first record is unreadable without owners for good, which the test of odd records expects to be served; the last readable record of the log should count.

--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -483,3 +483,14 @@
     let odd = Table { version, next_fence: FencingToken(next_fence), ..table };
     assert!(odd.check().is_err());
 }
+
+/// Without the recorded table nobody knows which upstreams hold keys, and with which fencing tokens.
+#[test]
+fn no_first_table_is_written_over_a_record_that_cannot_be_read() {
+    let mut leader = Leader::new("h".parse().unwrap(), "s".parse().unwrap(), TIMING, None);
+    let damaged = Inputs { is_record_unreadable: true, ..inputs(&["a", "b"]) };
+    for tick in 0..1_200 {
+        let actions = leader.tick(&damaged, HostTime(100_000 + tick * 50));
+        assert!(actions.is_empty(), "{actions:?}");
+    }
+}
