--- a/crates/edge/tests/table_reader.rs
+++ b/crates/edge/tests/table_reader.rs
@@ -25,7 +25,7 @@
         leader: "h".parse().unwrap(),
         keepers: Vec::new(),
         retired: Vec::new(),
-        next_fence: FencingToken(u64::MAX),
+        next_fence: FencingToken(1_000),
         spans,
     }
 }
