Tell followers of a kept entry that comes back with a lower number

Followers may have the entry without knowing that it is kept, though, and ignored the new one for its lower sequence number, as they were no longer told to forget the entry before.

Change: whether a number is lower decides what is passed on, whatever is kept; that an entry is kept only lifts the check of a single change.

--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -240,7 +240,7 @@
             let known_until = known.and_then(|known| known.kept_until);
             // It may have changed just before it was deleted or replaced.
             let is_news = known.map_or(is_first, |known| {
-                self.is_older(&entry) || !is_alike(&known.listed.entry, &entry)
+                self.has_higher_number(&entry) || !is_alike(&known.listed.entry, &entry)
             });
             if is_news {
                 significant.extend(self.put_newest(entry, read_at, now));
@@ -258,11 +258,16 @@
         self.upstreams.keys().filter(|id| !present.contains(id)).cloned().collect()
     }
 
+    /// Returns whether an entry of the same incarnation with a higher sequence number is known.
+    fn has_higher_number(&self, entry: &Entry) -> bool {
+        let known = self.upstreams.get(&entry.id).map(|known| &known.listed.entry);
+        known.is_some_and(|known| known.born == entry.born && known.seq > entry.seq)
+    }
+
     /// Returns whether a later heartbeat of the same incarnation is known, of an entry that was not deleted.
     fn is_older(&self, entry: &Entry) -> bool {
-        let known = self.upstreams.get(&entry.id).filter(|known| known.kept_until.is_none());
-        let known = known.map(|known| &known.listed.entry);
-        known.is_some_and(|known| known.born == entry.born && known.seq > entry.seq)
+        let is_kept = self.upstreams.get(&entry.id).is_some_and(|known| known.kept_until.is_some());
+        !is_kept && self.has_higher_number(entry)
     }
 
     /// Stores an entry that was the newest one of its upstream at `read_at`, and returns the changes that are more than
@@ -273,7 +278,7 @@
         read_at: HostTime,
         now: HostTime,
     ) -> Vec<RegistryChange> {
-        if self.is_older(&entry) {
+        if self.has_higher_number(&entry) {
             // The store's order is the right one, whatever number an entry before had. Other hosts would take this entry
             // for an earlier heartbeat, so they are told to forget the one before.
             self.put(entry.clone(), read_at, now);
