Reject no service as absent without proof

Callers of skylarkdockd got 404 for a service that is in force, if this host had not read the record yet, because it could not read the log, or could read no revision of it. A 404 is not sent again. It rested on the routing table alone, whatever its age: the same class as 404s of skylarkdock-host behind a configuration that can't be read.

A service counts as absent only if no record of it is known, not even one that can't be read, and the log was read to its end within the last three of its longest polls. The time of a read counts from its request, and only once its records are in the table that requests see. Everything else is 503 with Retry-After, reason unproven-service; another host mostly knows the service.

--- a/crates/daemon/src/control/events.rs
+++ b/crates/daemon/src/control/events.rs
@@ -11,6 +11,7 @@
 use skylarkdock_logclient::log::{AppendError, LogPage};
 use skylarkdock_units::ids::{Offset, ServiceName, UpstreamId};
 use skylarkdock_units::requests::RecordId;
+use skylarkdock_units::times::HostTime;
 
 /// An upstream of a service.
 pub type UpstreamKey = (ServiceName, UpstreamId);
@@ -18,10 +19,20 @@
 /// An event for the control thread.
 #[derive(Debug)]
 pub enum Event {
-    /// The whole log was read; contains the resulting state.
-    LogLoaded(Box<State>),
+    /// The whole log was read.
+    LogLoaded {
+        /// The resulting state.
+        state: Box<State>,
+        /// When the first read was sent.
+        asked_at: HostTime,
+    },
     /// Records were read from the log.
-    LogRead(LogPage),
+    LogRead {
+        /// The records.
+        page: LogPage,
+        /// When the read was sent.
+        asked_at: HostTime,
+    },
     /// The log did not answer, or records older than its oldest one are missing.
     LogFailed,
     /// An append finished.
--- a/crates/daemon/src/control/log.rs
+++ b/crates/daemon/src/control/log.rs
@@ -1,5 +1,6 @@
 //! Reads the platform's log and appends to it.
 
+use crate::clock;
 use crate::control::events::Event;
 use async_channel::Sender;
 use async_io::Timer;
@@ -19,13 +20,14 @@
 /// Reads the whole log, then follows it until the event channel is closed.
 pub async fn follow(log: Log, events: Sender<Event>) {
     while !events.is_closed() {
+        let asked_at = clock::host_time();
         let Ok(Some(state)) = load(&log).await else {
             send_event(&events, Event::LogFailed).await;
             Timer::after(RETRY_DELAY_MS.duration()).await;
             continue;
         };
         let next = Offset(state.applied.0 + 1);
-        send_event(&events, Event::LogLoaded(Box::new(state))).await;
+        send_event(&events, Event::LogLoaded { state: Box::new(state), asked_at }).await;
         tail(&log, next, &events).await;
     }
 }
@@ -38,11 +40,12 @@
 /// Reads new records until the log has dropped some that were not read yet.
 async fn tail(log: &Log, mut next: Offset, events: &Sender<Event>) {
     while !events.is_closed() {
+        let asked_at = clock::host_time();
         match log.read(next, PAGE_RECORDS, LONG_POLL_MS).await {
             Ok(page) if page.oldest > next => return,
             Ok(page) => {
                 next = page.records.last().map_or(next, |(offset, _)| Offset(offset.0 + 1));
-                send_event(events, Event::LogRead(page)).await;
+                send_event(events, Event::LogRead { page, asked_at }).await;
             }
             Err(_) => {
                 send_event(events, Event::LogFailed).await;
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -24,7 +24,7 @@
 use crate::links::SharedLinks;
 use crate::routing_table::{RangeRoute, SharedRoutingTable, SharedServiceState};
 use crate::settings::Settings;
-use crate::shared_state::SharedServingState;
+use crate::shared_state::{LogProof, SharedServingState};
 use crate::upstream_queue::UpstreamQueue;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -75,6 +75,8 @@
     pub table: SharedRoutingTable,
     /// Serving state of the daemon, shared with the traffic threads.
     pub serving_state: SharedServingState,
+    /// Proof that the routing table has all records of the log.
+    pub log_proof: LogProof,
     /// Channel on which calls report their outcome to the control thread.
     pub events: Sender<Event>,
     /// Channel that requests another fetch of the host list.
@@ -192,8 +194,8 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::LogLoaded(state) => self.adopt_log_state(*state),
-            Event::LogRead(page) => self.handle_log_page(page),
+            Event::LogLoaded { state, asked_at } => self.adopt_log_state(*state, asked_at),
+            Event::LogRead { page, asked_at } => self.handle_log_page(page, asked_at),
             Event::LogFailed => self.handle_log_failure(),
             Event::AppendFinished { id, result } => self.handle_append_result(id, result),
             Event::HostListFetched(hosts) => self.handle_host_list(hosts),
--- a/crates/daemon/src/control/records.rs
+++ b/crates/daemon/src/control/records.rs
@@ -15,7 +15,7 @@
 use skylarkdock_timeline::reasons::RecordReason;
 use skylarkdock_units::ids::Offset;
 use skylarkdock_units::requests::RecordId;
-use skylarkdock_units::times::Millis;
+use skylarkdock_units::times::{HostTime, Millis};
 
 /// Number of latest records kept for hosts that can't read the log.
 const MAX_RECENT_RECORDS: usize = 2_000;
@@ -23,9 +23,10 @@
 
 impl Control {
     /// Adopts the state read from the log, unless the current one is newer.
-    pub(super) fn adopt_log_state(&mut self, state: State) {
+    pub(super) fn adopt_log_state(&mut self, state: State, asked_at: HostTime) {
         self.handle_log_reachable();
         self.adopt(state);
+        self.deps.log_proof.set(asked_at);
         if self.deps.serving_state.get() == ServingState::Starting {
             self.start_serving();
         }
@@ -48,10 +49,14 @@
     }
 
     /// Applies the records of a page read from the log.
-    pub(super) fn handle_log_page(&mut self, page: LogPage) {
+    pub(super) fn handle_log_page(&mut self, page: LogPage, asked_at: HostTime) {
         self.handle_log_reachable();
         self.checkpoints.set_oldest(page.oldest);
         self.apply_records(page.records);
+        // A page has only so many records, and one that can't be applied hides those behind it.
+        if self.fold.state().applied.0 + 1 >= page.next.0 {
+            self.deps.log_proof.set(asked_at);
+        }
     }
 
     /// Applies records in order, skips those already applied, and stops at a gap.
--- a/crates/daemon/src/control/tables.rs
+++ b/crates/daemon/src/control/tables.rs
@@ -21,8 +21,11 @@
         let services: Vec<Arc<Service>> = self.fold.services().values().cloned().collect();
         let in_force = |service: &Service| self.fold.state().services.contains_key(&service.name);
         let services: Vec<_> = services.into_iter().filter(|service| in_force(service)).collect();
+        let names = self.fold.state().services.keys();
+        let unreadable = names.filter(|name| !self.fold.services().contains_key(*name));
         let mut table = RoutingTable {
             services: FastMap::default(),
+            unreadable: unreadable.cloned().collect(),
             hosts: self.host_addresses(),
             suspect_hosts: self.suspect_hosts(),
         };
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,7 +8,7 @@
 use crate::proxy::Router;
 use crate::rpc::Rpc;
 use crate::settings::Settings;
-use crate::shared_state::SharedServingState;
+use crate::shared_state::{LogProof, SharedServingState};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -95,6 +95,7 @@
 
         let table = Arc::default();
         let serving_state = SharedServingState::default();
+        let log_proof = LogProof::default();
         let router = Arc::new(Router {
             me: me.clone(),
             table: Arc::clone(&table),
@@ -105,6 +106,7 @@
             executor: traffic_executor.clone(),
             reports: event_channel(&control_executor, events.clone(), Event::Report),
             serving_state: serving_state.clone(),
+            log_proof: log_proof.clone(),
             secret: settings.secret.clone(),
             slow_hosts: Mutex::default(),
         });
@@ -125,6 +127,7 @@
             links: Arc::new(links),
             table,
             serving_state: serving_state.clone(),
+            log_proof,
             events: events.clone(),
             host_list_requests: new_host,
         });
--- a/crates/daemon/src/proxy/refusal.rs
+++ b/crates/daemon/src/proxy/refusal.rs
@@ -15,6 +15,8 @@
 pub enum Reason {
     /// The path names no service, or a service that is not in force.
     NoService,
+    /// This host does not route the service, but a record that it has not read or can't read may put it in force.
+    UnprovenService,
     /// The request is malformed.
     BadRequest,
     /// The request's body is too large.
@@ -58,7 +60,8 @@
             Self::KeyReused | Self::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
             Self::StillRunning => StatusCode::CONFLICT,
             Self::AnswerNotKept => StatusCode::OK,
-            Self::NoHolder
+            Self::UnprovenService
+            | Self::NoHolder
             | Self::UpstreamDown
             | Self::Overload
             | Self::Draining
@@ -72,6 +75,7 @@
     const fn detail(self) -> &'static str {
         match self {
             Self::NoService => "No such service is in force.",
+            Self::UnprovenService => "This host can't tell whether the service is in force.",
             Self::BadRequest => "The request is malformed.",
             Self::TooLarge => "The request's body is too large.",
             Self::KeyReused => "The idempotency key belongs to another request.",
--- a/crates/daemon/src/proxy/router.rs
+++ b/crates/daemon/src/proxy/router.rs
@@ -7,7 +7,7 @@
 use crate::proxy::request::{self, ProxyRequest, Target};
 use crate::proxy::{forward_headers, headers};
 use crate::routing_table::{RangeRoute, ServiceTable, SharedRoutingTable};
-use crate::shared_state::{SharedServingState, TrafficReport};
+use crate::shared_state::{LogProof, SharedServingState, TrafficReport};
 use async_channel::Sender;
 use async_io::Timer;
 use http::{HeaderMap, Request, Response, Uri};
@@ -50,6 +50,8 @@
     pub reports: Sender<TrafficReport>,
     /// Serving state of the daemon.
     pub serving_state: SharedServingState,
+    /// Proof that the routing table has all records of the log.
+    pub log_proof: LogProof,
     /// Secret for signing and verifying forwarded requests.
     pub secret: Secret,
     /// Hosts that were slow to respond, with the time until which they are tried last.
@@ -87,7 +89,6 @@
         req: Request<Incoming>,
         remote: SocketAddr,
     ) -> Result<(ProxyRequest, Arc<ServiceTable>), Refusal> {
-        let unknown_service = || self.refuse_unknown_service(req.headers(), req.uri());
         let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
         if req.headers().contains_key(headers::HOP)
             && !forward_headers::is_addressed_to(req.headers(), &self.me.host)
@@ -96,7 +97,8 @@
         }
         let target = Target::parse(path).ok_or(Refusal::not_run(Reason::NoService))?;
         let found = self.table.load().services.get(&target.service).cloned();
-        let service = found.ok_or_else(unknown_service)?;
+        let service =
+            found.ok_or_else(|| self.refuse_unknown_service(req.headers(), req.uri(), &target))?;
         let request =
             ProxyRequest::read(req, target, &service.service, remote, &self.secret).await?;
         Ok((request, service))
@@ -104,15 +106,20 @@
 
     /// Returns the refusal of a request for a service that is not in force on this host. A forwarding host gets "not
     /// holder" because another host may know the service.
-    fn refuse_unknown_service(&self, headers: &HeaderMap, uri: &Uri) -> Refusal {
+    fn refuse_unknown_service(&self, headers: &HeaderMap, uri: &Uri, target: &Target) -> Refusal {
         if forward_headers::has_valid_signature(headers, uri, &self.secret) {
             return Refusal::not_run(Reason::NotHolder);
         }
+        // Before the table, which may be newer.
+        let proof_age = self.log_proof.age(clock::host_time());
         match self.serving_state.get() {
             ServingState::Starting => {
                 Refusal::not_run(Reason::Starting).with_retry_after(RETRY_AFTER_MS)
             }
-            _ => Refusal::not_run(Reason::NoService),
+            _ if self.table.load().is_absent(&target.service, proof_age) => {
+                Refusal::not_run(Reason::NoService)
+            }
+            _ => Refusal::not_run(Reason::UnprovenService).with_retry_after(RETRY_AFTER_MS),
         }
     }
 
--- a/crates/daemon/src/routing_table.rs
+++ b/crates/daemon/src/routing_table.rs
@@ -10,22 +10,37 @@
 use skylarkdock_records::Service;
 use skylarkdock_units::collections::{FastMap, FastSet};
 use skylarkdock_units::ids::{Epoch, HostId, Member, RangeId, ServiceName};
-use skylarkdock_units::times::HostTime;
+use skylarkdock_units::times::{HostTime, Millis};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// Largest age of the proof by which a service counts as absent: three of the log's longest polls.
+pub const MAX_ABSENCE_PROOF_AGE_MS: Millis = Millis(3_000);
+
 /// Snapshot of the services and hosts that the control thread knows.
 #[derive(Default)]
 pub struct RoutingTable {
     /// Services whose routing record is in force.
     pub services: FastMap<ServiceName, Arc<ServiceTable>>,
+    /// Services in force of which this host can read no revision.
+    pub unreadable: FastSet<ServiceName>,
     /// HTTP addresses of all hosts except those in state `Gone`.
     pub hosts: FastMap<HostId, SocketAddr>,
     /// The hosts among them that are suspected of having failed.
     pub suspect_hosts: FastSet<HostId>,
 }
 
+impl RoutingTable {
+    /// Returns whether no record puts a service in force, given the age of the proof that the table has all records. Its
+    /// callers don't send a request again that is rejected for this reason.
+    pub fn is_absent(&self, service: &ServiceName, proof_age: Millis) -> bool {
+        !self.services.contains_key(service)
+            && !self.unreadable.contains(service)
+            && proof_age <= MAX_ABSENCE_PROOF_AGE_MS
+    }
+}
+
 /// The routing table; an update replaces the whole table.
 pub type SharedRoutingTable = Arc<ArcSwap<RoutingTable>>;
 
--- a/crates/daemon/src/shared_state.rs
+++ b/crates/daemon/src/shared_state.rs
@@ -6,8 +6,9 @@
 use skylarkdock_outcomes::fingerprint::Fingerprint;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::requests::RequestId;
+use skylarkdock_units::times::{HostTime, Millis};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 
 /// The daemon's serving state, set by the control thread and read by the traffic threads.
 #[derive(Clone, Default)]
@@ -34,6 +35,23 @@
     }
 }
 
+/// Latest time at which the log is known to have had no records that the routing table lacks, set by the control thread and
+/// read by the traffic threads.
+#[derive(Clone, Default)]
+pub struct LogProof(Arc<AtomicU64>);
+
+impl LogProof {
+    /// Returns the age of the proof; the time since the start of the clock if there is none.
+    pub fn age(&self, now: HostTime) -> Millis {
+        now.since(HostTime(self.0.load(Ordering::Acquire)))
+    }
+
+    /// Records a proof, after the routing table that it is about was published.
+    pub fn set(&self, at: HostTime) {
+        self.0.fetch_max(at.0, Ordering::Release);
+    }
+}
+
 /// A report from a traffic thread to the control thread.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TrafficReport {
--- a/crates/daemon/tests/responses.rs
+++ b/crates/daemon/tests/responses.rs
@@ -39,6 +39,7 @@
 
 #[rstest]
 #[case(Reason::NoService, 404, "no-service")]
+#[case(Reason::UnprovenService, 503, "unproven-service")]
 #[case(Reason::BadRequest, 400, "bad-request")]
 #[case(Reason::TooLarge, 413, "too-large")]
 #[case(Reason::KeyReused, 422, "key-reused")]
--- a/crates/trials/tests/partitions.rs
+++ b/crates/trials/tests/partitions.rs
@@ -10,6 +10,8 @@
 use skylarkdock_trials::fleet::network::Partition;
 use skylarkdock_trials::probes;
 use skylarkdock_trials::waiting;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use support::TrialFleet;
 
 #[rstest]
@@ -80,3 +82,23 @@
     trial.wait_until_served();
     trial.finish(false);
 }
+
+/// Guards against a 404 for a service that a host may lack because it can't read the log.
+#[test]
+fn no_service_is_called_absent_during_a_log_outage() {
+    let trial = TrialFleet::start(support::settings("absent-service"));
+    let host_addr = trial.fleet.addresses(0).unwrap().http;
+    let status = || {
+        let (mut stream, mut answer) = (TcpStream::connect(host_addr).unwrap(), [0; 12]);
+        let request = "GET /absent/k HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).unwrap();
+        stream.read_exact(&mut answer).unwrap();
+        String::from_utf8_lossy(&answer[9..]).into_owned()
+    };
+    waiting::until("it is known to be absent", || Ok(status() == "404")).unwrap();
+    trial.fleet.set_log_faults(&LogFaults { outage: true, ..LogFaults::default() }).unwrap();
+    waiting::until("it may exist", || Ok(status() == "503")).unwrap();
+    trial.fleet.set_log_faults(&LogFaults::default()).unwrap();
+    waiting::until("it is known to be absent again", || Ok(status() == "404")).unwrap();
+    trial.finish(false);
+}
