Log what a request was rejected by, and whether its route was near

Callers never send a request again after 400, 404, 413 or 431, so each of these has to be right. The log could not show whether it was: `request: rejected before routing` had no host, path or proven version, so a wrong 404 looked like a request for a route that never existed, and `serve: a request is malformed or too large` had neither the bytes at the fault, nor the limits and the version that they were from.

Both lines now have these fields, with bounded lengths. A 404 for a route of a replaced configuration names that version (`route_until`). `skylarkdock_missing_routes_total` counts both.

The validation of a request moves to a module of its own, as it now borrows the request instead of consuming it, so that the log line can describe the request. No answer changes. A head that announces too long a body stays in the input until the body's length is checked, so that its bytes can be logged.

--- a/crates/edge/src/framing.rs
+++ b/crates/edge/src/framing.rs
@@ -41,6 +41,14 @@
     }
 }
 
+/// Number of bytes of a faulty head or chunk that are logged.
+const EXCERPT_BYTES: usize = 96;
+
+/// Returns the first bytes of a faulty head or chunk for a log line, with all but printable ASCII characters escaped.
+pub(crate) fn excerpt(bytes: &[u8]) -> String {
+    bytes[..bytes.len().min(EXCERPT_BYTES)].escape_ascii().to_string()
+}
+
 /// Counts a request that is rejected before it is routed.
 pub(crate) fn count_rejection(status: u16, reason: &'static str) {
     let status = status.to_string();
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -36,6 +36,8 @@
     pub busy: Cell<usize>,
     /// Limits for callers, once they are configured.
     pub limits: Cell<Option<Limits>>,
+    /// Version of the configuration that they are from; zero while they are built in.
+    pub limits_version: Cell<u64>,
 }
 
 impl ListenerState {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -123,6 +123,8 @@
         shared: Rc::clone(&shared),
         handler,
         limits,
+        limits_version: shared.limits_version.get(),
+        requests: 0,
         input: Vec::new(),
         output: Vec::new(),
         written: 0,
@@ -184,6 +186,10 @@
     handler: Handler,
     /// Limits for the request that is being received, or for the next one.
     limits: Limits,
+    /// Version of the configuration that the limits are from; zero if they are built in.
+    limits_version: u64,
+    /// Number of complete requests that the connection has had.
+    requests: u64,
     input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
@@ -300,6 +306,7 @@
             return false;
         }
         self.limits = self.shared.limits();
+        self.limits_version = self.shared.limits_version.get();
         // Empty lines before a request are ignored.
         let leading_newlines = self.input.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
         self.input.drain(..leading_newlines);
@@ -312,13 +319,13 @@
                 self.reject(FramingError::HeadTooLong);
             }
             Ok(Some((head, len))) => {
-                self.input.drain(..len);
                 let is_too_long =
                     matches!(head.framing, Framing::Length(len) if len > self.limits.body.0);
                 if is_too_long {
                     self.reject(FramingError::BodyTooLong);
                     return false;
                 }
+                self.input.drain(..len);
                 if head.headers.contains_token("expect", "100-continue") && self.pending.is_empty()
                 {
                     self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
@@ -333,6 +340,7 @@
     }
 
     fn start_request(&mut self, head: RequestHead, body: Vec<u8>) {
+        self.requests += 1;
         let closes_connection = !head.keeps_alive();
         self.is_input_closed = closes_connection;
         let is_head = head.method == "HEAD";
@@ -345,7 +353,11 @@
     fn reject(&mut self, error: FramingError) {
         let (status, reason) = (error.status(), error.as_str());
         framing::count_rejection(status, reason);
-        log::info!(status = status, reason = reason; "serve: a request is malformed or too large");
+        log::info!(status = status, reason = reason, bytes = framing::excerpt(&self.input),
+            received_bytes = self.input.len(), requests_before = self.requests,
+            head_limit_bytes = self.limits.head.0, body_limit_bytes = self.limits.body.0,
+            config = self.limits_version;
+            "serve: a request is malformed or too large");
         self.partial = None;
         self.input.clear();
         self.is_input_closed = true;
--- /dev/null
+++ b/crates/edge/src/traffic/accept.rs
@@ -0,0 +1,156 @@
+//! Validation of a request before it is routed, and its rejection.
+
+use super::Traffic;
+use super::rejection::Rejection;
+use crate::framing;
+use crate::serve::{Answer, Incoming};
+use crate::view::Config;
+use metrics::counter;
+use skylarkdock_dispatch::routes::Route;
+use skylarkdock_freshness::missing_routes;
+use skylarkdock_units::ids::ServiceName;
+use skylarkdock_units::times::{HostTime, Millis};
+use std::sync::Arc;
+
+/// What a valid request says of itself, with its route.
+pub(super) struct Accepted {
+    pub(super) id: String,
+    /// Value of the `Host` header, in lower case.
+    pub(super) host: String,
+    pub(super) route: Arc<Route>,
+    pub(super) service: ServiceName,
+    pub(super) key: Option<u16>,
+    /// Time that its caller waits; the route may allow less.
+    pub(super) deadline: Millis,
+}
+
+impl Traffic {
+    /// Finds the route of a request and validates its headers.
+    pub(super) fn accept(
+        &self,
+        incoming: &Incoming,
+        arrived: HostTime,
+    ) -> Result<Accepted, Rejection> {
+        let names = &self.protocol.names;
+        let head = &incoming.head;
+        if head.headers.get(names.expected).is_some() {
+            return Err(Rejection::ForUpstream);
+        }
+        let view = Arc::clone(&self.view.borrow());
+        let Some(config) = &view.config else { return Err(Rejection::NoConfig) };
+        if self.is_config_outdated(arrived) {
+            return Err(Rejection::ConfigOutdated);
+        }
+        let Some(host) = head.headers.get_str("host") else { return Err(Rejection::NoHost) };
+        // What is wrong by this configuration may be right by a newer one that should be in force by now.
+        let unless_stale = |rejection| {
+            let apply_time = self.settings.apply_time;
+            let is_current = self.status.is_config_current(apply_time, arrived, config.version);
+            if is_current { rejection } else { Rejection::StaleConfig }
+        };
+        let Some(route) = config.routes.find(host, head.path()) else {
+            return Err(unless_stale(Rejection::NoRoute));
+        };
+        let route = Arc::clone(route);
+        let Some(id) = head.headers.get_str(names.request_id).map(str::to_owned) else {
+            return Err(Rejection::NoRequestId);
+        };
+        let deadline = match head.headers.get_str(names.deadline) {
+            Some(text) => parse_deadline(text).ok_or(Rejection::InvalidDeadline)?,
+            None => route.timeout,
+        };
+        let key = head.headers.get_str(names.key).map(str::parse::<u16>);
+        let service = self.pick_service(&route, config, matches!(key, Some(Ok(_))));
+        let key = match (config.is_sharded(&service), key) {
+            (false, _) => None,
+            (true, Some(Ok(key))) => Some(key),
+            (true, key) => {
+                let rejection = if self.may_lack_key(host, head.path(), arrived) {
+                    Rejection::KeyNewlyNeeded
+                } else if key.is_some() {
+                    Rejection::InvalidKey
+                } else {
+                    Rejection::NoKey
+                };
+                return Err(unless_stale(rejection));
+            }
+        };
+        Ok(Accepted { id, host: host.to_ascii_lowercase(), route, service, key, deadline })
+    }
+
+    /// Returns the answer to a request that is not accepted. Counts it, and logs what tells a wrong rejection from a right
+    /// one.
+    pub(super) fn reject(
+        &self,
+        incoming: &Incoming,
+        rejection: Rejection,
+        arrived: HostTime,
+    ) -> Answer {
+        let head = &incoming.head;
+        let (answer, reason) = (rejection.answer(), rejection.as_str());
+        framing::count_rejection(answer.status, reason);
+        let id = head.headers.get_str(self.protocol.names.request_id);
+        let (host, path) = (head.headers.get_str("host").unwrap_or_default(), head.path());
+        let version = self.config_version();
+        let mut route_until = None;
+        if rejection == Rejection::NoRoute {
+            route_until = self.replaced_configs.borrow().version_with_route(host, path);
+            self.missing_routes.borrow_mut().record(host, path, version, arrived);
+        }
+        if route_until.is_some() {
+            counter!("skylarkdock_missing_routes_total", "change" => "removed").increment(1);
+        }
+        log::warn!(request:? = id, status = answer.status, reason = reason,
+            host = missing_routes::cut(host), path = missing_routes::cut(path),
+            body_bytes = incoming.body.len(), config = version,
+            proven = self.status.config_proof().version,
+            config_age_ms = self.status.config_age(arrived).0, route_until:? = route_until;
+            "request: rejected before routing");
+        answer
+    }
+
+    /// Logs the requests that were rejected for want of a route that the given configuration has.
+    pub(super) fn record_found_routes(&self, config: &Config, now: HostTime) {
+        let has_route = |host: &str, path: &str| config.routes.find(host, path).is_some();
+        let found = self.missing_routes.borrow_mut().take_found(config.version, now, has_route);
+        for missing in found {
+            counter!("skylarkdock_missing_routes_total", "change" => "added").increment(1);
+            log::warn!(host = missing.host.as_str(), path = missing.path.as_str(),
+                rejected_by = missing.version, version = config.version,
+                before:% = now.since(missing.at);
+                "config: a request was rejected before its route was known");
+        }
+    }
+
+    /// Returns whether the caller of a request may still follow a replaced configuration that needs no key. The request is
+    /// not routed by it, as a host must not go back to an older version.
+    fn may_lack_key(&self, host: &str, path: &str, now: HostTime) -> bool {
+        let replaced = self.replaced_configs.borrow();
+        replaced.allow_without_key(host, path, self.settings.apply_time, now)
+    }
+
+    /// Selects a service of the route for a request. One without a key goes to services that need none, if there are any.
+    fn pick_service(&self, route: &Route, config: &Config, has_key: bool) -> ServiceName {
+        let services = route.split.services();
+        let unsharded =
+            if !has_key && services.iter().any(|entry| config.is_sharded(&entry.service)) {
+                route.split.only(|service| !config.is_sharded(service))
+            } else {
+                None
+            };
+        let mut counts = self.route_counts.borrow_mut();
+        // Each of the two splits has a count of its own, as its picks match its weights in runs of its own length.
+        let count = counts
+            .entry((Arc::clone(&route.name), unsharded.is_some()))
+            .or_insert_with(|| fastrand::u64(..1 << 32));
+        *count += 1;
+        unsharded.as_ref().unwrap_or(&route.split).pick(*count).clone()
+    }
+}
+
+/// Parses a number of milliseconds, of which a fraction is cut off.
+fn parse_deadline(text: &str) -> Option<Millis> {
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    let is_decimal = !fraction.is_empty() && fraction.bytes().all(|b| b.is_ascii_digit());
+    is_decimal.then(|| whole.parse().ok().map(Millis)).flatten()
+}
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! The traffic thread, which serves callers' requests.
 
+mod accept;
 mod attempt;
 mod crash_reports;
 mod detours;
@@ -37,6 +38,7 @@
 use skylarkdock_dispatch::service::Service;
 use skylarkdock_dispatch::trials::{TrialAsker, TrialDesk};
 use skylarkdock_dispatch::upstream::{Distance, UpstreamInfo};
+use skylarkdock_freshness::missing_routes::MissingRoutes;
 use skylarkdock_freshness::versions::{KnownVersions, Origin};
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
@@ -77,6 +79,7 @@
     status: Arc<Status>,
     view: RefCell<Arc<View>>,
     replaced_configs: RefCell<replaced_configs::ReplacedConfigs>,
+    missing_routes: RefCell<MissingRoutes>,
     /// Configuration versions that this host or others have.
     versions: RefCell<KnownVersions>,
     /// Since when this host refuses requests because its configuration is out of date.
@@ -147,6 +150,7 @@
             status,
             view: RefCell::default(),
             replaced_configs: RefCell::default(),
+            missing_routes: RefCell::default(),
             versions: RefCell::new(KnownVersions::new(own)),
             config_outdated_since: Cell::default(),
             services: RefCell::default(),
@@ -210,9 +214,15 @@
         let view = publication.view;
         if let Some(config) = &view.config {
             self.shared.limits.set(Some(config.limits));
+            self.shared.limits_version.set(config.version);
             let since = view.config_published_after;
             self.versions.borrow_mut().on_in_force(config.version, since, clock::now());
         }
+        if let Some(config) = &view.config
+            && self.config_version() < config.version
+        {
+            self.record_found_routes(config, clock::now());
+        }
         let update = self.listing.borrow_mut().apply(publication.upstreams);
         self.record_ends(&update);
         self.apply_services(&view);
@@ -232,6 +242,11 @@
         *self.view.borrow_mut() = Arc::new(view);
     }
 
+    /// Returns the version of the configuration that is applied; zero if there is none.
+    fn config_version(&self) -> u64 {
+        self.view.borrow().config.as_ref().map_or(0, |config| config.version)
+    }
+
     /// Applies the configuration, the number of hosts and the owners of keys to the services. A new service starts with
     /// all upstreams that are listed for it.
     fn apply_services(&self, view: &View) {
--- a/crates/edge/src/traffic/newer_versions.rs
+++ b/crates/edge/src/traffic/newer_versions.rs
@@ -60,7 +60,7 @@
     /// Writes a log line if this host begins or ceases to refuse requests.
     fn record_outdated(&self, outdated: Option<Outdated>, now: HostTime) {
         let since = self.config_outdated_since.get();
-        let version = self.view.borrow().config.as_ref().map_or(0, |config| config.version);
+        let version = self.config_version();
         match (outdated, since) {
             (Some(outdated), None) => {
                 self.config_outdated_since.set(Some(now));
--- a/crates/edge/src/traffic/replaced_configs.rs
+++ b/crates/edge/src/traffic/replaced_configs.rs
@@ -49,4 +49,10 @@
             })
         })
     }
+
+    /// Returns the latest replaced version that has a route for a request.
+    pub(super) fn version_with_route(&self, host: &str, path: &str) -> Option<u64> {
+        let mut configs = self.0.iter().rev().map(|(config, _)| config);
+        configs.find(|config| config.routes.find(host, path).is_some()).map(|config| config.version)
+    }
 }
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -1,16 +1,15 @@
 //! Handling of a request from its arrival to its answer: validation, attempts, retries and hedging.
 
+use super::accept::Accepted;
 use super::attempt::{Attempt, AttemptResult, NotRun};
 use super::history::{History, RequestEnd};
 use super::race::{Either, either};
-use super::rejection::{Rejection, STARTUP_RETRY_AFTER};
+use super::rejection::STARTUP_RETRY_AFTER;
 use super::trials::{Admission, Trial};
 use super::{Traffic, refusal};
 use crate::client::{Outgoing, Reply};
 use crate::clock;
-use crate::framing;
 use crate::serve::{Answer, Incoming};
-use crate::view::Config;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use metrics::{counter, histogram};
@@ -79,19 +78,11 @@
     pub(super) async fn serve(self: Rc<Self>, incoming: Incoming) -> Answer {
         let arrived = clock::now();
         let config_age = self.status.config_age(arrived);
-        let id = incoming.head.headers.get_str(self.protocol.names.request_id).map(str::to_owned);
-        let req = match self.accept(incoming, arrived) {
-            Ok(req) => req,
-            Err(rejection) => {
-                let (answer, reason) = (rejection.answer(), rejection.as_str());
-                framing::count_rejection(answer.status, reason);
-                let version = self.view.borrow().config.as_ref().map_or(0, |config| config.version);
-                log::warn!(request:? = id, status = answer.status, reason = reason, config = version,
-                    config_age_ms = config_age.0;
-                    "request: rejected before routing");
-                return answer;
-            }
+        let accepted = match self.accept(&incoming, arrived) {
+            Ok(accepted) => accepted,
+            Err(rejection) => return self.reject(&incoming, rejection, arrived),
         };
+        let req = self.request(incoming, accepted, arrived);
         if let Some(state) = self.services.borrow_mut().get_mut(&req.service) {
             state.budget.on_request(arrived);
         }
@@ -104,6 +95,39 @@
         answer
     }
 
+    /// Builds the request that is sent to upstreams.
+    fn request(&self, incoming: Incoming, accepted: Accepted, arrived: HostTime) -> Request {
+        let names = &self.protocol.names;
+        let Incoming { head, body } = incoming;
+        let Accepted { id, host, route, service, key, deadline } = accepted;
+        let mut headers = head.headers;
+        headers.remove_hop_by_hop();
+        for name in ["content-length", "expect", names.deadline, names.expected] {
+            headers.remove(name);
+        }
+        let jitter_per_mille =
+            u32::try_from(xxh3::xxh3_64(id.as_bytes()) % 1_000).unwrap_or_default();
+        Request {
+            fingerprint: fingerprint([
+                head.method.as_bytes(),
+                host.as_bytes(),
+                head.target.as_bytes(),
+                &body,
+            ]),
+            id,
+            method: head.method,
+            target: head.target,
+            headers,
+            body,
+            deadline: arrived + deadline.min(route.timeout),
+            route,
+            service,
+            key,
+            arrived,
+            jitter_per_mille,
+        }
+    }
+
     /// Updates the metrics and writes the log line of a request that has its answer. Its configuration had the given age when
     /// it arrived.
     fn record_end(
@@ -124,7 +148,7 @@
             .record(took.duration().as_secs_f64());
         histogram!("skylarkdock_request_wait_seconds")
             .record(history.waited.duration().as_secs_f64());
-        let version = self.view.borrow().config.as_ref().map_or(0, |config| config.version);
+        let version = self.config_version();
         let is_signed = answer.headers.get(self.protocol.names.signature).is_some();
         let level = match end {
             RequestEnd::Answered if answer.status < 500 => log::Level::Info,
@@ -143,106 +167,6 @@
             steps = history.steps.join(" "); "{message}");
     }
 
-    /// Finds the route of a request and validates its headers.
-    fn accept(&self, incoming: Incoming, arrived: HostTime) -> Result<Request, Rejection> {
-        let names = &self.protocol.names;
-        if incoming.head.headers.get(names.expected).is_some() {
-            return Err(Rejection::ForUpstream);
-        }
-        let view = Arc::clone(&self.view.borrow());
-        let Some(config) = &view.config else { return Err(Rejection::NoConfig) };
-        if self.is_config_outdated(arrived) {
-            return Err(Rejection::ConfigOutdated);
-        }
-        let Incoming { head, body } = incoming;
-        let Some(host) = head.headers.get_str("host") else { return Err(Rejection::NoHost) };
-        // What is wrong by this configuration may be right by a newer one that should be in force by now.
-        let unless_stale = |rejection| {
-            let apply_time = self.settings.apply_time;
-            let is_current = self.status.is_config_current(apply_time, arrived, config.version);
-            if is_current { rejection } else { Rejection::StaleConfig }
-        };
-        let Some(route) = config.routes.find(host, head.path()) else {
-            return Err(unless_stale(Rejection::NoRoute));
-        };
-        let route = Arc::clone(route);
-        let host_name = host.to_ascii_lowercase();
-        let Some(id) = head.headers.get_str(names.request_id).map(str::to_owned) else {
-            return Err(Rejection::NoRequestId);
-        };
-        let deadline = match head.headers.get_str(names.deadline) {
-            Some(text) => parse_deadline(text).ok_or(Rejection::InvalidDeadline)?,
-            None => route.timeout,
-        };
-        let key = head.headers.get_str(names.key).map(str::parse::<u16>);
-        let service = self.pick_service(&route, config, matches!(key, Some(Ok(_))));
-        let key = match (config.is_sharded(&service), key) {
-            (false, _) => None,
-            (true, Some(Ok(key))) => Some(key),
-            (true, key) => {
-                let rejection = if self.may_lack_key(host, head.path(), arrived) {
-                    Rejection::KeyNewlyNeeded
-                } else if key.is_some() {
-                    Rejection::InvalidKey
-                } else {
-                    Rejection::NoKey
-                };
-                return Err(unless_stale(rejection));
-            }
-        };
-        let mut headers = head.headers;
-        headers.remove_hop_by_hop();
-        for name in ["content-length", "expect", names.deadline, names.expected] {
-            headers.remove(name);
-        }
-        let jitter_per_mille =
-            u32::try_from(xxh3::xxh3_64(id.as_bytes()) % 1_000).unwrap_or_default();
-        Ok(Request {
-            fingerprint: fingerprint([
-                head.method.as_bytes(),
-                host_name.as_bytes(),
-                head.target.as_bytes(),
-                &body,
-            ]),
-            id,
-            method: head.method,
-            target: head.target,
-            headers,
-            body,
-            deadline: arrived + deadline.min(route.timeout),
-            route,
-            service,
-            key,
-            arrived,
-            jitter_per_mille,
-        })
-    }
-
-    /// Returns whether the caller of a request may still follow a replaced configuration that needs no key. The request is
-    /// not routed by it, as a host must not go back to an older version.
-    fn may_lack_key(&self, host: &str, path: &str, now: HostTime) -> bool {
-        let replaced = self.replaced_configs.borrow();
-        replaced.allow_without_key(host, path, self.settings.apply_time, now)
-    }
-
-    /// Selects a service of the route for a request. One without a key goes to services that need none, if there are any.
-    fn pick_service(&self, route: &Route, config: &Config, has_key: bool) -> ServiceName {
-        let services = route.split.services();
-        let unsharded =
-            if !has_key && services.iter().any(|entry| config.is_sharded(&entry.service)) {
-                route.split.only(|service| !config.is_sharded(service))
-            } else {
-                None
-            };
-        let mut counts = self.route_counts.borrow_mut();
-        // Each of the two splits has a count of its own, as its picks match its weights in runs of its own length.
-        let count = counts
-            .entry((Arc::clone(&route.name), unsharded.is_some()))
-            .or_insert_with(|| fastrand::u64(..1 << 32));
-        *count += 1;
-        unsharded.as_ref().unwrap_or(&route.split).pick(*count).clone()
-    }
-
     /// Makes attempts until one is answered or no further attempt is allowed.
     pub(super) async fn run_attempts(
         self: &Rc<Self>,
@@ -646,13 +570,6 @@
     }
 }
 
-/// Parses a number of milliseconds, of which a fraction is cut off.
-fn parse_deadline(text: &str) -> Option<Millis> {
-    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
-    let is_decimal = !fraction.is_empty() && fraction.bytes().all(|b| b.is_ascii_digit());
-    is_decimal.then(|| whole.parse().ok().map(Millis)).flatten()
-}
-
 /// Returns the fingerprint of a request from its method, host name, target and body. Callers repeat a request with the
 /// same content and another id. A key is not part of it, as it only says which upstream runs the request.
 fn fingerprint(parts: [&[u8]; 4]) -> Fingerprint {
--- a/crates/edge/tests/rejections.rs
+++ b/crates/edge/tests/rejections.rs
@@ -66,6 +66,33 @@
     });
 }
 
+/// Guards against a wrong 404 that can't be told from a request for a route that never existed.
+#[test]
+fn a_request_for_a_route_that_is_added_or_was_removed_is_counted() {
+    support::with_host(LONG, |host| async move {
+        let read: (&str, &[(&str, u32)]) = ("/read/", &[("orders", 1)]);
+        let first = support::config(1, &[read]);
+        let second = support::config(2, &[read, ("/new/", &[("orders", 1)])]);
+        let third = support::config(3, &[read]);
+        let metric = "skylarkdock_missing_routes_total";
+        host.apply(support::state(&first, &[])).await;
+        support::prove_config(&host.status, 1);
+        for path in ["/new/x", "/none/x"] {
+            let request = format!("GET {path} HTTP/1.1\r\nHost: h.example\r\nId: a\r\n");
+            assert_eq!(host.answer(&request).await.status, 404);
+        }
+        assert!(!host.has_metric_with(metric));
+        host.apply(support::state(&second, &[])).await;
+        host.apply(support::state(&second, &[])).await;
+        assert!(host.has_metric(&format!("{metric}{{change=\"added\"}} 1")));
+        host.apply(support::state(&third, &[])).await;
+        support::prove_config(&host.status, 3);
+        let request = "GET /new/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n";
+        assert_eq!(host.answer(request).await.status, 404);
+        assert!(host.has_metric(&format!("{metric}{{change=\"removed\"}} 1")));
+    });
+}
+
 const KEYLESS: &str = "GET /read/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n";
 
 /// Guards against a 400 for a request without a key that a part of its route's split can take.
