Give final answers a type that needs a proof

Callers saw 404 or 400 by a configuration of which the host had been told that others have a newer one: a route added by that one was missing for them, and never asked for again. Callers don't repeat a request after 400, 404, 413 or 431, so each of these claims that the request is wrong under every configuration that may be in force. Each place checked that for itself, by the age and version of the last proof at most; notices of other hosts counted only for versions that were already late.

`FinalAnswer` is the only source of such an answer before routing. It is made from a fault of the request's bytes, from a `CurrentConfig` (the applied version is not older than the proven one, the proof is not older than a configuration may take when the request arrives, and no newer version is known that a later read of the store doesn't refute), or, where an earlier configuration may allow the request, from that and a `NoneAllows`. Neither can be made otherwise, and each serves for one request. Everything else is refused with 503 and `Retry-After`. The new reason `newer_config_known` tells this case from the others.

`EarlierConfigs` is `ReplacedConfigs`, moved to the pure crate with its rules as they were. `Status::is_config_current` is replaced by `Evidence::prove`; its test asks that with the same cases. A configuration counts as replaced only by another version, also if the host had none before.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -8,6 +8,7 @@
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use futures_lite::io::AsyncReadExt;
+use skylarkdock_freshness::final_answers::FinalAnswer;
 use skylarkdock_http1::body::{ChunkError, Decoder, Framing};
 use skylarkdock_http1::head::{Headers, RequestHead};
 use skylarkdock_units::measures::ByteSize;
@@ -56,6 +57,11 @@
     pub fn empty(status: u16) -> Self {
         Self { status, headers: Headers::default(), body: Vec::new() }
     }
+
+    /// Builds the answer after which a caller never sends its request again.
+    pub fn rejected(answer: FinalAnswer) -> Self {
+        Self::empty(answer.status())
+    }
 }
 
 /// Future of the answer to a request.
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -125,11 +125,4 @@
     pub fn config_age(&self, now: HostTime) -> Millis {
         now.since(HostTime(self.config_proof_at.load(Ordering::Acquire)))
     }
-
-    /// Returns whether no configuration that was published at least `apply_time` ago is newer than `version`. The threads
-    /// of a host learn of a configuration one after the other, so `version` is the one that the caller applies.
-    pub fn is_config_current(&self, apply_time: Millis, now: HostTime, version: u64) -> bool {
-        let proof = self.config_proof();
-        now.since(proof.at) <= apply_time && proof.version <= version
-    }
 }
--- a/crates/edge/src/traffic/accept.rs
+++ b/crates/edge/src/traffic/accept.rs
@@ -7,6 +7,9 @@
 use crate::view::Config;
 use metrics::counter;
 use skylarkdock_dispatch::routes::Route;
+use skylarkdock_freshness::final_answers::{
+    ConfigFault, CurrentConfig, Evidence, FinalAnswer, RequestFault, Unproven,
+};
 use skylarkdock_freshness::missing_routes;
 use skylarkdock_units::ids::ServiceName;
 use skylarkdock_units::times::{HostTime, Millis};
@@ -37,26 +40,27 @@
             return Err(Rejection::ForUpstream);
         }
         let view = Arc::clone(&self.view.borrow());
-        let Some(config) = &view.config else { return Err(Rejection::NoConfig) };
+        let Some(config) = &view.config else {
+            return Err(Rejection::Unproven(Unproven::NoConfig));
+        };
         if self.is_config_outdated(arrived) {
             return Err(Rejection::ConfigOutdated);
         }
-        let Some(host) = head.headers.get_str("host") else { return Err(Rejection::NoHost) };
-        // What is wrong by this configuration may be right by a newer one that should be in force by now.
-        let unless_stale = |rejection| {
-            let apply_time = self.settings.apply_time;
-            let is_current = self.status.is_config_current(apply_time, arrived, config.version);
-            if is_current { rejection } else { Rejection::StaleConfig }
+        let invalid = |fault| Rejection::Final(FinalAnswer::invalid(fault));
+        let Some(host) = head.headers.get_str("host") else {
+            return Err(invalid(RequestFault::NoHost));
         };
         let Some(route) = config.routes.find(host, head.path()) else {
-            return Err(unless_stale(Rejection::NoRoute));
+            return Err(self.without_route(config, arrived));
         };
         let route = Arc::clone(route);
         let Some(id) = head.headers.get_str(names.request_id).map(str::to_owned) else {
-            return Err(Rejection::NoRequestId);
+            return Err(invalid(RequestFault::NoRequestId));
         };
         let deadline = match head.headers.get_str(names.deadline) {
-            Some(text) => parse_deadline(text).ok_or(Rejection::InvalidDeadline)?,
+            Some(text) => {
+                parse_deadline(text).ok_or_else(|| invalid(RequestFault::InvalidDeadline))?
+            }
             None => route.timeout,
         };
         let key = head.headers.get_str(names.key).map(str::parse::<u16>);
@@ -65,14 +69,10 @@
             (false, _) => None,
             (true, Some(Ok(key))) => Some(key),
             (true, key) => {
-                let rejection = if self.may_lack_key(host, head.path(), arrived) {
-                    Rejection::KeyNewlyNeeded
-                } else if key.is_some() {
-                    Rejection::InvalidKey
-                } else {
-                    Rejection::NoKey
-                };
-                return Err(unless_stale(rejection));
+                let fault =
+                    if key.is_some() { ConfigFault::InvalidKey } else { ConfigFault::NoKey };
+                let allows = |earlier: &Config| earlier.takes_without_key(host, head.path());
+                return Err(self.not_allowed(fault, config.version, arrived, allows));
             }
         };
         Ok(Accepted { id, host: host.to_ascii_lowercase(), route, service, key, deadline })
@@ -93,8 +93,10 @@
         let (host, path) = (head.headers.get_str("host").unwrap_or_default(), head.path());
         let version = self.config_version();
         let mut route_until = None;
-        if rejection == Rejection::NoRoute {
-            route_until = self.replaced_configs.borrow().version_with_route(host, path);
+        if matches!(rejection, Rejection::Final(answer) if answer.is_no_route()) {
+            let earlier = self.earlier_configs.borrow();
+            let had_route = |config: &Arc<Config>| config.routes.find(host, path).is_some();
+            route_until = earlier.find_latest(had_route).map(|config| config.version);
             self.missing_routes.borrow_mut().record(host, path, version, arrived);
         }
         if route_until.is_some() {
@@ -122,11 +124,43 @@
         }
     }
 
-    /// Returns whether the caller of a request may still follow a replaced configuration that needs no key. The request is
-    /// not routed by it, as a host must not go back to an older version.
-    fn may_lack_key(&self, host: &str, path: &str, now: HostTime) -> bool {
-        let replaced = self.replaced_configs.borrow();
-        replaced.allow_without_key(host, path, self.settings.apply_time, now)
+    /// Rejects a request without a route in the given configuration.
+    fn without_route(&self, config: &Config, arrived: HostTime) -> Rejection {
+        match self.prove_current(config.version, arrived) {
+            Ok(current) => Rejection::Final(FinalAnswer::no_route(current)),
+            Err(unproven) => Rejection::Unproven(unproven),
+        }
+    }
+
+    /// Rejects a request that the given version does not allow, and that its caller may have sent by an earlier one. The
+    /// request is not routed by that one, as a host must not go back to an older version.
+    fn not_allowed(
+        &self,
+        fault: ConfigFault,
+        version: u64,
+        arrived: HostTime,
+        allows: impl Fn(&Config) -> bool,
+    ) -> Rejection {
+        let earlier = self.earlier_configs.borrow();
+        let proven = self.prove_current(version, arrived).and_then(|current| {
+            Ok((current, earlier.prove_none_allows(arrived, |config| allows(config))?))
+        });
+        match proven {
+            Ok((current, none)) => Rejection::Final(FinalAnswer::not_allowed(fault, current, none)),
+            Err(unproven) => Rejection::Unproven(unproven),
+        }
+    }
+
+    /// Proves that a version may be in force when a request arrives.
+    fn prove_current(&self, version: u64, arrived: HostTime) -> Result<CurrentConfig, Unproven> {
+        let proof = self.status.config_proof();
+        let evidence = Evidence {
+            applied: version,
+            proof,
+            newest_known: self.versions.borrow().newest_unrefuted(proof),
+            apply_time: self.settings.apply_time,
+        };
+        evidence.prove(arrived)
     }
 
     /// Selects a service of the route for a request. One without a key goes to services that need none, if there are any.
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -9,7 +9,6 @@
 mod permits;
 mod race;
 mod rejection;
-mod replaced_configs;
 mod reports;
 mod request;
 mod shutdown;
@@ -27,7 +26,7 @@
 use crate::status::Status;
 use crate::tasks;
 use crate::upstreams::Protocol;
-use crate::view::{ListedUpstream, Publication, View};
+use crate::view::{Config, ListedUpstream, Publication, View};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -38,6 +37,7 @@
 use skylarkdock_dispatch::service::Service;
 use skylarkdock_dispatch::trials::{TrialAsker, TrialDesk};
 use skylarkdock_dispatch::upstream::{Distance, UpstreamInfo};
+use skylarkdock_freshness::earlier_configs::EarlierConfigs;
 use skylarkdock_freshness::missing_routes::MissingRoutes;
 use skylarkdock_freshness::versions::{KnownVersions, Origin};
 use skylarkdock_units::collections::FastMap;
@@ -78,7 +78,7 @@
     shared: Rc<ListenerState>,
     status: Arc<Status>,
     view: RefCell<Arc<View>>,
-    replaced_configs: RefCell<replaced_configs::ReplacedConfigs>,
+    earlier_configs: RefCell<EarlierConfigs<Arc<Config>>>,
     missing_routes: RefCell<MissingRoutes>,
     /// Configuration versions that this host or others have.
     versions: RefCell<KnownVersions>,
@@ -143,13 +143,13 @@
     ) -> Rc<Self> {
         let own = Origin(NameHash::of(settings.host.as_str()).0);
         let traffic = Rc::new(Self {
-            settings,
             protocol,
             ex,
             shared,
             status,
             view: RefCell::default(),
-            replaced_configs: RefCell::default(),
+            earlier_configs: RefCell::new(EarlierConfigs::new(settings.apply_time)),
+            settings,
             missing_routes: RefCell::default(),
             versions: RefCell::new(KnownVersions::new(own)),
             config_outdated_since: Cell::default(),
@@ -219,9 +219,12 @@
             self.versions.borrow_mut().on_in_force(config.version, since, clock::now());
         }
         if let Some(config) = &view.config
-            && self.config_version() < config.version
+            && self.config_version() != config.version
         {
-            self.record_found_routes(config, clock::now());
+            let now = clock::now();
+            self.record_found_routes(config, now);
+            let replaced = self.view.borrow().config.clone();
+            self.earlier_configs.borrow_mut().on_applied(replaced, now);
         }
         let update = self.listing.borrow_mut().apply(publication.upstreams);
         self.record_ends(&update);
@@ -233,12 +236,6 @@
             self.pool_checked_at.set(clock::now());
             self.pool.borrow_mut().close_expired();
         }
-        self.replaced_configs.borrow_mut().update(
-            self.view.borrow().config.as_ref(),
-            view.config.as_ref(),
-            self.settings.apply_time,
-            clock::now(),
-        );
         *self.view.borrow_mut() = Arc::new(view);
     }
 
--- a/crates/edge/src/traffic/rejection.rs
+++ b/crates/edge/src/traffic/rejection.rs
@@ -2,6 +2,7 @@
 
 use super::refusal;
 use crate::serve::Answer;
+use skylarkdock_freshness::final_answers::{FinalAnswer, Unproven};
 use skylarkdock_units::times::Millis;
 
 /// `Retry-After` while the configuration, or the service of a request, is not known yet.
@@ -17,27 +18,12 @@
     /// The request is for one upstream only, and this is none: a host found its own or another host's address in an
     /// upstream's entry.
     ForUpstream,
-    /// No configuration is known yet.
-    NoConfig,
     /// Other hosts have had a newer configuration for longer than this one may take to get it.
     ConfigOutdated,
-    /// No route matches or there is no valid key, but a newer configuration may have a route or need no key.
-    StaleConfig,
-    /// The `Host` header is missing or is not valid UTF-8.
-    NoHost,
-    /// No route matches.
-    NoRoute,
-    /// The request id is missing or is not valid UTF-8.
-    NoRequestId,
-    /// The deadline is not a number of milliseconds.
-    InvalidDeadline,
-    /// The service is sharded and the request has no key.
-    NoKey,
-    /// The service is sharded and the request has no valid key, but a configuration that its caller may still follow needs
-    /// none.
-    KeyNewlyNeeded,
-    /// The service is sharded and the key is not a number from 0 to 65535.
-    InvalidKey,
+    /// The request is wrong by this host's configuration, which is not proven to be the one to judge it by.
+    Unproven(Unproven),
+    /// The request is wrong under every configuration that may be in force.
+    Final(FinalAnswer),
 }
 
 impl Rejection {
@@ -45,16 +31,9 @@
     pub(super) const fn as_str(self) -> &'static str {
         match self {
             Self::ForUpstream => "for_upstream",
-            Self::NoConfig => "no_config",
             Self::ConfigOutdated => "config_outdated",
-            Self::StaleConfig => "stale_config",
-            Self::NoHost => "no_host",
-            Self::NoRoute => "no_route",
-            Self::NoRequestId => "no_request_id",
-            Self::InvalidDeadline => "invalid_deadline",
-            Self::NoKey => "no_key",
-            Self::KeyNewlyNeeded => "key_newly_needed",
-            Self::InvalidKey => "invalid_key",
+            Self::Unproven(unproven) => unproven_reason(unproven),
+            Self::Final(answer) => answer.as_str(),
         }
     }
 
@@ -62,16 +41,18 @@
     pub(super) fn answer(self) -> Answer {
         match self {
             Self::ConfigOutdated => refusal(OUTDATED_RETRY_AFTER),
-            Self::NoConfig | Self::StaleConfig | Self::KeyNewlyNeeded => {
-                refusal(STARTUP_RETRY_AFTER)
-            }
+            Self::Unproven(_) => refusal(STARTUP_RETRY_AFTER),
             Self::ForUpstream => Answer::empty(421),
-            Self::NoRoute => Answer::empty(404),
-            Self::NoHost
-            | Self::NoRequestId
-            | Self::InvalidDeadline
-            | Self::NoKey
-            | Self::InvalidKey => Answer::empty(400),
+            Self::Final(answer) => Answer::rejected(answer),
         }
     }
 }
+
+const fn unproven_reason(unproven: Unproven) -> &'static str {
+    match unproven {
+        Unproven::NoConfig => "no_config",
+        Unproven::ProofTooOld | Unproven::NewerProven => "stale_config",
+        Unproven::NewerKnown => "newer_config_known",
+        Unproven::EarlierAllows => "key_newly_needed",
+    }
+}
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -39,6 +39,12 @@
     pub fn is_sharded(&self, service: &ServiceName) -> bool {
         self.services.iter().any(|info| info.name == *service && info.is_sharded)
     }
+
+    /// Returns whether a request without a sharding key has a route and a service that needs none.
+    pub fn takes_without_key(&self, host: &str, path: &str) -> bool {
+        let route = self.routes.find(host, path);
+        route.is_some_and(|route| route.split.only(|service| !self.is_sharded(service)).is_some())
+    }
 }
 
 /// Entry of an upstream in the registry.
--- a/crates/edge/tests/rejections.rs
+++ b/crates/edge/tests/rejections.rs
@@ -4,10 +4,18 @@
 
 mod support;
 
+use async_io::Timer;
 use rstest::rstest;
+use skylarkdock_edge::version_notices;
+use skylarkdock_freshness::versions::{Claim, Origin};
 use skylarkdock_units::times::{HostTime, Millis};
+use std::net::UdpSocket;
+use std::time::Duration;
 use support::LONG;
 
+/// Number of requests that are sent at most until a notice has arrived.
+const MAX_REQUESTS: u32 = 300;
+
 const HEAD: &str = "GET /read/x HTTP/1.1\r\nHost: h.example\r\n";
 
 /// Guards against rejections whose cause can't be told from the metrics.
@@ -66,6 +74,33 @@
     });
 }
 
+/// Guards against a 404 or 400 by a configuration that other hosts have replaced: they told this one so, which has not got
+/// the newer one yet.
+#[rstest]
+#[case::no_route("GET /new/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n")]
+#[case::no_key(KEYLESS)]
+fn a_request_is_not_wrong_by_a_configuration_that_other_hosts_have_replaced(#[case] text: &str) {
+    support::with_host(LONG, |host| async move {
+        let config = support::config(1, &[("/read/", &[("films", 1)])]);
+        host.apply(support::state(&config, &[])).await;
+        support::prove_config(&host.status, 1);
+        let claim = Claim { origin: Origin(2), version: 2, age: Millis(0) };
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.send_to(&version_notices::encode(&[claim]).unwrap(), host.reports).unwrap();
+        let mut status = 0;
+        for _ in 0..MAX_REQUESTS {
+            status = host.answer(text).await.status;
+            if status == 503 {
+                break;
+            }
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        let labels = "status=\"503\",reason=\"newer_config_known\"";
+        let metric = format!("skylarkdock_requests_rejected_total{{{labels}}} 1");
+        assert!(host.has_metric(&metric), "{status}");
+    });
+}
+
 /// Guards against a wrong 404 that can't be told from a request for a route that never existed.
 #[test]
 fn a_request_for_a_route_that_is_added_or_was_removed_is_counted() {
--- a/crates/edge/tests/status.rs
+++ b/crates/edge/tests/status.rs
@@ -2,6 +2,7 @@
 
 use rstest::rstest;
 use skylarkdock_edge::status::Status;
+use skylarkdock_freshness::final_answers::Evidence;
 use skylarkdock_units::times::{HostTime, Millis};
 
 const APPLY_TIME: Millis = Millis(2_000);
@@ -24,6 +25,11 @@
         // A proof that arrives late does not make the configuration older.
         status.set_config_proof(HostTime(5_000), 2);
     }
-    let is_current = status.is_config_current(APPLY_TIME, HostTime(10_000), applied_version);
-    assert_eq!(is_current, expected);
+    let evidence = Evidence {
+        applied: applied_version,
+        proof: status.config_proof(),
+        newest_known: applied_version,
+        apply_time: APPLY_TIME,
+    };
+    assert_eq!(evidence.prove(HostTime(10_000)).is_ok(), expected);
 }
--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -6,7 +6,9 @@
 //! keep each other late. So the hosts of an availability zone take turns: the first one reads at once, each further one
 //! only if the state is still too old at the time of its turn.
 
+pub mod earlier_configs;
 pub mod election;
+pub mod final_answers;
 pub mod missing_routes;
 pub mod proof;
 pub mod reading;
--- a/crates/freshness/src/versions.rs
+++ b/crates/freshness/src/versions.rs
@@ -237,6 +237,14 @@
         self.claims.iter().map(|known| known.version).max().unwrap_or_default().max(self.in_force)
     }
 
+    /// Returns the newest version that this host has, or has heard of without a later read of the store that refutes it;
+    /// zero if none.
+    pub fn newest_unrefuted(&self, proof: Proof) -> u64 {
+        let witnesses = self.witnesses(proof);
+        let newest = witnesses.iter().map(|witness| witness.version).max();
+        newest.unwrap_or_default().max(self.in_force)
+    }
+
     /// Returns why this host, which has `proof`, must not handle requests by the configuration in force; `None` if it may,
     /// or has none.
     pub fn outdated(&self, proof: Proof, limits: Limits, now: HostTime) -> Option<Outdated> {
