Don't take a host without a proof for one with a young proof

A host counts its clock from the start of the machine, and a missing proof has the time 0. So until the machine had been up for as long as a configuration may take, a host without any proof that its configuration is the newest answered 404, 400, 413 or 431 by it.

Found by a test of limits whose apply time is an hour, on a machine that was up for less. A proof of version 0 is none. The new case of `a_missing_route_is_final_only_with_a_proof` printed `left: Ok(404), right: Err(ProofTooOld)` before.

--- a/crates/freshness/src/final_answers.rs
+++ b/crates/freshness/src/final_answers.rs
@@ -135,7 +135,8 @@
         if self.applied == 0 {
             return Err(Unproven::NoConfig);
         }
-        if arrived.since(self.proof.at) > self.apply_time {
+        // Without any proof its version is zero, and its time may still look young on a machine that has just started.
+        if self.proof.version == 0 || arrived.since(self.proof.at) > self.apply_time {
             return Err(Unproven::ProofTooOld);
         }
         // The threads of a host learn of a version one after the other, and the proof may be of a later one.
--- a/crates/freshness/tests/final_answers.rs
+++ b/crates/freshness/tests/final_answers.rs
@@ -22,6 +22,7 @@
 #[case::just_young_enough(3, 8_000, 3, 3, Ok(404))]
 #[case::too_old(3, 7_999, 3, 3, Err(Unproven::ProofTooOld))]
 #[case::no_proof(3, 0, 0, 3, Err(Unproven::ProofTooOld))]
+#[case::no_proof_just_after_the_start_of_the_clock(3, 9_000, 0, 3, Err(Unproven::ProofTooOld))]
 #[case::of_a_newer_version(3, 9_000, 4, 3, Err(Unproven::NewerProven))]
 #[case::of_an_older_version(3, 9_000, 2, 3, Ok(404))]
 #[case::newer_one_elsewhere(3, 9_000, 3, 4, Err(Unproven::NewerKnown))]
