Reject a request for its size only by limits that are proven to be in force

Callers saw 413 or 431, and never sent the request again, by limits that no configuration had (before the first one is known), that a newer configuration had raised while this host had not learned of it, or that were lowered less than the apply time ago, so that the caller could not know them.

`serve` asks the traffic thread about a request that exceeds its limits. The answer is final only with the proofs that a missing key needs: the version that set the limits is proven to be in force, and no earlier configuration that may still be allows the size, as far as it is known. Otherwise the answer is 503 with `Retry-After`. The connection is closed after both, as before, so an oversized body is not read. Malformed heads and chunks are final by their bytes alone. Listeners for calls of other hosts have only built-in limits and answer 503 where they answered 413 or 431.

The log line tells what the proof lacked (`unproven`).

--- a/crates/edge/src/framing.rs
+++ b/crates/edge/src/framing.rs
@@ -1,42 +1,88 @@
 //! Requests that are rejected because of their framing or size.
 
+use crate::serve::Limits;
+use skylarkdock_freshness::final_answers::{ConfigFault, FinalAnswer, RequestFault, Unproven};
 use skylarkdock_http1::head::HeadError;
+use skylarkdock_units::measures::ByteSize;
+use std::fmt;
+
+/// Part of a request that is limited in size.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LimitedPart {
+    Head,
+    Body,
+}
+
+/// Request that exceeds the limits by which it was received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Oversize {
+    pub(crate) part: LimitedPart,
+    /// Smallest size that the part has.
+    pub(crate) size: ByteSize,
+    /// Version of the configuration that the limits are from; zero if they are built in.
+    pub(crate) version: u64,
+}
+
+impl Oversize {
+    /// Returns the fault that the request has by the limits.
+    pub(crate) const fn fault(self) -> ConfigFault {
+        match self.part {
+            LimitedPart::Head => ConfigFault::HeadTooLong,
+            LimitedPart::Body => ConfigFault::BodyTooLong,
+        }
+    }
+
+    /// Returns whether other limits may allow the request, as far as its size is known.
+    pub(crate) fn may_be_within(self, limits: &Limits) -> bool {
+        match self.part {
+            LimitedPart::Head => self.size <= limits.head,
+            LimitedPart::Body => self.size <= limits.body,
+        }
+    }
+}
+
+/// Function that tells whether a request that exceeds its limits is wrong under every configuration that may be in force.
+pub(crate) struct SizeJudge(pub(crate) Box<dyn Fn(Oversize) -> Result<FinalAnswer, Unproven>>);
+
+impl fmt::Debug for SizeJudge {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SizeJudge")
+    }
+}
 
 /// Reason for which a request is rejected before it is complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum FramingError {
-    /// The head is malformed or not supported.
-    Head(HeadError),
-    /// The head exceeds the configured size.
-    HeadTooLong,
-    /// The body exceeds the configured size.
-    BodyTooLong,
-    /// The body violates the chunked transfer coding.
-    MalformedChunk,
+    /// The head or body is malformed.
+    Invalid(RequestFault),
+    /// The transfer coding is not supported.
+    UnsupportedCoding,
+    /// The head or body exceeds its limit.
+    TooLarge(Oversize),
 }
 
 impl FramingError {
-    /// Returns the status of the answer.
-    pub(crate) const fn status(self) -> u16 {
-        match self {
-            Self::Head(HeadError::Malformed | HeadError::AmbiguousLength)
-            | Self::MalformedChunk => 400,
-            Self::BodyTooLong => 413,
-            Self::Head(HeadError::TooManyHeaders) | Self::HeadTooLong => 431,
-            Self::Head(HeadError::UnsupportedCoding) => 501,
+    /// Converts the error of a head of which `received` bytes have arrived, and which was parsed by the limits of `version`.
+    pub(crate) const fn of_head(error: HeadError, received: ByteSize, version: u64) -> Self {
+        match error {
+            HeadError::Malformed => Self::Invalid(RequestFault::MalformedHead),
+            HeadError::AmbiguousLength => Self::Invalid(RequestFault::AmbiguousLength),
+            HeadError::UnsupportedCoding => Self::UnsupportedCoding,
+            HeadError::TooManyHeaders => {
+                Self::TooLarge(Oversize { part: LimitedPart::Head, size: received, version })
+            }
         }
     }
 
     /// Returns the value of the `reason` label in metrics and field in logs.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
-            Self::Head(HeadError::Malformed) => "malformed_head",
-            Self::Head(HeadError::TooManyHeaders) => "too_many_headers",
-            Self::Head(HeadError::AmbiguousLength) => "ambiguous_length",
-            Self::Head(HeadError::UnsupportedCoding) => "unsupported_coding",
-            Self::HeadTooLong => "head_too_long",
-            Self::BodyTooLong => "body_too_long",
-            Self::MalformedChunk => "malformed_chunk",
+            Self::Invalid(fault) => FinalAnswer::invalid(fault).as_str(),
+            Self::UnsupportedCoding => "unsupported_coding",
+            Self::TooLarge(oversize) => match oversize.part {
+                LimitedPart::Head => "head_too_long",
+                LimitedPart::Body => "body_too_long",
+            },
         }
     }
 }
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -1,9 +1,11 @@
 //! State shared by all connections of a listener: its limits, its open connections and requests, and its shutdown.
 
+use crate::framing::{Oversize, SizeJudge};
 use crate::serve::Limits;
 use event_listener::Event;
 use skylarkdock_dispatch::shutdown::Shutdown;
-use std::cell::Cell;
+use skylarkdock_freshness::final_answers::{FinalAnswer, Unproven};
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 
 /// Number of requests that ended during a shutdown, by their end.
@@ -38,6 +40,7 @@
     pub limits: Cell<Option<Limits>>,
     /// Version of the configuration that they are from; zero while they are built in.
     pub limits_version: Cell<u64>,
+    size_judge: OnceCell<SizeJudge>,
 }
 
 impl ListenerState {
@@ -48,6 +51,17 @@
         self.shutdown_started.notify(usize::MAX);
     }
 
+    /// Sets what judges requests that exceed their limits. It can be set once.
+    pub(crate) fn set_size_judge(&self, judge: SizeJudge) {
+        // The first one stays.
+        let _ = self.size_judge.set(judge);
+    }
+
+    /// Returns the answer to a request that exceeds its limits, if it is wrong under every configuration that may be in force.
+    pub(crate) fn judge_size(&self, oversize: Oversize) -> Result<FinalAnswer, Unproven> {
+        self.size_judge.get().map_or(Err(Unproven::NoConfig), |judge| judge.0(oversize))
+    }
+
     /// Returns the limits for the next request of any connection.
     pub(crate) fn limits(&self) -> Limits {
         self.limits.get().unwrap_or_default()
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -1,14 +1,14 @@
 //! HTTP server for callers, calls of other hosts, readiness checks and metrics. Pipelined requests of a connection run
 //! concurrently and are answered in order.
 
-use crate::framing::{self, FramingError};
+use crate::framing::{self, FramingError, LimitedPart, Oversize};
 use crate::listener::{Busy, InFlight, ListenerState};
 use crate::net;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use futures_lite::io::AsyncReadExt;
-use skylarkdock_freshness::final_answers::FinalAnswer;
+use skylarkdock_freshness::final_answers::{FinalAnswer, RequestFault};
 use skylarkdock_http1::body::{ChunkError, Decoder, Framing};
 use skylarkdock_http1::head::{Headers, RequestHead};
 use skylarkdock_units::measures::ByteSize;
@@ -29,6 +29,8 @@
 const MAX_UNPARSED: usize = 64 * 1024;
 /// Time that the caller has to close the connection after the last answer.
 const LINGER_TIMEOUT: Millis = Millis(1_000);
+/// `Retry-After` of a request that exceeds limits which are not proven to be in force.
+const UNPROVEN_RETRY_AFTER: Millis = Millis(500);
 /// Delay after a failed accept, for example because no file descriptors are left.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
@@ -58,6 +60,13 @@
         Self { status, headers: Headers::default(), body: Vec::new() }
     }
 
+    /// Builds the answer that refuses a request, which has not run and will not run.
+    pub fn refused(retry_after: Millis) -> Self {
+        let mut answer = Self::empty(503);
+        answer.headers.push("Retry-After", retry_after.seconds());
+        answer
+    }
+
     /// Builds the answer after which a caller never sends its request again.
     pub fn rejected(answer: FinalAnswer) -> Self {
         Self::empty(answer.status())
@@ -288,12 +297,13 @@
                     self.input.drain(..used);
                 }
                 Err(ChunkError) => {
-                    self.reject(FramingError::MalformedChunk);
+                    self.reject(FramingError::Invalid(RequestFault::MalformedChunk));
                     return true;
                 }
             }
-            if body.len() as u64 > self.limits.body.0 {
-                self.reject(FramingError::BodyTooLong);
+            let body_len = body.len() as u64;
+            if body_len > self.limits.body.0 {
+                self.reject_large(LimitedPart::Body, body_len);
                 return true;
             }
             if !decoder.is_done() {
@@ -316,19 +326,19 @@
         // Empty lines before a request are ignored.
         let leading_newlines = self.input.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
         self.input.drain(..leading_newlines);
-        match RequestHead::parse(&self.input) {
-            Ok(None) if self.input.len() as u64 > self.limits.head.0 => {
-                self.reject(FramingError::HeadTooLong);
+        let received = self.input.len() as u64;
+        // What lies beyond the limit is not part of a valid head.
+        let within_limit = usize::try_from(self.limits.head.0.min(received)).unwrap_or(usize::MAX);
+        match RequestHead::parse(&self.input[..within_limit]) {
+            Ok(None) if received > self.limits.head.0 => {
+                self.reject_large(LimitedPart::Head, received);
             }
             Ok(None) => {}
-            Ok(Some((_, len))) if len as u64 > self.limits.head.0 => {
-                self.reject(FramingError::HeadTooLong);
-            }
             Ok(Some((head, len))) => {
-                let is_too_long =
-                    matches!(head.framing, Framing::Length(len) if len > self.limits.body.0);
-                if is_too_long {
-                    self.reject(FramingError::BodyTooLong);
+                if let Framing::Length(len) = head.framing
+                    && len > self.limits.body.0
+                {
+                    self.reject_large(LimitedPart::Body, len);
                     return false;
                 }
                 self.input.drain(..len);
@@ -340,7 +350,10 @@
                 self.partial = Some((head, decoder, Vec::new()));
                 return true;
             }
-            Err(e) => self.reject(FramingError::Head(e)),
+            Err(e) => {
+                let size = ByteSize(received);
+                self.reject(FramingError::of_head(e, size, self.limits_version));
+            }
         }
         false
     }
@@ -355,11 +368,26 @@
         self.pending.push_back(Pending { state, is_head, closes_connection });
     }
 
+    fn reject_large(&mut self, part: LimitedPart, size: u64) {
+        let size = ByteSize(size);
+        let oversize = Oversize { part, size, version: self.limits_version };
+        self.reject(FramingError::TooLarge(oversize));
+    }
+
     /// Queues an error answer behind those of the previous requests, and stops reading.
     fn reject(&mut self, error: FramingError) {
-        let (status, reason) = (error.status(), error.as_str());
+        let (answer, unproven) = match error {
+            FramingError::Invalid(fault) => (Answer::rejected(FinalAnswer::invalid(fault)), None),
+            FramingError::UnsupportedCoding => (Answer::empty(501), None),
+            FramingError::TooLarge(oversize) => match self.shared.judge_size(oversize) {
+                Ok(answer) => (Answer::rejected(answer), None),
+                Err(unproven) => (Answer::refused(UNPROVEN_RETRY_AFTER), Some(unproven)),
+            },
+        };
+        let (status, reason) = (answer.status, error.as_str());
         framing::count_rejection(status, reason);
-        log::info!(status = status, reason = reason, bytes = framing::excerpt(&self.input),
+        log::info!(status = status, reason = reason, unproven:? = unproven,
+            bytes = framing::excerpt(&self.input),
             received_bytes = self.input.len(), requests_before = self.requests,
             head_limit_bytes = self.limits.head.0, body_limit_bytes = self.limits.body.0,
             config = self.limits_version;
@@ -367,7 +395,7 @@
         self.partial = None;
         self.input.clear();
         self.is_input_closed = true;
-        let state = PendingState::Ready(Answer::empty(status));
+        let state = PendingState::Ready(answer);
         self.pending.push_back(Pending { state, is_head: false, closes_connection: true });
     }
 
--- a/crates/edge/src/traffic/accept.rs
+++ b/crates/edge/src/traffic/accept.rs
@@ -2,7 +2,8 @@
 
 use super::Traffic;
 use super::rejection::Rejection;
-use crate::framing;
+use crate::clock;
+use crate::framing::{self, Oversize};
 use crate::serve::{Answer, Incoming};
 use crate::view::Config;
 use metrics::counter;
@@ -51,7 +52,7 @@
             return Err(invalid(RequestFault::NoHost));
         };
         let Some(route) = config.routes.find(host, head.path()) else {
-            return Err(self.without_route(config, arrived));
+            return Err(self.without_route(config.version, arrived).into());
         };
         let route = Arc::clone(route);
         let Some(id) = head.headers.get_str(names.request_id).map(str::to_owned) else {
@@ -72,7 +73,7 @@
                 let fault =
                     if key.is_some() { ConfigFault::InvalidKey } else { ConfigFault::NoKey };
                 let allows = |earlier: &Config| earlier.takes_without_key(host, head.path());
-                return Err(self.not_allowed(fault, config.version, arrived, allows));
+                return Err(self.not_allowed(fault, config.version, arrived, allows).into());
             }
         };
         Ok(Accepted { id, host: host.to_ascii_lowercase(), route, service, key, deadline })
@@ -124,31 +125,30 @@
         }
     }
 
-    /// Rejects a request without a route in the given configuration.
-    fn without_route(&self, config: &Config, arrived: HostTime) -> Rejection {
-        match self.prove_current(config.version, arrived) {
-            Ok(current) => Rejection::Final(FinalAnswer::no_route(current)),
-            Err(unproven) => Rejection::Unproven(unproven),
-        }
+    /// Returns the final answer to a request that exceeds its limits.
+    pub(super) fn judge_size(&self, oversize: Oversize) -> Result<FinalAnswer, Unproven> {
+        let allows = |earlier: &Config| oversize.may_be_within(&earlier.limits);
+        self.not_allowed(oversize.fault(), oversize.version, clock::now(), allows)
+    }
+
+    /// Returns the final answer to a request without a route in the given version.
+    fn without_route(&self, version: u64, arrived: HostTime) -> Result<FinalAnswer, Unproven> {
+        Ok(FinalAnswer::no_route(self.prove_current(version, arrived)?))
     }
 
-    /// Rejects a request that the given version does not allow, and that its caller may have sent by an earlier one. The
-    /// request is not routed by that one, as a host must not go back to an older version.
+    /// Returns the final answer to a request that the given version does not allow. Its caller may have sent it by an earlier
+    /// one. The request is not routed by that one, as a host must not go back to an older version.
     fn not_allowed(
         &self,
         fault: ConfigFault,
         version: u64,
         arrived: HostTime,
         allows: impl Fn(&Config) -> bool,
-    ) -> Rejection {
+    ) -> Result<FinalAnswer, Unproven> {
+        let current = self.prove_current(version, arrived)?;
         let earlier = self.earlier_configs.borrow();
-        let proven = self.prove_current(version, arrived).and_then(|current| {
-            Ok((current, earlier.prove_none_allows(arrived, |config| allows(config))?))
-        });
-        match proven {
-            Ok((current, none)) => Rejection::Final(FinalAnswer::not_allowed(fault, current, none)),
-            Err(unproven) => Rejection::Unproven(unproven),
-        }
+        let none = earlier.prove_none_allows(arrived, |config| allows(config))?;
+        Ok(FinalAnswer::not_allowed(fault, current, none))
     }
 
     /// Proves that a version may be in force when a request arrives.
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -17,11 +17,12 @@
 
 use crate::clock;
 use crate::detour::DetourClient;
+use crate::framing::SizeJudge;
 use crate::listener::ListenerState;
 use crate::listing::{Listing, ListingUpdate};
 use crate::load_reports::NameHash;
 use crate::pool::{self, Pool};
-use crate::serve::{Answer, AnswerFuture, Incoming};
+use crate::serve::{AnswerFuture, Incoming};
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::tasks;
@@ -38,6 +39,7 @@
 use skylarkdock_dispatch::trials::{TrialAsker, TrialDesk};
 use skylarkdock_dispatch::upstream::{Distance, UpstreamInfo};
 use skylarkdock_freshness::earlier_configs::EarlierConfigs;
+use skylarkdock_freshness::final_answers::Unproven;
 use skylarkdock_freshness::missing_routes::MissingRoutes;
 use skylarkdock_freshness::versions::{KnownVersions, Origin};
 use skylarkdock_units::collections::FastMap;
@@ -178,6 +180,10 @@
             last_ticket: Cell::new(0),
             pool_checked_at: Cell::default(),
         });
+        let weak = Rc::downgrade(&traffic);
+        traffic.shared.set_size_judge(SizeJudge(Box::new(move |oversize| {
+            weak.upgrade().map_or(Err(Unproven::NoConfig), |traffic| traffic.judge_size(oversize))
+        })));
         traffic.spawn("publications", Rc::clone(&traffic).apply_publications(publications));
         traffic.spawn("waiting", Rc::clone(&traffic).poll_waiting());
         traffic.spawn("samples", Rc::clone(&traffic).send_samples(samples));
@@ -398,10 +404,3 @@
         ticket
     }
 }
-
-/// Builds the answer that refuses a request, which has not run and will not run.
-fn refusal(retry_after: Millis) -> Answer {
-    let mut answer = Answer::empty(503);
-    answer.headers.push("Retry-After", retry_after.seconds());
-    answer
-}
--- a/crates/edge/src/traffic/rejection.rs
+++ b/crates/edge/src/traffic/rejection.rs
@@ -1,6 +1,5 @@
 //! Reasons for which a request is rejected before it is routed.
 
-use super::refusal;
 use crate::serve::Answer;
 use skylarkdock_freshness::final_answers::{FinalAnswer, Unproven};
 use skylarkdock_units::times::Millis;
@@ -40,14 +39,23 @@
     /// Builds the answer to the caller.
     pub(super) fn answer(self) -> Answer {
         match self {
-            Self::ConfigOutdated => refusal(OUTDATED_RETRY_AFTER),
-            Self::Unproven(_) => refusal(STARTUP_RETRY_AFTER),
+            Self::ConfigOutdated => Answer::refused(OUTDATED_RETRY_AFTER),
+            Self::Unproven(_) => Answer::refused(STARTUP_RETRY_AFTER),
             Self::ForUpstream => Answer::empty(421),
             Self::Final(answer) => Answer::rejected(answer),
         }
     }
 }
 
+impl From<Result<FinalAnswer, Unproven>> for Rejection {
+    fn from(judged: Result<FinalAnswer, Unproven>) -> Self {
+        match judged {
+            Ok(answer) => Self::Final(answer),
+            Err(unproven) => Self::Unproven(unproven),
+        }
+    }
+}
+
 const fn unproven_reason(unproven: Unproven) -> &'static str {
     match unproven {
         Unproven::NoConfig => "no_config",
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -1,12 +1,12 @@
 //! Handling of a request from its arrival to its answer: validation, attempts, retries and hedging.
 
+use super::Traffic;
 use super::accept::Accepted;
 use super::attempt::{Attempt, AttemptResult, NotRun};
 use super::history::{History, RequestEnd};
 use super::race::{Either, either};
 use super::rejection::STARTUP_RETRY_AFTER;
 use super::trials::{Admission, Trial};
-use super::{Traffic, refusal};
 use crate::client::{Outgoing, Reply};
 use crate::clock;
 use crate::serve::{Answer, Incoming};
@@ -503,7 +503,7 @@
         reason: &'static str,
     ) -> (Answer, RequestEnd) {
         if history.ran.is_empty() {
-            return (refusal(retry_after), RequestEnd::Refused(reason));
+            return (Answer::refused(retry_after), RequestEnd::Refused(reason));
         }
         if let Some(failure) = history.failure.take() {
             return (forward(failure), RequestEnd::Answered);
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
+use async_io::Async;
 use futures_lite::future;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use skylarkdock_dispatch::notices::Notices;
@@ -11,7 +12,8 @@
 use skylarkdock_dispatch::traffic_split::{TrafficSplit, WeightedService};
 use skylarkdock_edge::client::Outgoing;
 use skylarkdock_edge::clock;
-use skylarkdock_edge::serve::{Answer, Incoming, Limits};
+use skylarkdock_edge::listener::ListenerState;
+use skylarkdock_edge::serve::{self, Answer, Incoming, Limits};
 use skylarkdock_edge::settings::Settings;
 use skylarkdock_edge::status::Status;
 use skylarkdock_edge::traffic::Traffic;
@@ -24,7 +26,7 @@
 use skylarkdock_units::measures::HostSize;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::future::Future;
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -59,6 +61,8 @@
 pub struct Host {
     pub traffic: Rc<Traffic>,
     pub status: Arc<Status>,
+    /// Address at which callers reach it.
+    pub callers: SocketAddr,
     /// Address at which it gets datagrams of other hosts.
     pub reports: SocketAddr,
     publications: Sender<Publication>,
@@ -109,16 +113,23 @@
         let status = Arc::new(Status::default());
         let settings = settings(apply_time);
         let reports = settings.reports;
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let callers = listener.get_ref().local_addr().unwrap();
+        let shared = Rc::new(ListenerState::default());
         let traffic = Traffic::start(
             settings,
             PROTOCOL,
             Rc::clone(&ex),
-            Rc::default(),
+            Rc::clone(&shared),
             Arc::clone(&status),
             received,
             samples,
         );
-        async_io::block_on(ex.run(test(Host { traffic, status, reports, publications, metrics })));
+        let handler = Rc::clone(&traffic);
+        let handler = Rc::new(move |req: Incoming| handler.answer(req));
+        ex.spawn(serve::accept(Rc::clone(&ex), listener, shared, handler)).detach();
+        let host = Host { traffic, status, callers, reports, publications, metrics };
+        async_io::block_on(ex.run(test(host)));
     });
 }
 
