Accept every head within the configured size

Callers saw 431 for a head with more than 96 fields, although configurations limit the size of heads only. A head of more than 64 KiB was not read to its end, even if its limit is larger: its connection was reset when the time to receive it had passed. The same befell a head that is larger than a limit of 64 KiB, instead of an answer.

The table of header fields grows, up to as many as fit the bytes. The parser gets no more bytes than the limit allows, so the limit bounds the table too. As much is read ahead as a head may have, and one byte, which shows that it has more.

`the_number_of_header_fields_of_a_request_is_not_limited` printed `TooManyHeaders` before in three of four cases, `a_head_within_its_size_is_accepted` failed in all three (431 twice, and a reset after 10 s). The case of a large head on a host without a configuration got a reset as well. `heads`, `bodies`, `limits`, `serve`, `rejections` and `client` pass.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -25,7 +25,7 @@
 const READ_SIZE: usize = 16 * 1024;
 /// Number of requests of one connection that may run concurrently.
 const MAX_PIPELINED: usize = 32;
-/// Number of unparsed bytes from which on no more is read from a connection.
+/// Number of unparsed bytes from which on no more is read from a connection, unless a head may be larger.
 const MAX_UNPARSED: usize = 64 * 1024;
 /// Time that the caller has to close the connection after the last answer.
 const LINGER_TIMEOUT: Millis = Millis(1_000);
@@ -250,7 +250,10 @@
     }
 
     fn poll_read(&mut self, cx: &mut Context<'_>) -> io::Result<bool> {
-        if self.is_eof || self.input.len() >= MAX_UNPARSED || self.pending.len() >= MAX_PIPELINED {
+        // A head that exceeds its limit must be seen to do so.
+        let max_head = usize::try_from(self.limits.head.0).unwrap_or(usize::MAX);
+        let max_unparsed = MAX_UNPARSED.max(max_head.saturating_add(1));
+        if self.is_eof || self.input.len() >= max_unparsed || self.pending.len() >= MAX_PIPELINED {
             return Ok(false);
         }
         let mut chunk = [0; READ_SIZE];
--- a/crates/edge/tests/limits.rs
+++ b/crates/edge/tests/limits.rs
@@ -49,6 +49,7 @@
 /// Guards against a 413 or 431 by limits that no configuration has.
 #[rstest]
 #[case::body("POST /read/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 99999999999\r\n\r\n")]
+#[case::head(&format!("GET /read/x HTTP/1.1\r\nHost: h.example\r\nName: {}\r\n\r\n", "x".repeat(70_000)))]
 fn a_host_without_a_configuration_refuses_what_its_own_limits_do_not_allow(#[case] text: &str) {
     support::with_host(LONG, |host| async move {
         let answer = answer(&host, text).await;
@@ -110,3 +111,22 @@
         assert!(host.has_metric(&format!("skylarkdock_requests_rejected_total{{{labels}}} 1")));
     });
 }
+
+/// Guards against a 431 for the number of fields, which no configuration limits, and against a head that is never read to
+/// its end, as it is longer than what is read ahead.
+#[rstest]
+#[case::many_fields("Name: x\r\n", 200)]
+#[case::shortest_fields("n:\n", 60_000)]
+#[case::long_field(&format!("Name: {}\r\n", "x".repeat(150_000)), 1)]
+fn a_head_within_its_size_is_accepted(#[case] fields: &str, #[case] count: usize) {
+    support::with_host(Millis(0), |host| async move {
+        host.apply(support::state(&config(1, 200_000), &[])).await;
+        host.status.set_config_proof(HostTime(u64::MAX), 1);
+        let fields = fields.repeat(count);
+        let text =
+            format!("GET /none/x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n{fields}\r\n");
+        let answer = answer(&host, &text).await;
+        // The head was read, and the request is routed.
+        assert!(answer.starts_with("HTTP/1.1 404 "), "{answer}");
+    });
+}
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -3,8 +3,12 @@
 use crate::body::Framing;
 use thiserror::Error;
 
-/// Maximum number of header fields in one head.
+/// Maximum number of header fields in the head of a response, and number up to which those of a request need no larger table.
 const MAX_HEADERS: usize = 96;
+/// Factor by which the table of header fields grows if a request has more.
+const TABLE_GROWTH: usize = 8;
+/// Length of the shortest header field: a name, a colon and a line feed.
+const MIN_FIELD_BYTES: usize = 3;
 
 /// Why a message head is rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -158,14 +162,29 @@
 
 impl RequestHead {
     /// Parses a request head at the start of `buf`. Returns it with its length in bytes, or `None` while it is
-    /// incomplete.
+    /// incomplete. The number of header fields is limited by the length of `buf` alone.
     ///
     /// # Errors
     ///
-    /// Returns a [`HeadError`] if the head is malformed, too large, or doesn't determine how the body ends.
+    /// Returns a [`HeadError`] if the head is malformed or doesn't determine how the body ends.
     pub fn parse(buf: &[u8]) -> Result<Option<(Self, usize)>, HeadError> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut req = httparse::Request::new(&mut fields);
+        let mut result = Self::parse_into(buf, &mut fields);
+        let max_fields = buf.len() / MIN_FIELD_BYTES;
+        let mut table_len = MAX_HEADERS;
+        while result == Err(HeadError::TooManyHeaders) && table_len < max_fields {
+            table_len = (table_len * TABLE_GROWTH).min(max_fields);
+            result = Self::parse_into(buf, &mut vec![httparse::EMPTY_HEADER; table_len]);
+        }
+        result
+    }
+
+    /// Parses a request head with a table for the header fields.
+    fn parse_into<'a>(
+        buf: &'a [u8],
+        fields: &mut [httparse::Header<'a>],
+    ) -> Result<Option<(Self, usize)>, HeadError> {
+        let mut req = httparse::Request::new(fields);
         let len = match req.parse(buf).map_err(head_error)? {
             httparse::Status::Partial => return Ok(None),
             httparse::Status::Complete(len) => len,
--- a/crates/http1/tests/heads.rs
+++ b/crates/http1/tests/heads.rs
@@ -91,3 +91,17 @@
     let (head, _) = ResponseHead::parse(text.as_bytes(), false).unwrap().unwrap();
     assert_eq!(head.framing, Framing::Length(0));
 }
+
+/// Guards against rejecting a head whose size is allowed for the number of its fields.
+#[rstest]
+#[case::as_many_as_fit_the_first_table(96)]
+#[case::one_more(97)]
+#[case::more_than_the_next_table(769)]
+#[case::many(20_000)]
+fn the_number_of_header_fields_of_a_request_is_not_limited(#[case] count: usize) {
+    let text = format!("GET / HTTP/1.1\r\n{}\r\n", "n:\n".repeat(count));
+    let (head, len) = request(&text).unwrap().unwrap();
+    assert_eq!((head.headers.0.len(), len), (count, text.len()));
+    let unended = text.strip_suffix("\r\n").unwrap();
+    assert_eq!(request(unended).unwrap(), None);
+}
