Let only a final answer or an upstream's become a 4xx towards callers

Any module could answer with any status, so that a new place could reject a request for good without a proof. An `Answer` is now built by one of its constructors only: with an `OwnStatus`, which has none of the statuses that callers take as final, from a `FinalAnswer`, or from an upstream's reply. Calls of other hosts, which callers can't reach, keep 400 and 404 by a constructor of their own. `Answer` moves to a module of its own; no answer changes.

--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -4,12 +4,13 @@
 use super::directory::{DIRECTORY_PATH, DirectoryRequest};
 use super::owners::RELEASE_TIMEOUT;
 use super::updates::{self, UpdateRequest};
+use crate::answer::{Answer, HostCallFault, OwnStatus};
 use crate::client::{ControlClient, Failure, Outgoing, Patience};
 use crate::clock;
 use crate::detour::{DETOUR_PATH, Knowledge};
 use crate::listener::ListenerState;
 use crate::net;
-use crate::serve::{self, Answer, AnswerFuture, Incoming};
+use crate::serve::{self, AnswerFuture, Incoming};
 use crate::traffic::Sample;
 use async_lock::Mutex;
 use serde::{Deserialize, Serialize};
@@ -75,17 +76,17 @@
                 Err(e) => Err(e),
             },
             DETOUR_PATH => match self.call_for_peer(&req.body).await {
-                Ok(body) => return Answer { status: 200, headers: Headers::default(), body },
+                Ok(body) => return Answer::with_body(OwnStatus::Ok, body),
                 Err(e) => {
                     log::warn!(path = DETOUR_PATH, error:% = e; "peers: can't decode a call");
-                    return Answer::empty(400);
+                    return Answer::to_host(HostCallFault::Undecodable);
                 }
             },
             UPDATES_PATH => match serde_json::from_slice::<UpdateRequest>(&req.body) {
                 Ok(request) => {
                     let reads_compressed = request.reads_compressed();
                     let Some(response) = self.on_update_request(request).await else {
-                        return Answer::empty(503);
+                        return Answer::empty(OwnStatus::Unavailable);
                     };
                     let text = encode(&response);
                     Ok(if reads_compressed { text.map(updates::compress) } else { text })
@@ -95,18 +96,18 @@
             DIRECTORY_PATH => match serde_json::from_slice::<DirectoryRequest>(&req.body) {
                 Ok(request) => match self.on_directory_request(request).await {
                     Some(hosts) => Ok(encode(&hosts)),
-                    None => return Answer::empty(503),
+                    None => return Answer::empty(OwnStatus::Unavailable),
                 },
                 Err(e) => Err(e),
             },
-            _ => return Answer::empty(404),
+            _ => return Answer::to_host(HostCallFault::UnknownPath),
         };
         match answered {
-            Ok(Some(body)) => Answer { status: 200, headers: Headers::default(), body },
-            Ok(None) => Answer::empty(204),
+            Ok(Some(body)) => Answer::with_body(OwnStatus::Ok, body),
+            Ok(None) => Answer::empty(OwnStatus::NoContent),
             Err(e) => {
                 log::warn!(path = req.head.path(), error:% = e; "peers: can't decode a call");
-                Answer::empty(400)
+                Answer::to_host(HostCallFault::Undecodable)
             }
         }
     }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -1,10 +1,11 @@
 //! Startup and shutdown of an entry host: its threads and listeners.
 
+use crate::answer::{Answer, OwnStatus};
 use crate::clock;
 use crate::control::Control;
 use crate::listener::{ListenerState, ShutdownEnds};
 use crate::net;
-use crate::serve::{self, Answer, AnswerFuture, Incoming};
+use crate::serve::{self, AnswerFuture, Incoming};
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::store::Store;
@@ -109,7 +110,8 @@
         Rc::new(move |_: Incoming| -> AnswerFuture {
             let is_ready =
                 status.is_ready() && !status.is_config_outdated() && !shared.is_leaving.get();
-            Box::pin(async move { Answer::empty(if is_ready { 200 } else { 503 }) })
+            let status = if is_ready { OwnStatus::Ok } else { OwnStatus::Unavailable };
+            Box::pin(async move { Answer::empty(status) })
         })
     };
     let ready_shared = Rc::new(ListenerState::default());
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! upstreams and the key owners. The traffic thread ([`traffic`]) serves callers based on the [`view::View`] that the
 //! control thread publishes.
 
+pub mod answer;
 pub mod changes;
 pub mod client;
 pub mod clock;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Metrics recorder, and the endpoint that serves metrics in the Prometheus text format.
 
+use crate::answer::{Answer, OwnStatus};
 use crate::listener::ListenerState;
 use crate::net;
-use crate::serve::{self, Answer, AnswerFuture, Incoming};
+use crate::serve::{self, AnswerFuture, Incoming};
 use async_executor::LocalExecutor;
 use eyre::WrapErr;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -43,9 +44,8 @@
     let handler = Rc::new(move |_: Incoming| -> AnswerFuture {
         refresh();
         handle.run_upkeep();
-        let mut answer = Answer::empty(200);
+        let mut answer = Answer::with_body(OwnStatus::Ok, handle.render().into_bytes());
         answer.headers.push("Content-Type", "text/plain; version=0.0.4");
-        answer.body = handle.render().into_bytes();
         Box::pin(async move { answer })
     });
     let shared = Rc::new(ListenerState::default());
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -1,6 +1,7 @@
 //! HTTP server for callers, calls of other hosts, readiness checks and metrics. Pipelined requests of a connection run
 //! concurrently and are answered in order.
 
+use crate::answer::{self, Answer, OwnStatus};
 use crate::framing::{self, FramingError, LimitedPart, Oversize};
 use crate::listener::{Busy, InFlight, ListenerState};
 use crate::net;
@@ -10,7 +11,7 @@
 use futures_lite::io::AsyncReadExt;
 use skylarkdock_freshness::final_answers::{FinalAnswer, RequestFault};
 use skylarkdock_http1::body::{ChunkError, Decoder, Framing};
-use skylarkdock_http1::head::{Headers, RequestHead};
+use skylarkdock_http1::head::RequestHead;
 use skylarkdock_units::measures::ByteSize;
 use skylarkdock_units::times::Millis;
 use std::collections::VecDeque;
@@ -43,36 +44,6 @@
     pub body: Vec<u8>,
 }
 
-/// Complete answer.
-#[derive(Debug)]
-pub struct Answer {
-    /// HTTP status code; its reason phrase is added when the answer is written.
-    pub status: u16,
-    /// Header fields other than `Content-Length` and `Connection`.
-    pub headers: Headers,
-    /// Body, which is not sent in the answer to a HEAD request.
-    pub body: Vec<u8>,
-}
-
-impl Answer {
-    /// Builds an answer without a body.
-    pub fn empty(status: u16) -> Self {
-        Self { status, headers: Headers::default(), body: Vec::new() }
-    }
-
-    /// Builds the answer that refuses a request, which has not run and will not run.
-    pub fn refused(retry_after: Millis) -> Self {
-        let mut answer = Self::empty(503);
-        answer.headers.push("Retry-After", retry_after.seconds());
-        answer
-    }
-
-    /// Builds the answer after which a caller never sends its request again.
-    pub fn rejected(answer: FinalAnswer) -> Self {
-        Self::empty(answer.status())
-    }
-}
-
 /// Future of the answer to a request.
 pub type AnswerFuture = Pin<Box<dyn Future<Output = Answer>>>;
 
@@ -381,7 +352,7 @@
     fn reject(&mut self, error: FramingError) {
         let (answer, unproven) = match error {
             FramingError::Invalid(fault) => (Answer::rejected(FinalAnswer::invalid(fault)), None),
-            FramingError::UnsupportedCoding => (Answer::empty(501), None),
+            FramingError::UnsupportedCoding => (Answer::empty(OwnStatus::NotImplemented), None),
             FramingError::TooLarge(oversize) => match self.shared.judge_size(oversize) {
                 Ok(answer) => (Answer::rejected(answer), None),
                 Err(unproven) => (Answer::refused(UNPROVEN_RETRY_AFTER), Some(unproven)),
@@ -485,7 +456,7 @@
 }
 
 fn write_answer(output: &mut Vec<u8>, answer: Answer, is_head: bool, closes_connection: bool) {
-    let reason_phrase = reason_phrase(answer.status);
+    let reason_phrase = answer::reason_phrase(answer.status);
     output.extend_from_slice(format!("HTTP/1.1 {} {reason_phrase}\r\n", answer.status).as_bytes());
     answer.headers.write(output);
     if answer.status != 204 && answer.status != 304 {
@@ -499,22 +470,3 @@
         output.extend_from_slice(&answer.body);
     }
 }
-
-const fn reason_phrase(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        404 => "Not Found",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        421 => "Misdirected Request",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        500 => "Internal Server Error",
-        501 => "Not Implemented",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Status",
-    }
-}
--- a/crates/edge/src/traffic/accept.rs
+++ b/crates/edge/src/traffic/accept.rs
@@ -2,9 +2,10 @@
 
 use super::Traffic;
 use super::rejection::Rejection;
+use crate::answer::Answer;
 use crate::clock;
 use crate::framing::{self, Oversize};
-use crate::serve::{Answer, Incoming};
+use crate::serve::Incoming;
 use crate::view::Config;
 use metrics::counter;
 use skylarkdock_dispatch::routes::Route;
--- a/crates/edge/src/traffic/rejection.rs
+++ b/crates/edge/src/traffic/rejection.rs
@@ -1,6 +1,6 @@
 //! Reasons for which a request is rejected before it is routed.
 
-use crate::serve::Answer;
+use crate::answer::{Answer, OwnStatus};
 use skylarkdock_freshness::final_answers::{FinalAnswer, Unproven};
 use skylarkdock_units::times::Millis;
 
@@ -41,7 +41,7 @@
         match self {
             Self::ConfigOutdated => Answer::refused(OUTDATED_RETRY_AFTER),
             Self::Unproven(_) => Answer::refused(STARTUP_RETRY_AFTER),
-            Self::ForUpstream => Answer::empty(421),
+            Self::ForUpstream => Answer::empty(OwnStatus::Misdirected),
             Self::Final(answer) => Answer::rejected(answer),
         }
     }
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -7,9 +7,10 @@
 use super::race::{Either, either};
 use super::rejection::STARTUP_RETRY_AFTER;
 use super::trials::{Admission, Trial};
-use crate::client::{Outgoing, Reply};
+use crate::answer::{Answer, OwnStatus};
+use crate::client::Outgoing;
 use crate::clock;
-use crate::serve::{Answer, Incoming};
+use crate::serve::Incoming;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use metrics::{counter, histogram};
@@ -219,7 +220,7 @@
             match outcome {
                 AttemptResult::Answered(reply) => {
                     if reply.head.status < 500 || is_once {
-                        return (forward(reply), RequestEnd::Answered);
+                        return (Answer::forwarded(reply), RequestEnd::Answered);
                     }
                     history.record_may_have_run(&id);
                     history.failure = Some(reply);
@@ -506,7 +507,7 @@
             return (Answer::refused(retry_after), RequestEnd::Refused(reason));
         }
         if let Some(failure) = history.failure.take() {
-            return (forward(failure), RequestEnd::Answered);
+            return (Answer::forwarded(failure), RequestEnd::Answered);
         }
         (req.gateway_error(), RequestEnd::Unknown)
     }
@@ -526,7 +527,7 @@
     /// Returns the host's own answer if an upstream may have run the request.
     pub(super) fn gateway_error(&self) -> Answer {
         let is_late = clock::now() + ANSWER_MARGIN >= self.deadline;
-        Answer::empty(if is_late { 504 } else { 502 })
+        Answer::empty(if is_late { OwnStatus::GatewayTimeout } else { OwnStatus::BadGateway })
     }
 
     /// Returns until when the request waits for the end of another copy: half of its time, so that its caller can come
@@ -581,11 +582,3 @@
     }
     Fingerprint(hash.digest())
 }
-
-/// Converts an upstream's answer to the answer for the caller.
-fn forward(reply: Reply) -> Answer {
-    let mut headers = reply.head.headers;
-    headers.remove_hop_by_hop();
-    headers.remove("content-length");
-    Answer { status: reply.head.status, headers, body: reply.body }
-}
--- a/crates/edge/src/traffic/shutdown.rs
+++ b/crates/edge/src/traffic/shutdown.rs
@@ -4,8 +4,8 @@
 use super::Traffic;
 use super::history::{HOST_IS_LEAVING, History, RequestEnd};
 use super::request::Request;
+use crate::answer::Answer;
 use crate::clock;
-use crate::serve::Answer;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use skylarkdock_dispatch::retry_after;
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -6,8 +6,9 @@
 use async_io::{Async, Timer};
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
 use rstest::rstest;
+use skylarkdock_edge::answer::{Answer, OwnStatus};
 use skylarkdock_edge::listener::ListenerState;
-use skylarkdock_edge::serve::{self, Answer, AnswerFuture, Incoming, Limits};
+use skylarkdock_edge::serve::{self, AnswerFuture, Incoming, Limits};
 use skylarkdock_units::measures::ByteSize;
 use std::cell::Cell;
 use std::future::Future;
@@ -52,7 +53,7 @@
             let ms: u64 = req.head.target.trim_start_matches('/').parse().unwrap_or(0);
             Timer::after(Duration::from_millis(ms)).await;
             guard.1 = true;
-            Answer { body: req.head.target.into_bytes(), ..Answer::empty(200) }
+            Answer::with_body(OwnStatus::Ok, req.head.target.into_bytes())
         })
     });
     let shared = Rc::clone(&server.shared);
