--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -1,15 +1,17 @@
 //! HTTP server for callers, calls of other hosts, readiness checks and metrics. Pipelined requests of a connection run
 //! concurrently and are answered in order.
 
-use crate::framing::{self, FramingError};
+use crate::answer::{self, Answer, OwnStatus};
+use crate::framing::{self, FramingError, LimitedPart, Oversize};
 use crate::listener::{Busy, InFlight, ListenerState};
 use crate::net;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use futures_lite::io::AsyncReadExt;
+use skylarkdock_freshness::final_answers::{FinalAnswer, RequestFault};
 use skylarkdock_http1::body::{ChunkError, Decoder, Framing};
-use skylarkdock_http1::head::{Headers, RequestHead};
+use skylarkdock_http1::head::RequestHead;
 use skylarkdock_units::measures::ByteSize;
 use skylarkdock_units::times::Millis;
 use std::collections::VecDeque;
@@ -24,10 +26,12 @@
 const READ_SIZE: usize = 16 * 1024;
 /// Number of requests of one connection that may run concurrently.
 const MAX_PIPELINED: usize = 32;
-/// Number of unparsed bytes from which on no more is read from a connection.
+/// Number of unparsed bytes from which on no more is read from a connection, unless a head may be larger.
 const MAX_UNPARSED: usize = 64 * 1024;
 /// Time that the caller has to close the connection after the last answer.
 const LINGER_TIMEOUT: Millis = Millis(1_000);
+/// `Retry-After` of a request that exceeds limits which are not proven to be in force.
+const UNPROVEN_RETRY_AFTER: Millis = Millis(500);
 /// Delay after a failed accept, for example because no file descriptors are left.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
@@ -40,24 +44,6 @@
     pub body: Vec<u8>,
 }
 
-/// Complete answer.
-#[derive(Debug)]
-pub struct Answer {
-    /// HTTP status code; its reason phrase is added when the answer is written.
-    pub status: u16,
-    /// Header fields other than `Content-Length` and `Connection`.
-    pub headers: Headers,
-    /// Body, which is not sent in the answer to a HEAD request.
-    pub body: Vec<u8>,
-}
-
-impl Answer {
-    /// Builds an answer without a body.
-    pub fn empty(status: u16) -> Self {
-        Self { status, headers: Headers::default(), body: Vec::new() }
-    }
-}
-
 /// Future of the answer to a request.
 pub type AnswerFuture = Pin<Box<dyn Future<Output = Answer>>>;
 
@@ -123,6 +109,8 @@
         shared: Rc::clone(&shared),
         handler,
         limits,
+        limits_version: shared.limits_version.get(),
+        requests: 0,
         input: Vec::new(),
         output: Vec::new(),
         written: 0,
@@ -184,6 +172,10 @@
     handler: Handler,
     /// Limits for the request that is being received, or for the next one.
     limits: Limits,
+    /// Version of the configuration that the limits are from; zero if they are built in.
+    limits_version: u64,
+    /// Number of complete requests that the connection has had.
+    requests: u64,
     input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
@@ -229,7 +221,10 @@
     }
 
     fn poll_read(&mut self, cx: &mut Context<'_>) -> io::Result<bool> {
-        if self.is_eof || self.input.len() >= MAX_UNPARSED || self.pending.len() >= MAX_PIPELINED {
+        // A head that exceeds its limit must be seen to do so.
+        let max_head = usize::try_from(self.limits.head.0).unwrap_or(usize::MAX);
+        let max_unparsed = MAX_UNPARSED.max(max_head.saturating_add(1));
+        if self.is_eof || self.input.len() >= max_unparsed || self.pending.len() >= MAX_PIPELINED {
             return Ok(false);
         }
         let mut chunk = [0; READ_SIZE];
@@ -276,12 +271,13 @@
                     self.input.drain(..used);
                 }
                 Err(ChunkError) => {
-                    self.reject(FramingError::MalformedChunk);
+                    self.reject(FramingError::Invalid(RequestFault::MalformedChunk));
                     return true;
                 }
             }
-            if body.len() as u64 > self.limits.body.0 {
-                self.reject(FramingError::BodyTooLong);
+            let body_len = body.len() as u64;
+            if body_len > self.limits.body.0 {
+                self.reject_large(LimitedPart::Body, body_len);
                 return true;
             }
             if !decoder.is_done() {
@@ -300,25 +296,26 @@
             return false;
         }
         self.limits = self.shared.limits();
+        self.limits_version = self.shared.limits_version.get();
         // Empty lines before a request are ignored.
         let leading_newlines = self.input.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
         self.input.drain(..leading_newlines);
-        match RequestHead::parse(&self.input) {
-            Ok(None) if self.input.len() as u64 > self.limits.head.0 => {
-                self.reject(FramingError::HeadTooLong);
+        let received = self.input.len() as u64;
+        // What lies beyond the limit is not part of a valid head.
+        let within_limit = usize::try_from(self.limits.head.0.min(received)).unwrap_or(usize::MAX);
+        match RequestHead::parse(&self.input[..within_limit]) {
+            Ok(None) if received > self.limits.head.0 => {
+                self.reject_large(LimitedPart::Head, received);
             }
             Ok(None) => {}
-            Ok(Some((_, len))) if len as u64 > self.limits.head.0 => {
-                self.reject(FramingError::HeadTooLong);
-            }
             Ok(Some((head, len))) => {
-                self.input.drain(..len);
-                let is_too_long =
-                    matches!(head.framing, Framing::Length(len) if len > self.limits.body.0);
-                if is_too_long {
-                    self.reject(FramingError::BodyTooLong);
+                if let Framing::Length(len) = head.framing
+                    && len > self.limits.body.0
+                {
+                    self.reject_large(LimitedPart::Body, len);
                     return false;
                 }
+                self.input.drain(..len);
                 if head.headers.contains_token("expect", "100-continue") && self.pending.is_empty()
                 {
                     self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
@@ -327,12 +324,16 @@
                 self.partial = Some((head, decoder, Vec::new()));
                 return true;
             }
-            Err(e) => self.reject(FramingError::Head(e)),
+            Err(e) => {
+                let size = ByteSize(received);
+                self.reject(FramingError::of_head(e, size, self.limits_version));
+            }
         }
         false
     }
 
     fn start_request(&mut self, head: RequestHead, body: Vec<u8>) {
+        self.requests += 1;
         let closes_connection = !head.keeps_alive();
         self.is_input_closed = closes_connection;
         let is_head = head.method == "HEAD";
@@ -341,15 +342,34 @@
         self.pending.push_back(Pending { state, is_head, closes_connection });
     }
 
+    fn reject_large(&mut self, part: LimitedPart, size: u64) {
+        let size = ByteSize(size);
+        let oversize = Oversize { part, size, version: self.limits_version };
+        self.reject(FramingError::TooLarge(oversize));
+    }
+
     /// Queues an error answer behind those of the previous requests, and stops reading.
     fn reject(&mut self, error: FramingError) {
-        let (status, reason) = (error.status(), error.as_str());
+        let (answer, unproven) = match error {
+            FramingError::Invalid(fault) => (Answer::rejected(FinalAnswer::invalid(fault)), None),
+            FramingError::UnsupportedCoding => (Answer::empty(OwnStatus::NotImplemented), None),
+            FramingError::TooLarge(oversize) => match self.shared.judge_size(oversize) {
+                Ok(answer) => (Answer::rejected(answer), None),
+                Err(unproven) => (Answer::refused(UNPROVEN_RETRY_AFTER), Some(unproven)),
+            },
+        };
+        let (status, reason) = (answer.status, error.as_str());
         framing::count_rejection(status, reason);
-        log::info!(status = status, reason = reason; "serve: a request is malformed or too large");
+        log::info!(status = status, reason = reason, unproven:? = unproven,
+            bytes = framing::excerpt(&self.input),
+            received_bytes = self.input.len(), requests_before = self.requests,
+            head_limit_bytes = self.limits.head.0, body_limit_bytes = self.limits.body.0,
+            config = self.limits_version;
+            "serve: a request is malformed or too large");
         self.partial = None;
         self.input.clear();
         self.is_input_closed = true;
-        let state = PendingState::Ready(Answer::empty(status));
+        let state = PendingState::Ready(answer);
         self.pending.push_back(Pending { state, is_head: false, closes_connection: true });
     }
 
@@ -436,7 +456,7 @@
 }
 
 fn write_answer(output: &mut Vec<u8>, answer: Answer, is_head: bool, closes_connection: bool) {
-    let reason_phrase = reason_phrase(answer.status);
+    let reason_phrase = answer::reason_phrase(answer.status);
     output.extend_from_slice(format!("HTTP/1.1 {} {reason_phrase}\r\n", answer.status).as_bytes());
     answer.headers.write(output);
     if answer.status != 204 && answer.status != 304 {
@@ -450,22 +470,3 @@
         output.extend_from_slice(&answer.body);
     }
 }
-
-const fn reason_phrase(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        404 => "Not Found",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        421 => "Misdirected Request",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        500 => "Internal Server Error",
-        501 => "Not Implemented",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Status",
-    }
-}
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! The traffic thread, which serves callers' requests.
 
+mod accept;
 mod attempt;
 mod crash_reports;
 mod detours;
@@ -8,7 +9,6 @@
 mod permits;
 mod race;
 mod rejection;
-mod replaced_configs;
 mod reports;
 mod request;
 mod shutdown;
@@ -17,16 +17,17 @@
 
 use crate::clock;
 use crate::detour::DetourClient;
+use crate::framing::SizeJudge;
 use crate::listener::ListenerState;
 use crate::listing::{Listing, ListingUpdate};
 use crate::load_reports::NameHash;
 use crate::pool::{self, Pool};
-use crate::serve::{Answer, AnswerFuture, Incoming};
+use crate::serve::{AnswerFuture, Incoming};
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::tasks;
 use crate::upstreams::Protocol;
-use crate::view::{ListedUpstream, Publication, View};
+use crate::view::{Config, ListedUpstream, Publication, View};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -37,6 +38,9 @@
 use skylarkdock_dispatch::service::Service;
 use skylarkdock_dispatch::trials::{TrialAsker, TrialDesk};
 use skylarkdock_dispatch::upstream::{Distance, UpstreamInfo};
+use skylarkdock_freshness::earlier_configs::EarlierConfigs;
+use skylarkdock_freshness::final_answers::Unproven;
+use skylarkdock_freshness::missing_routes::MissingRoutes;
 use skylarkdock_freshness::versions::{KnownVersions, Origin};
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
@@ -76,7 +80,8 @@
     shared: Rc<ListenerState>,
     status: Arc<Status>,
     view: RefCell<Arc<View>>,
-    replaced_configs: RefCell<replaced_configs::ReplacedConfigs>,
+    earlier_configs: RefCell<EarlierConfigs<Arc<Config>>>,
+    missing_routes: RefCell<MissingRoutes>,
     /// Configuration versions that this host or others have.
     versions: RefCell<KnownVersions>,
     /// Since when this host refuses requests because its configuration is out of date.
@@ -140,13 +145,14 @@
     ) -> Rc<Self> {
         let own = Origin(NameHash::of(settings.host.as_str()).0);
         let traffic = Rc::new(Self {
-            settings,
             protocol,
             ex,
             shared,
             status,
             view: RefCell::default(),
-            replaced_configs: RefCell::default(),
+            earlier_configs: RefCell::new(EarlierConfigs::new(settings.apply_time)),
+            settings,
+            missing_routes: RefCell::default(),
             versions: RefCell::new(KnownVersions::new(own)),
             config_outdated_since: Cell::default(),
             services: RefCell::default(),
@@ -174,6 +180,10 @@
             last_ticket: Cell::new(0),
             pool_checked_at: Cell::default(),
         });
+        let weak = Rc::downgrade(&traffic);
+        traffic.shared.set_size_judge(SizeJudge(Box::new(move |oversize| {
+            weak.upgrade().map_or(Err(Unproven::NoConfig), |traffic| traffic.judge_size(oversize))
+        })));
         traffic.spawn("publications", Rc::clone(&traffic).apply_publications(publications));
         traffic.spawn("waiting", Rc::clone(&traffic).poll_waiting());
         traffic.spawn("samples", Rc::clone(&traffic).send_samples(samples));
@@ -210,9 +220,18 @@
         let view = publication.view;
         if let Some(config) = &view.config {
             self.shared.limits.set(Some(config.limits));
+            self.shared.limits_version.set(config.version);
             let since = view.config_published_after;
             self.versions.borrow_mut().on_in_force(config.version, since, clock::now());
         }
+        if let Some(config) = &view.config
+            && self.config_version() != config.version
+        {
+            let now = clock::now();
+            self.record_found_routes(config, now);
+            let replaced = self.view.borrow().config.clone();
+            self.earlier_configs.borrow_mut().on_applied(replaced, now);
+        }
         let update = self.listing.borrow_mut().apply(publication.upstreams);
         self.record_ends(&update);
         self.apply_services(&view);
@@ -223,15 +242,14 @@
             self.pool_checked_at.set(clock::now());
             self.pool.borrow_mut().close_expired();
         }
-        self.replaced_configs.borrow_mut().update(
-            self.view.borrow().config.as_ref(),
-            view.config.as_ref(),
-            self.settings.apply_time,
-            clock::now(),
-        );
         *self.view.borrow_mut() = Arc::new(view);
     }
 
+    /// Returns the version of the configuration that is applied; zero if there is none.
+    fn config_version(&self) -> u64 {
+        self.view.borrow().config.as_ref().map_or(0, |config| config.version)
+    }
+
     /// Applies the configuration, the number of hosts and the owners of keys to the services. A new service starts with
     /// all upstreams that are listed for it.
     fn apply_services(&self, view: &View) {
@@ -386,10 +404,3 @@
         ticket
     }
 }
-
-/// Builds the answer that refuses a request, which has not run and will not run.
-fn refusal(retry_after: Millis) -> Answer {
-    let mut answer = Answer::empty(503);
-    answer.headers.push("Retry-After", retry_after.seconds());
-    answer
-}
