Find the route of a request in each form that HTTP allows

Callers saw 404, which they never send again, for a route that was there if they wrote its host or path in an equivalent way: a target in absolute form, the dot of the root zone, a port in the configuration only, letters in percent-encoding, dot segments. Two Host fields, which RFC 9112 calls malformed, were routed by the first one.

The cause: the table was searched with the Host field and the target as they came.

A literal match goes first, with the port too. Where none matches, the host without its dot, and with a port that only one side states, then the path normalized by RFC 3986, 6.2.2. A target in absolute form becomes one in origin form, its authority the Host field (RFC 9112, 3.2.2): the platform forwards method, path and body unchanged, and the path is the same in both forms. Everything else goes on byte for byte as before. Several Host fields are rejected with 400: the bytes alone decide that.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod traffic_split;
 pub mod trials;
 pub mod upstream;
+mod uri;
--- a/crates/edge/src/traffic/rejection.rs
+++ b/crates/edge/src/traffic/rejection.rs
@@ -23,7 +23,7 @@
     ConfigOutdated,
     /// No route matches or there is no valid key, but a newer configuration may have a route or need no key.
     StaleConfig,
-    /// The `Host` header is missing or is not valid UTF-8.
+    /// The `Host` header is missing, repeated or not valid UTF-8.
     NoHost,
     /// No route matches.
     NoRoute,
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -154,8 +154,8 @@
         if self.is_config_outdated(arrived) {
             return Err(Rejection::ConfigOutdated);
         }
-        let Incoming { head, body } = incoming;
-        let Some(host) = head.headers.get_str("host") else { return Err(Rejection::NoHost) };
+        let (head, body) = (incoming.head.into_origin_form(), incoming.body);
+        let Some(host) = head.host() else { return Err(Rejection::NoHost) };
         // What is wrong by this configuration may be right by a newer one that should be in force by now.
         let unless_stale = |rejection| {
             let apply_time = self.settings.apply_time;
--- a/crates/hostlog/src/explanation.rs
+++ b/crates/hostlog/src/explanation.rs
@@ -146,7 +146,7 @@
         "config_outdated" => "other hosts have a newer configuration, which this host lacks",
         "stale_config" => "no route or no key, but a newer configuration may take it",
         "no_route" => "no route",
-        "no_host" => "the host header is missing",
+        "no_host" => "the host header is missing or repeated",
         "no_request_id" => "the request id is missing",
         "invalid_deadline" => "the deadline is not a number of milliseconds",
         "no_key" => "its service is sharded and it has no key",
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -7,3 +7,4 @@
 
 pub mod body;
 pub mod head;
+mod target;
