Take header values of requests by their plain meaning

Callers got a final 400 for a deadline that they spelled in an unusual way or that had just passed: negative, above 64 bits, empty, with an exponent, without digits before or behind the point. The same held for a key such as 7.0. A request with an empty id, two ids or two keys was routed by the first one, and an upstream's answer could be another's.

Cause: the values were parsed as unsigned integers of Rust. A caller that comes back at its deadline states what is left, which may be negative.

The values are read by pure functions of http1: decimal numbers, of which a deadline is cut to whole milliseconds and to the route's timeout, and a key has to be whole. A value without a plain meaning (soon, 1500ms, nan) is a 400 still. What goes on to the upstream is not changed.

--- a/crates/edge/src/traffic/rejection.rs
+++ b/crates/edge/src/traffic/rejection.rs
@@ -27,16 +27,16 @@
     NoHost,
     /// No route matches.
     NoRoute,
-    /// The request id is missing or is not valid UTF-8.
+    /// The request id is missing, empty or not valid UTF-8, or there are several.
     NoRequestId,
-    /// The deadline is not a number of milliseconds.
+    /// The deadline is not a decimal number of milliseconds.
     InvalidDeadline,
     /// The service is sharded and the request has no key.
     NoKey,
     /// The service is sharded and the request has no valid key, but a configuration that its caller may still follow needs
     /// none.
     KeyNewlyNeeded,
-    /// The service is sharded and the key is not a number from 0 to 65535.
+    /// The service is sharded and the key is not a whole number from 0 to 65535, or there are several.
     InvalidKey,
 }
 
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -21,6 +21,7 @@
 use skylarkdock_dispatch::routing::{RoutingDecision, RoutingRequest};
 use skylarkdock_dispatch::trials::TrialEnd;
 use skylarkdock_dispatch::upstream::AttemptOutcome;
+use skylarkdock_http1::fields;
 use skylarkdock_http1::head::Headers;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::{HostTime, Millis};
@@ -167,14 +168,13 @@
         };
         let route = Arc::clone(route);
         let host_name = host.to_ascii_lowercase();
-        let Some(id) = head.headers.get_str(names.request_id).map(str::to_owned) else {
+        let Some(id) = fields::id(&head.headers, names.request_id).map(str::to_owned) else {
             return Err(Rejection::NoRequestId);
         };
-        let deadline = match head.headers.get_str(names.deadline) {
-            Some(text) => parse_deadline(text).ok_or(Rejection::InvalidDeadline)?,
-            None => route.timeout,
-        };
-        let key = head.headers.get_str(names.key).map(str::parse::<u16>);
+        let deadline = fields::millis(&head.headers, names.deadline)
+            .map_err(|_| Rejection::InvalidDeadline)?
+            .map_or(route.timeout, Millis);
+        let key = fields::key(&head.headers, names.key).transpose();
         let service = self.pick_service(&route, config, matches!(key, Some(Ok(_))));
         let key = match (config.is_sharded(&service), key) {
             (false, _) => None,
@@ -646,13 +646,6 @@
     }
 }
 
-/// Parses a number of milliseconds, of which a fraction is cut off.
-fn parse_deadline(text: &str) -> Option<Millis> {
-    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
-    let is_decimal = !fraction.is_empty() && fraction.bytes().all(|b| b.is_ascii_digit());
-    is_decimal.then(|| whole.parse().ok().map(Millis)).flatten()
-}
-
 /// Returns the fingerprint of a request from its method, host name, target and body. Callers repeat a request with the
 /// same content and another id. A key is not part of it, as it only says which upstream runs the request.
 fn fingerprint(parts: [&[u8]; 4]) -> Fingerprint {
--- a/crates/edge/tests/request_forms.rs
+++ b/crates/edge/tests/request_forms.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use rstest::rstest;
+use skylarkdock_dispatch::routes::Idempotency;
 use skylarkdock_http1::head::RequestHead;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -146,3 +147,20 @@
         assert!(host.has_metric(&metric), "{metric}");
     });
 }
+
+/// Guards against sending a request whose caller has given it up, and against an answer that does not say that it was not
+/// run.
+#[rstest]
+fn a_request_whose_deadline_has_passed_is_refused(
+    #[values("0", "-5", "0.9")] deadline: &str,
+    #[values(Idempotency::Once, Idempotency::Idempotent)] idempotency: Idempotency,
+) {
+    support::with_host(LONG, |host| async move {
+        let (addr, received) = upstream();
+        let config = support::config_of(1, idempotency, &[("/read/", &[("orders", 1)])]);
+        host.apply(support::state(&config, &[("orders", addr)])).await;
+        let head = "GET /read/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n";
+        let answer = host.answer(&format!("{head}Deadline: {deadline}\r\n")).await;
+        assert_eq!((answer.status, received.lock().unwrap().len()), (503, 0));
+    });
+}
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -6,5 +6,6 @@
 //! `hyper` uses, and adds message framing.
 
 pub mod body;
+pub mod fields;
 pub mod head;
 mod target;
