Don't pass on an answer whose status is not one of HTTP

An answer with the status 042 and the request's id was written to the caller as "HTTP/1.1 42 Status", which is no answer in the protocol, and one above 599 as it came, signed or not. Only a faulty upstream or another program sends such a status.

Before the change 10 of the 16 cases were red: "left: 42, right: 502", and likewise for 0, 99, 600 and 999. The classification names the statuses that it passes on by ranges now, and counts the others as invalid_status.

--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -73,6 +73,8 @@
     Encoded,
     /// It has an informational status.
     Informational,
+    /// Its status is not one of HTTP.
+    InvalidStatus,
     /// It lacks the signature that such an answer must have.
     Unsigned,
 }
@@ -85,6 +87,7 @@
             Self::ImpliesNotRun => "implies_not_run",
             Self::Encoded => "encoded",
             Self::Informational => "informational",
+            Self::InvalidStatus => "invalid_status",
             Self::Unsigned => "unsigned",
         }
     }
@@ -123,6 +126,7 @@
         match status {
             408 | 429 | 503 => ReplyKind::Unusable(Defect::ImpliesNotRun),
             100..200 => ReplyKind::Unusable(Defect::Informational),
+            ..100 | 600.. => ReplyKind::Unusable(Defect::InvalidStatus),
             _ if headers.get("content-encoding").is_some() => ReplyKind::Unusable(Defect::Encoded),
             // Callers take a redirection or a rejection without a signature for the host's own.
             200..500 if headers.get_str(self.signature).is_none_or(str::is_empty) => {
--- a/crates/edge/tests/wrong_process.rs
+++ b/crates/edge/tests/wrong_process.rs
@@ -163,6 +163,23 @@
     });
 }
 
+/// Guards against passing on a status that is none, which a caller could not read.
+#[rstest]
+fn an_answer_without_a_valid_status_is_not_passed_on(
+    #[values("000", "042", "099", "100", "101", "199", "600", "999")] status: &'static str,
+    #[values(None, Some("s"))] signature: Option<&'static str>,
+) {
+    support::with_host(LONG, |host| async move {
+        let (addr, received) = scripted::start(move |head, _| {
+            let fields = fields(head, Repeats::Own, signature);
+            (format!("HTTP/1.1 {status} X\r\n{fields}Content-Length: 0\r\n\r\n"), Then::Close)
+        });
+        route_to(&host, addr, Over::NewConnection).await;
+        assert_eq!(status_of(&host, "a").await, 502);
+        assert_eq!(received.load(Ordering::SeqCst), 1);
+    });
+}
+
 /// Guards against a final rejection of a request that an upstream has not run, whatever the status in which it says so.
 #[rstest]
 fn an_answer_that_says_that_it_has_not_run_is_no_rejection(
