--- a/crates/edge/src/traffic/accept.rs
+++ b/crates/edge/src/traffic/accept.rs
@@ -13,6 +13,7 @@
     ConfigFault, CurrentConfig, Evidence, FinalAnswer, RequestFault, Unproven,
 };
 use skylarkdock_freshness::missing_routes;
+use skylarkdock_http1::fields;
 use skylarkdock_units::ids::ServiceName;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::sync::Arc;
@@ -49,23 +50,20 @@
             return Err(Rejection::ConfigOutdated);
         }
         let invalid = |fault| Rejection::Final(FinalAnswer::invalid(fault));
-        let Some(host) = head.headers.get_str("host") else {
+        let Some(host) = head.host() else {
             return Err(invalid(RequestFault::NoHost));
         };
         let Some(route) = config.routes.find(host, head.path()) else {
             return Err(self.without_route(config.version, arrived).into());
         };
         let route = Arc::clone(route);
-        let Some(id) = head.headers.get_str(names.request_id).map(str::to_owned) else {
+        let Some(id) = fields::id(&head.headers, names.request_id).map(str::to_owned) else {
             return Err(invalid(RequestFault::NoRequestId));
         };
-        let deadline = match head.headers.get_str(names.deadline) {
-            Some(text) => {
-                parse_deadline(text).ok_or_else(|| invalid(RequestFault::InvalidDeadline))?
-            }
-            None => route.timeout,
-        };
-        let key = head.headers.get_str(names.key).map(str::parse::<u16>);
+        let deadline = fields::millis(&head.headers, names.deadline)
+            .map_err(|_| invalid(RequestFault::InvalidDeadline))?
+            .map_or(route.timeout, Millis);
+        let key = fields::key(&head.headers, names.key).transpose();
         let service = self.pick_service(&route, config, matches!(key, Some(Ok(_))));
         let key = match (config.is_sharded(&service), key) {
             (false, _) => None,
@@ -182,10 +180,3 @@
         unsharded.as_ref().unwrap_or(&route.split).pick(*count).clone()
     }
 }
-
-/// Parses a number of milliseconds, of which a fraction is cut off.
-fn parse_deadline(text: &str) -> Option<Millis> {
-    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
-    let is_decimal = !fraction.is_empty() && fraction.bytes().all(|b| b.is_ascii_digit());
-    is_decimal.then(|| whole.parse().ok().map(Millis)).flatten()
-}
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -79,6 +79,7 @@
     pub(super) async fn serve(self: Rc<Self>, incoming: Incoming) -> Answer {
         let arrived = clock::now();
         let config_age = self.status.config_age(arrived);
+        let incoming = Incoming { head: incoming.head.into_origin_form(), ..incoming };
         let accepted = match self.accept(&incoming, arrived) {
             Ok(accepted) => accepted,
             Err(rejection) => return self.reject(&incoming, rejection, arrived),
--- a/crates/freshness/src/final_answers.rs
+++ b/crates/freshness/src/final_answers.rs
@@ -16,11 +16,11 @@
     AmbiguousLength,
     /// The body violates the chunked transfer coding.
     MalformedChunk,
-    /// The `Host` header is missing or is not valid UTF-8.
+    /// The `Host` header is missing, repeated or not valid UTF-8.
     NoHost,
-    /// The request id is missing or is not valid UTF-8.
+    /// The request id is missing, empty or not valid UTF-8, or there are several.
     NoRequestId,
-    /// The deadline is not a number of milliseconds.
+    /// The deadline is not a decimal number of milliseconds.
     InvalidDeadline,
 }
 
@@ -29,7 +29,7 @@
 pub enum ConfigFault {
     /// The service is sharded and the request has no key.
     NoKey,
-    /// The service is sharded and the key is not a number from 0 to 65535.
+    /// The service is sharded and the key is not a whole number from 0 to 65535, or there are several.
     InvalidKey,
     /// The head exceeds the configured size.
     HeadTooLong,
