Pass on a configuration that this host can't read

A host that could not read the newest configuration dropped the record from the updates that it sends to other hosts, together with an age which says that nothing is newer. A host that could have read it, of a later version say, never got it and held the older configuration for the newest one. A readable record that is no text was left out of updates in the same way.

The newest record that can't be read is kept beside the last readable one, up to 1 MiB (a larger one is replaced by a value that nobody can read), and is sent in the new field `unread`, which hosts of the version before neither send nor miss. It is forgotten when a later record can be read or deletes the key, or when a read of all records does not have it; pages of other hosts don't count as such a read, as hosts of the version before drop it. A record that is no text is sent encoded; for a host that reads no encoded records the update is marked as no proof. A host that starts, reads the store and finds only a record that it can't read asks others for all records, as they may have the last readable one.

"config: rejected" is logged once for each record instead of at each read of all records, and `skylarkdock_records_ignored_total` counts it once. `skylarkdock_config_unread` shows it for as long as it lasts.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: it keeps the state that this host knows of the fleet, renews grants and, on the leader, changes
 //! the owners of keys.
 
+pub mod config_page;
 mod directory;
 mod election;
 pub mod encoded;
@@ -165,6 +166,8 @@
     config: Option<Arc<Config>>,
     /// Time from which on the configuration may have been published; zero without one.
     config_published_after: HostTime,
+    /// Newest record of the configuration, if this host can't read it.
+    unread_config: Option<config_page::UnreadRecord>,
     registry: Registry,
     hosts: FastMap<HostId, HostRecord>,
     /// The other hosts as published; `None` if the host records have changed since.
@@ -190,6 +193,7 @@
         Self {
             config: None,
             config_published_after: HostTime(0),
+            unread_config: None,
             registry: Registry::new(heartbeat),
             hosts: FastMap::default(),
             published_peers: None,
@@ -387,6 +391,8 @@
         let owners = self.owners.borrow();
         let version = fleet.config.as_ref().map_or(0, |config| config.version);
         gauge!("skylarkdock_config_version").set(version as f64);
+        let is_unread = fleet.unread_config.is_some();
+        gauge!("skylarkdock_config_unread").set(f64::from(u8::from(is_unread)));
         for (topic, name) in TOPIC_LABELS {
             let age = now.since(fleet.known_records.proof_at(topic)).duration().as_secs_f64();
             gauge!("skylarkdock_belief_age_seconds", "topic" => name).set(age);
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -1,11 +1,11 @@
 //! Synchronization with the store: reads of the operators' configuration, the registry of upstreams and the fleet
 //! topic, and writes of ownership tables to the fleet topic.
 
+use super::config_page::ConfigPage;
 use super::registry::{Registry, RegistryChange, RegistryPage};
 use super::{Control, FleetState, HOST_PREFIX, HostRecord};
 use crate::clock;
 use crate::store::{Page, Record, StoreError, Topic};
-use crate::view::Config;
 use async_io::Timer;
 use metrics::counter;
 use skylarkdock_freshness::reading::{self, Knowledge, Records};
@@ -310,13 +310,13 @@
             Topic::Config => {
                 // An invalid configuration must not replace a valid one, neither here nor on hosts that get updates
                 // from this one.
-                let records = self.apply_config(&page).into_iter().collect();
-                let page = Page { records, next: page.next };
-                let version = {
-                    let mut fleet = self.fleet.borrow_mut();
-                    fleet.known_records.record_page(topic, &page, false, asked_at);
-                    fleet.config.as_ref().map_or(0, |config| config.version)
-                };
+                let next = page.next;
+                let records = self.apply_config(page, is_whole).into_iter().collect();
+                let mut fleet = self.fleet.borrow_mut();
+                // The record counts as known even if it can't be read: reading it once more would not help.
+                let page = Page { records, next };
+                fleet.known_records.record_page(topic, &page, false, asked_at);
+                let version = fleet.config.as_ref().map_or(0, |config| config.version);
                 self.status.set_config_proof(asked_at, version);
             }
             Topic::Upstreams => {
@@ -336,26 +336,26 @@
     }
 
     /// Puts the newest valid configuration of a page in force and returns its record; `None` if the page has none or
-    /// the one in force is newer.
-    fn apply_config(&self, page: &Page) -> Option<Record> {
-        let mut newest: Option<(&Record, Config)> = None;
-        for record in &page.records {
-            match (self.store.decode_config)(record) {
-                Ok(Some(config)) => {
-                    if newest.as_ref().is_none_or(|(_, known)| known.version < config.version) {
-                        newest = Some((record, config));
-                    }
-                }
-                Ok(None) => {}
-                Err(e) => {
-                    counter!("skylarkdock_records_ignored_total", "topic" => "config").increment(1);
-                    log::error!(key = record.key.as_str(), error:% = e; "config: rejected");
-                }
-            }
+    /// the one in force is newer. With `is_whole` the page has the newest record of each key.
+    fn apply_config(&self, page: Page, is_whole: bool) -> Option<Record> {
+        let known = self.fleet.borrow_mut().unread_config.take();
+        let was_unread = known.is_some();
+        let page = ConfigPage::read(page, is_whole, known, self.store.decode_config);
+        for (record, e) in &page.rejected {
+            counter!("skylarkdock_records_ignored_total", "topic" => "config").increment(1);
+            log::error!(key = record.key.as_str(), error:% = e; "config: rejected");
+        }
+        if was_unread && page.unread.is_none() {
+            log::info!("config: the record that could not be read has been replaced");
+        }
+        let has_unread_news = !page.rejected.is_empty();
+        self.fleet.borrow_mut().unread_config = page.unread;
+        if has_unread_news {
+            self.changed.notify(usize::MAX);
         }
         let known = self.fleet.borrow().config.as_ref().map_or(0, |known| known.version);
-        let newest = newest.filter(|(_, config)| config.version >= known);
-        newest.map(|(record, config)| {
+        let newest = page.newest.filter(|(config, _)| config.version >= known);
+        newest.map(|(config, record)| {
             if known < config.version {
                 log::info!(version = config.version, routes = config.routes.len(); "config: in force");
                 let absent_at = self.fleet.borrow().known_records.proof_at(Topic::Config);
@@ -363,7 +363,7 @@
                 self.fleet.borrow_mut().config = Some(Arc::new(config));
                 self.publish();
             }
-            record.clone()
+            record
         })
     }
 
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -11,6 +11,7 @@
 //! leads. So updates also say whether the sender's own reads fail, and how long ago the store accepted a leader's
 //! heartbeat.
 
+use super::config_page::UnreadRecord;
 use super::encoded::{self, EncodedRecord, EncodedRecordError, Versions};
 use super::known_records::KnownRecords;
 use super::registry::{KeptEntry, RegistryChange};
@@ -91,6 +92,10 @@
     /// Large records that it may not know.
     #[serde(default)]
     encoded: Vec<EncodedRecord>,
+    /// Newest record of the configuration, if the answering host can't read it and the requesting host may not know it.
+    /// `None` from a host of an earlier version, which drops such a record.
+    #[serde(default)]
+    unread: Option<EncodedRecord>,
 }
 
 /// Answer to a request for updates.
@@ -200,8 +205,15 @@
         || known.fleet.next > request.fleet
 }
 
+impl TopicUpdate {
+    /// Marks an update that lacks a record as no proof of anything, so that it is not applied.
+    fn invalidate(&mut self) {
+        self.age = Millis(u64::MAX);
+    }
+}
+
 /// Returns the update of a topic for a host that knows its records before the offset `next`. With `have`, the keys and
-/// hashes of the versions that it has, large records are encoded.
+/// hashes of the versions that it has, large records are encoded, and those that are no text.
 fn topic_update(
     known: &mut KnownRecords,
     topic: Topic,
@@ -216,6 +228,7 @@
         is_whole: next == 0,
         records: Vec::new(),
         encoded: Vec::new(),
+        unread: None,
     };
     for (key, (value, _)) in topic.records.iter().filter(|(_, (_, offset))| *offset > next) {
         if let Some(have) = have
@@ -229,11 +242,29 @@
         }
         if let Ok(text) = std::str::from_utf8(value) {
             update.records.push((key.clone(), text.to_owned()));
+            continue;
+        }
+        match have.and_then(|_| Versions::default().encode(key, value, 0)) {
+            Some(record) => update.encoded.push(record),
+            None => {
+                log::warn!(key = key.as_str(); "news: a record can't be sent to another host");
+                update.invalidate();
+            }
         }
     }
     update
 }
 
+/// Adds the newest record of the configuration to an update, if this host can't read it: the requesting host may be able
+/// to, and must not take the last readable one for the newest otherwise.
+fn add_unread(update: &mut TopicUpdate, unread: Option<&UnreadRecord>, next: u64) {
+    let Some(unread) = unread.filter(|unread| unread.offset > next) else { return };
+    update.unread = unread.encode();
+    if update.unread.is_none() {
+        update.invalidate();
+    }
+}
+
 /// Starts the task that requests updates.
 pub(super) fn start(control: &Rc<Control>) {
     control.spawn("updates", Rc::clone(control).poll_updates());
@@ -265,8 +296,9 @@
         let mut fleet = self.fleet.borrow_mut();
         let have = request.versions.as_deref();
         let known = &mut fleet.known_records;
-        let config = topic_update(known, Topic::Config, request.config, have, now);
+        let mut config = topic_update(known, Topic::Config, request.config, have, now);
         let fleet_topic = topic_update(known, Topic::Fleet, request.fleet, have, now);
+        add_unread(&mut config, fleet.unread_config.as_ref(), request.config);
         let known = &fleet.known_records;
         let missing = known.version.checked_sub(request.version);
         let missing = missing.and_then(|count| usize::try_from(count).ok());
@@ -361,7 +393,9 @@
                         self.publish_together(|| self.apply_updates(response, now, fits));
                     known = if is_newer { received } else { (0, 0) };
                     Timer::after(self.request_pause().duration()).await;
-                    if !is_newer || is_late_again || self.is_isolated(clock::now(), false) {
+                    let lacks_config = self.lacks_readable_config();
+                    let is_late = is_late_again || self.is_isolated(clock::now(), false);
+                    if !is_newer || is_late || lacks_config {
                         // Another request would be answered at once, and probably with the same records.
                         Timer::after(ISOLATED_PAUSE.duration()).await;
                     }
@@ -386,13 +420,20 @@
         Millis(hosts / HOSTS_PER_MILLI).min(MAX_REQUEST_PAUSE)
     }
 
+    /// Returns whether this host has no configuration, as the newest record of the store can't be read. Another host may
+    /// have the last readable one.
+    fn lacks_readable_config(&self) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet.config.is_none() && fleet.unread_config.is_some()
+    }
+
     fn update_request(&self, (run, version): (u64, u64)) -> UpdateRequest {
         let fleet = self.fleet.borrow();
         UpdateRequest {
             host: Some(self.settings.host.clone()),
             run,
             version,
-            config: fleet.known_records.config.next,
+            config: if self.lacks_readable_config() { 0 } else { fleet.known_records.config.next },
             fleet: fleet.known_records.fleet.next,
             granted: self.owners.borrow().unrecorded_grants(),
             wait: UPDATE_WAIT,
@@ -440,11 +481,15 @@
         }
         let known_config = self.config_version();
         let absent_at = self.fleet.borrow().known_records.proof_at(Topic::Config);
+        let has_unread = response.config.unread.is_some();
         let mut is_decoded = true;
         for (topic, update) in [(Topic::Config, response.config), (Topic::Fleet, response.fleet)] {
             is_decoded &= self.apply_topic_update(topic, update, proof);
         }
+        // The other host's time is not that of a record which only this one can read.
+        let has_read_unread = has_unread && self.fleet.borrow().unread_config.is_none();
         if known_config < self.config_version()
+            && !has_read_unread
             && let Some(age) = response.config_age
         {
             self.record_config_publication(absent_at, Some(proof(age)));
@@ -483,11 +528,13 @@
         if proof_at <= known_at || update.next < next || update.next == 0 {
             return true;
         }
-        let is_whole = update.is_whole;
+        // The other host may be one that drops configurations which it can't read, so its page may lack a record.
+        let is_whole = update.is_whole && topic != Topic::Config;
         let records = update.records.into_iter();
         let mut records: Vec<Record> =
             records.map(|(key, text)| Record { key, value: text.into_bytes() }).collect();
-        for record in update.encoded {
+        // The one that the other host can't read is the newest.
+        for record in update.encoded.into_iter().chain(update.unread) {
             match self.decode_record(&record) {
                 Ok(value) => records.push(Record { key: record.key, value }),
                 Err(e) => {
