Hold no configuration for current behind one that can't be read

Callers got 404 for routes of the newest configuration from a host that could not read it: a read that returned nothing but a rejected record was recorded as proof that the configuration in force is the newest one, so that the guard of final answers let the 404 through. Hosts that are kept up to date by such a host did the same.

There is a proof now only if the newest record of the store can be read. "The store had nothing newer at that time" is kept apart from it: it decides who reads the store, holds for a record that can't be read as before, and nothing about reads changes. The host goes on serving what the known configuration routes and stays ready; what would be a final answer is a 503 with Retry-After once the last proof is older than the apply time. If other hosts can read the record, their claims are not refuted any more, and the host refuses requests as one that is out of date.

--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -316,8 +316,10 @@
                 // The record counts as known even if it can't be read: reading it once more would not help.
                 let page = Page { records, next };
                 fleet.known_records.record_page(topic, &page, false, asked_at);
-                let version = fleet.config.as_ref().map_or(0, |config| config.version);
-                self.status.set_config_proof(asked_at, version);
+                if fleet.unread_config.is_none() {
+                    let version = fleet.config.as_ref().map_or(0, |config| config.version);
+                    self.status.set_config_proof(asked_at, version);
+                }
             }
             Topic::Upstreams => {
                 if is_whole || !page.records.is_empty() {
--- a/crates/edge/tests/unread_config.rs
+++ b/crates/edge/tests/unread_config.rs
@@ -263,6 +263,30 @@
     });
 }
 
+#[rstest]
+#[case::text("no number".as_bytes().to_vec())]
+#[case::no_text(BINARY.to_vec())]
+#[case::large([b"\xff", &*vec![b'7'; 200_000]].concat())]
+#[case::too_large_to_pass_on(vec![b'x'; 2_000_000])]
+fn hosts_that_cannot_read_a_configuration_have_no_proof(#[case] value: Vec<u8>) {
+    with_follower((decode_text, decode_text), |log, leader, follower| async move {
+        let first = clock::now();
+        wait_until("proven", || follower.is_proven_after(first)).await;
+        log.put(Topic::Config, "config", &value);
+        // Reads and requests that were under way end, and several begin after that.
+        Timer::after(Duration::from_secs(1)).await;
+        let now = clock::now();
+        Timer::after(Duration::from_secs(1)).await;
+        assert!(!leader.is_proven_after(now) && !follower.is_proven_after(now));
+        assert_eq!((leader.version(), follower.version()), (1, 1));
+        log.put(Topic::Config, "config", b"3");
+        wait_until("in force", || leader.version() == 3 && follower.version() == 3).await;
+        let now = clock::now();
+        let is_proven = || leader.is_proven_after(now) && follower.is_proven_after(now);
+        wait_until("proven again", is_proven).await;
+    });
+}
+
 /// A host that starts behind a configuration that nobody can read gets the last readable one, also if it has read the store
 /// before it asks another host.
 #[rstest]
