Keep the proportions of a split with large weights

A split whose weights add up to more than some 2^32 overflowed a u64 when a service was picked: a panic of the connection's task in a checked build, and any part otherwise. Below that, the stride of 618 thousandths of the sum returns to nearly the same place after 500 picks, so a part of a thousandth of a large sum got all or nothing of its share for a long time.

The product is made in 128 bits, and the stride is near the golden section to 64 bits, whose multiples spread evenly however many there are. Each run of as many requests as the sum of the weights still matches them exactly.

All shares are within 0.0005 now.

--- a/crates/dispatch/src/traffic_split.rs
+++ b/crates/dispatch/src/traffic_split.rs
@@ -2,6 +2,9 @@
 
 use skylarkdock_units::ids::ServiceName;
 
+/// Golden section of 2^64. Multiples of a fraction near it are spread evenly, however few or many there are.
+const GOLDEN_SECTION: u128 = 0x9e37_79b9_7f4a_7c15;
+
 /// A service and its share of a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WeightedService {
@@ -46,8 +49,10 @@
     /// Steps through the cumulative weights with a stride coprime to their sum. Each run of as many requests as that
     /// sum matches the weights exactly, and no service gets its share as one block.
     pub fn pick(&self, count: u64) -> &ServiceName {
-        let stride = stride(self.total_weight);
-        let mut offset = (count % self.total_weight) * stride % self.total_weight;
+        let total = u128::from(self.total_weight);
+        let product = u128::from(count % self.total_weight) * u128::from(stride(self.total_weight));
+        // Below the sum of the weights, so it fits.
+        let mut offset = u64::try_from(product % total).unwrap_or_default();
         for entry in &self.services {
             let weight = u64::from(entry.weight);
             if offset < weight {
@@ -61,10 +66,10 @@
 
 /// Returns a number coprime to `total_weight` near its golden section, which spreads consecutive multiples evenly.
 fn stride(total_weight: u64) -> u64 {
-    let golden_section = total_weight.saturating_mul(618) / 1000;
-    (golden_section.max(1)..=golden_section.max(1) + total_weight)
-        .find(|candidate| gcd(*candidate, total_weight) == 1)
-        .unwrap_or(1)
+    let golden_section = (u128::from(total_weight) * GOLDEN_SECTION) >> 64;
+    // One of the next few numbers is coprime, whatever the sum.
+    let first = u64::try_from(golden_section).unwrap_or_default().max(1);
+    (first..total_weight).find(|candidate| gcd(*candidate, total_weight) == 1).unwrap_or(1)
 }
 
 const fn gcd(a: u64, b: u64) -> u64 {
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -68,6 +68,33 @@
     assert!(first.abs_diff(weights[0] as usize / 2) <= 2, "{first}");
 }
 
+/// Guards against an overflow, and against a small part that gets nothing for a long time.
+#[rstest]
+#[case::equal(&[u32::MAX, u32::MAX])]
+#[case::one_large(&[u32::MAX, 1])]
+#[case::many(&[u32::MAX; 40])]
+#[case::thousandth(&[999_000_000, 1_000_000])]
+#[case::sum_with_many_factors(&[4_000_000_000, 2_469_693_230])]
+fn a_split_with_large_weights_keeps_their_proportions(
+    #[case] weights: &[u32],
+    #[values(0, 1 << 32, u64::MAX - 20_000)] first: u64,
+) {
+    const PICKS: u64 = 10_000;
+    let parts = weights.iter().enumerate().map(|(index, weight)| WeightedService {
+        service: service(&format!("s{index}")),
+        weight: *weight,
+    });
+    let split = TrafficSplit::new(parts.collect()).unwrap();
+    let picks: Vec<&ServiceName> = (first..first + PICKS).map(|count| split.pick(count)).collect();
+    let total: f64 = weights.iter().copied().map(f64::from).sum();
+    for (index, weight) in weights.iter().enumerate() {
+        let name = service(&format!("s{index}"));
+        let share = picks.iter().filter(|pick| ***pick == name).count() as f64 / PICKS as f64;
+        let error = (share - f64::from(*weight) / total).abs();
+        assert!(error < 0.000_5, "{share} of service {index}");
+    }
+}
+
 #[test]
 fn a_split_among_some_services_keeps_their_weights() {
     let parts = [("s0", 3), ("s1", 2), ("s2", 1)];
