Accept the values of a configuration whose meaning is plain

One value that the decoder rejects keeps the whole version out of force, on all hosts.

Weights are proportions, so they are scaled to whole numbers if they are not whole or too large.

--- a/crates/dispatch/src/traffic_split.rs
+++ b/crates/dispatch/src/traffic_split.rs
@@ -2,6 +2,8 @@
 
 use skylarkdock_units::ids::ServiceName;
 
+/// Largest weight of a split whose weights had to be scaled to whole numbers.
+const MAX_SCALED_WEIGHT: f64 = 1e9;
 /// Golden section of 2^64. Multiples of a fraction near it are spread evenly, however few or many there are.
 const GOLDEN_SECTION: u128 = 0x9e37_79b9_7f4a_7c15;
 
@@ -28,6 +30,27 @@
         (total_weight > 0).then_some(Self { services, total_weight })
     }
 
+    /// Returns whole weights in the same proportions: those given, if all are whole and fit, or else scaled ones. A weight
+    /// above 0 stays above 0. Returns `None` if a weight is negative or not finite.
+    pub fn whole_weights(weights: &[f64]) -> Option<Vec<u32>> {
+        if weights.iter().any(|weight| !weight.is_finite() || *weight < 0.0) {
+            return None;
+        }
+        let max = weights.iter().copied().fold(0.0, f64::max);
+        let fit = max <= f64::from(u32::MAX) && weights.iter().all(|weight| weight.fract() == 0.0);
+        let scale = |weight: f64| match weight {
+            _ if fit => weight,
+            0.0 => 0.0,
+            _ => (weight / max * MAX_SCALED_WEIGHT).round().max(1.0),
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "both bounds are checked"
+        )]
+        Some(weights.iter().map(|weight| scale(*weight) as u32).collect())
+    }
+
     /// Builds a split that sends all requests to one service.
     pub fn single(service: ServiceName) -> Self {
         Self { services: vec![WeightedService { service, weight: 1 }], total_weight: 1 }
