--- a/crates/dispatch/src/traffic_split.rs
+++ b/crates/dispatch/src/traffic_split.rs
@@ -2,6 +2,11 @@
 
 use skylarkdock_units::ids::ServiceName;
 
+/// Largest weight of a split whose weights had to be scaled to whole numbers.
+const MAX_SCALED_WEIGHT: f64 = 1e9;
+/// Golden section of 2^64. Multiples of a fraction near it are spread evenly, however few or many there are.
+const GOLDEN_SECTION: u128 = 0x9e37_79b9_7f4a_7c15;
+
 /// A service and its share of a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WeightedService {
@@ -25,6 +30,27 @@
         (total_weight > 0).then_some(Self { services, total_weight })
     }
 
+    /// Returns whole weights in the same proportions: those given, if all are whole and fit, or else scaled ones. A weight
+    /// above 0 stays above 0. Returns `None` if a weight is negative or not finite.
+    pub fn whole_weights(weights: &[f64]) -> Option<Vec<u32>> {
+        if weights.iter().any(|weight| !weight.is_finite() || *weight < 0.0) {
+            return None;
+        }
+        let max = weights.iter().copied().fold(0.0, f64::max);
+        let fit = max <= f64::from(u32::MAX) && weights.iter().all(|weight| weight.fract() == 0.0);
+        let scale = |weight: f64| match weight {
+            _ if fit => weight,
+            0.0 => 0.0,
+            _ => (weight / max * MAX_SCALED_WEIGHT).round().max(1.0),
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "both bounds are checked"
+        )]
+        Some(weights.iter().map(|weight| scale(*weight) as u32).collect())
+    }
+
     /// Builds a split that sends all requests to one service.
     pub fn single(service: ServiceName) -> Self {
         Self { services: vec![WeightedService { service, weight: 1 }], total_weight: 1 }
@@ -46,8 +72,10 @@
     /// Steps through the cumulative weights with a stride coprime to their sum. Each run of as many requests as that
     /// sum matches the weights exactly, and no service gets its share as one block.
     pub fn pick(&self, count: u64) -> &ServiceName {
-        let stride = stride(self.total_weight);
-        let mut offset = (count % self.total_weight) * stride % self.total_weight;
+        let total = u128::from(self.total_weight);
+        let product = u128::from(count % self.total_weight) * u128::from(stride(self.total_weight));
+        // Below the sum of the weights, so it fits.
+        let mut offset = u64::try_from(product % total).unwrap_or_default();
         for entry in &self.services {
             let weight = u64::from(entry.weight);
             if offset < weight {
@@ -61,10 +89,10 @@
 
 /// Returns a number coprime to `total_weight` near its golden section, which spreads consecutive multiples evenly.
 fn stride(total_weight: u64) -> u64 {
-    let golden_section = total_weight.saturating_mul(618) / 1000;
-    (golden_section.max(1)..=golden_section.max(1) + total_weight)
-        .find(|candidate| gcd(*candidate, total_weight) == 1)
-        .unwrap_or(1)
+    let golden_section = (u128::from(total_weight) * GOLDEN_SECTION) >> 64;
+    // One of the next few numbers is coprime, whatever the sum.
+    let first = u64::try_from(golden_section).unwrap_or_default().max(1);
+    (first..total_weight).find(|candidate| gcd(*candidate, total_weight) == 1).unwrap_or(1)
 }
 
 const fn gcd(a: u64, b: u64) -> u64 {
