Fetch a newer configuration from a host that told of it

Callers saw 503 with reason config_outdated for all requests of a host, although it reached hosts that had had the newer configuration for seconds.

The record itself came only with updates of its source or a read of the store. Where both are silent the host waited for call limits, for the search of another source, and in a region of its own for good: hosts that are no keepers ask their own region only.

A host now asks a host that claims to have the version, over a call of its own (/config; a host of the version before answers 404, and another is asked). Whom and when is decided in freshness::fetching, without I/O: near hosts before far ones; a version younger than 60 % of the apply time is left to updates for 400 ms; one call at a time; after 250 ms without a byte the next host is asked; pauses for each host double from 100 ms to 3.2 s. Four hosts of a region may ask another region at once, 8, 16, ... further ones after 200 ms each, if none has told the others by then. A host answers at most 16 requests or begins no answer after 64 KiB in 100 ms. Answers carry the same encoding of differences as updates.

Updates skip records that come with an older proof than the receiver's own; a fetched record with a later offset is taken also then, as the own proof says nothing about it.

--- /dev/null
+++ b/crates/edge/src/control/config_fetch.rs
@@ -0,0 +1,280 @@
+//! Calls for a configuration of which this host was told by others.
+//!
+//! Updates bring configurations as long as their source answers. A notice of a newer version also says which hosts have it, so
+//! this host asks one of them, also while it waits for its source or for the store.
+
+use super::encoded::EncodedRecordError;
+use super::updates::{self, TopicUpdate};
+use super::{Control, HostRecord, peers};
+use crate::client::{ControlClient, Failure, Patience};
+use crate::clock;
+use crate::load_reports::NameHash;
+use crate::store::{Page, Record, Topic};
+use async_io::Timer;
+use futures_lite::FutureExt;
+use metrics::counter;
+use serde::{Deserialize, Serialize};
+use skylarkdock_deltas::{self as deltas, DeltaError};
+use skylarkdock_freshness::fetching::{Distance, FarTurn, Fetching, Step, UrgentAge};
+use skylarkdock_freshness::proof;
+use skylarkdock_freshness::versions::Origin;
+use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::times::{HostTime, Millis};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use thiserror::Error;
+
+/// Path of a request for the configuration. Hosts of the version before answer it with 404.
+pub(super) const CONFIG_PATH: &str = "/config";
+/// Time limits of a request for the configuration: its silence, well below the time for which hosts without a version refuse
+/// requests, and the time that the largest answer may take.
+const FETCH_PATIENCE: Patience = Patience { silence: Millis(250), total: Millis(3_000) };
+
+/// Request for a newer configuration than the sender has. It is answered at once.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct ConfigRequest {
+    /// Offset after the last configuration record that the requesting host knows.
+    next: u64,
+    /// Keys of the large records that it has, and the hashes of its versions.
+    versions: Vec<(String, u64)>,
+}
+
+/// Answer to a request for the configuration.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct ConfigResponse {
+    config: TopicUpdate,
+    /// Longest time for which the configuration in force may have been published.
+    config_age: Millis,
+}
+
+/// Result of a request for the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fetched {
+    /// A newer configuration is in force.
+    InForce,
+    /// Updates or a read of the store brought it during the call.
+    CameOtherwise,
+}
+
+/// Reason for which a request for the configuration did not bring a newer one.
+#[derive(Debug, Error)]
+enum FetchError {
+    #[error("no answer")]
+    Call(#[source] Failure),
+    #[error("can't decompress the answer")]
+    Compression(#[source] DeltaError),
+    #[error("can't parse the answer")]
+    Text(#[source] serde_json::Error),
+    #[error("can't decode a record")]
+    Record(#[source] EncodedRecordError),
+    #[error("the host has no newer one")]
+    NothingNewer,
+    #[error("the newer one can't be put in force")]
+    Rejected,
+}
+
+impl FetchError {
+    /// Returns the value of the label `result` in metrics.
+    const fn label(&self) -> &'static str {
+        match self {
+            Self::Call(_) => "no_answer",
+            Self::Compression(_) | Self::Text(_) | Self::Record(_) => "undecodable",
+            Self::NothingNewer => "nothing_newer",
+            Self::Rejected => "rejected",
+        }
+    }
+}
+
+/// Starts the task that fetches configurations.
+pub(super) fn start(control: &Rc<Control>) {
+    control.spawn("config fetch", Rc::clone(control).fetch_configs());
+}
+
+fn origin(record: &HostRecord) -> Origin {
+    Origin(NameHash::of(record.host.as_str()).0)
+}
+
+impl Control {
+    /// Answers a request for the configuration. Returns `None` if this host has sent as many answers lately as it may.
+    pub(super) fn on_config_request(&self, request: &ConfigRequest) -> Option<ConfigResponse> {
+        let now = clock::now();
+        if !self.config_answers.borrow_mut().admits(now) {
+            counter!("skylarkdock_config_requests_refused_total").increment(1);
+            log::debug!("config: too many hosts ask for it");
+            return None;
+        }
+        let mut fleet = self.fleet.borrow_mut();
+        let config_age = now.since(fleet.config_published_after);
+        let known = &mut fleet.known_records;
+        let have = Some(request.versions.as_slice());
+        let config = updates::topic_update(known, Topic::Config, request.next, have, now);
+        Some(ConfigResponse { config, config_age })
+    }
+
+    /// Compresses an answer to a request for the configuration and counts its size.
+    pub(super) fn compress_config(&self, answer: Vec<u8>) -> Vec<u8> {
+        let answer = updates::compress(answer);
+        self.config_answers.borrow_mut().record(answer.len(), clock::now());
+        answer
+    }
+
+    /// Fetches configurations in an endless loop, with one call at a time.
+    async fn fetch_configs(self: Rc<Self>) {
+        let own = Origin(NameHash::of(self.settings.host.as_str()).0);
+        let mut fetching = Fetching::new(own, UrgentAge::new(self.settings.apply_time));
+        let mut needs_whole = false;
+        loop {
+            let added = self.status.version_claims().listen();
+            let now = clock::now();
+            fetching.on_in_force(self.config_version());
+            for claim in self.status.version_claims().take() {
+                fetching.on_claim(claim.origin, claim.version, claim.since, now);
+            }
+            match self.next_step(&fetching, own, now) {
+                Step::Ask((origin, addr)) => {
+                    let result = self.fetch_config(addr, needs_whole).await;
+                    needs_whole = matches!(result, Err(FetchError::Record(_)));
+                    record_fetch(addr, now, self.config_version(), &result);
+                    if result.is_err() {
+                        fetching.on_failure(origin, clock::now());
+                    }
+                }
+                Step::WaitUntil(at) => {
+                    let due = async {
+                        Timer::at(clock::instant(at)).await;
+                    };
+                    added.or(due).await;
+                }
+                Step::Idle => added.await,
+            }
+        }
+    }
+
+    /// Returns what to do next, with the address of the host to ask.
+    fn next_step(
+        &self,
+        fetching: &Fetching,
+        own: Origin,
+        now: HostTime,
+    ) -> Step<(Origin, SocketAddr)> {
+        let Some(newest) = fetching.newest() else { return Step::Idle };
+        let fleet = self.fleet.borrow();
+        let places: FastMap<Origin, (Distance, SocketAddr)> = fleet
+            .hosts
+            .values()
+            .map(|record| (origin(record), (self.distance(record), record.peers)))
+            .collect();
+        let near = places.iter().filter(|(_, (distance, _))| *distance != Distance::Far);
+        let far_turn = FarTurn::new(own, near.map(|(origin, _)| *origin), newest);
+        let place = |origin| {
+            let (distance, addr) = places.get(&origin)?;
+            Some((*distance, (origin, *addr)))
+        };
+        fetching.next(place, far_turn, now)
+    }
+
+    fn distance(&self, record: &HostRecord) -> Distance {
+        if record.zone == self.settings.zone {
+            Distance::Zone
+        } else if record.region == self.settings.region {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
+    }
+
+    /// Requests the configuration from another host and puts it in force if it is newer.
+    async fn fetch_config(
+        &self,
+        addr: SocketAddr,
+        needs_whole: bool,
+    ) -> Result<Fetched, FetchError> {
+        let asked_at = clock::now();
+        let request = self.config_request(needs_whole);
+        let mut caller = ControlClient::new(addr);
+        let body = peers::call(&mut caller, CONFIG_PATH, &request, FETCH_PATIENCE).await;
+        let body = body.map_err(FetchError::Call)?;
+        let text = if deltas::is_compressed(&body) {
+            deltas::decompress(&body).map_err(FetchError::Compression)?
+        } else {
+            body
+        };
+        let response = serde_json::from_slice(&text).map_err(FetchError::Text)?;
+        self.apply_fetched(response, request.next, asked_at)
+    }
+
+    fn config_request(&self, needs_whole: bool) -> ConfigRequest {
+        let fleet = self.fleet.borrow();
+        let known = &fleet.known_records;
+        let mut versions = Vec::new();
+        if !needs_whole {
+            let large = known.versions.iter();
+            let of_config = large.filter(|(key, _)| known.config.records.contains_key(*key));
+            versions.extend(of_config.map(|(key, versions)| (key.clone(), versions.newest())));
+        }
+        ConfigRequest { next: known.config.next, versions }
+    }
+
+    /// Applies the records of an answer to a request from the offset `known_next` on, also if the proof of the other host is older:
+    /// it holds for less, but what this host lacks is newer than what its own proof was about.
+    fn apply_fetched(
+        &self,
+        response: ConfigResponse,
+        known_next: u64,
+        asked_at: HostTime,
+    ) -> Result<Fetched, FetchError> {
+        let ConfigResponse { config, config_age } = response;
+        let (next, absent_at) = {
+            let fleet = self.fleet.borrow();
+            (fleet.known_records.config.next, fleet.known_records.proof_at(Topic::Config))
+        };
+        if next > known_next {
+            return Ok(Fetched::CameOtherwise);
+        }
+        if config.next <= next {
+            return Err(FetchError::NothingNewer);
+        }
+        let texts = config.records.into_iter();
+        let mut records: Vec<Record> =
+            texts.map(|(key, text)| Record { key, value: text.into_bytes() }).collect();
+        for record in config.encoded {
+            let value = self.decode_record(&record).map_err(FetchError::Record)?;
+            records.push(Record { key: record.key, value });
+        }
+        let proof = |age| proof::passed_on(asked_at, Millis(0), age);
+        let before = self.config_version();
+        self.publish_together(|| {
+            let page = Page { records, next: config.next };
+            self.apply_page(Topic::Config, page, config.is_whole, proof(config.age));
+            if before < self.config_version() {
+                self.record_config_publication(absent_at, Some(proof(config_age)));
+            }
+        });
+        if before < self.config_version() {
+            Ok(Fetched::InForce)
+        } else {
+            Err(FetchError::Rejected)
+        }
+    }
+}
+
+fn record_fetch(
+    addr: SocketAddr,
+    asked_at: HostTime,
+    version: u64,
+    result: &Result<Fetched, FetchError>,
+) {
+    let took = clock::now().since(asked_at);
+    let label = match result {
+        Ok(Fetched::CameOtherwise) => "came_otherwise",
+        Ok(Fetched::InForce) => {
+            log::info!(peer:% = addr, version = version, took:% = took; "config: fetched from a host that told of it");
+            "newer"
+        }
+        Err(e) => {
+            log::info!(peer:% = addr, version = version, took:% = took, error:% = e; "config: a host that told of a newer one did not send it");
+            e.label()
+        }
+    };
+    counter!("skylarkdock_config_fetches_total", "result" => label).increment(1);
+}
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: it keeps the state that this host knows of the fleet, renews grants and, on the leader, changes
 //! the owners of keys.
 
+mod config_fetch;
 mod directory;
 mod election;
 pub mod encoded;
@@ -36,6 +37,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use registry::Registry;
 use serde::{Deserialize, Serialize};
+use skylarkdock_freshness::fetching::RecentAnswers;
 use skylarkdock_freshness::reading::Limits;
 use skylarkdock_spans::leader::{Leader, SpanId};
 use skylarkdock_spans::load::KeyLoad;
@@ -136,6 +138,8 @@
     is_source_late: Cell<bool>,
     /// When each host last requested updates from this one.
     followers: RefCell<BTreeMap<HostId, HostTime>>,
+    /// Answers to hosts that asked this one for its configuration, as it told them of it.
+    config_answers: RefCell<RecentAnswers>,
     /// Number of this host among those that request updates from its source; random before it has one.
     follower_number: Cell<u32>,
     /// Shortest read of the registry so far. Shows whether the store is in this host's region.
@@ -330,6 +334,7 @@
             stale_sources: RefCell::default(),
             is_source_late: Cell::default(),
             followers: RefCell::default(),
+            config_answers: RefCell::default(),
             follower_number: Cell::new(fastrand::u32(..UNKNOWN_FOLLOWERS)),
             min_store_latency: Cell::new(Millis(u64::MAX)),
             lateness: lateness::Lateness::default(),
@@ -351,6 +356,7 @@
         owners::start(&control, samples);
         peers::start(&control, Rc::new(ListenerState::default()));
         updates::start(&control);
+        config_fetch::start(&control);
         lateness::start(&control);
         control
     }
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -1,6 +1,7 @@
 //! Calls between hosts: the server and client of the peer address.
 
 use super::Control;
+use super::config_fetch::{CONFIG_PATH, ConfigRequest};
 use super::directory::{DIRECTORY_PATH, DirectoryRequest};
 use super::owners::RELEASE_TIMEOUT;
 use super::updates::{self, UpdateRequest};
@@ -92,6 +93,15 @@
                 }
                 Err(e) => Err(e),
             },
+            CONFIG_PATH => match serde_json::from_slice::<ConfigRequest>(&req.body) {
+                Ok(request) => match self.on_config_request(&request) {
+                    Some(response) => {
+                        Ok(encode(&response).map(|answer| self.compress_config(answer)))
+                    }
+                    None => return Answer::empty(503),
+                },
+                Err(e) => Err(e),
+            },
             DIRECTORY_PATH => match serde_json::from_slice::<DirectoryRequest>(&req.body) {
                 Ok(request) => match self.on_directory_request(request).await {
                     Some(hosts) => Ok(encode(&hosts)),
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -79,18 +79,18 @@
 
 /// Update of a topic other than the registry.
 #[derive(Debug, Serialize, Deserialize)]
-struct TopicUpdate {
+pub(super) struct TopicUpdate {
     /// Offset after the last record that the answering host knows.
-    next: u64,
+    pub(super) next: u64,
     /// Time since the latest proof that the store had no newer record of the topic.
-    age: Millis,
+    pub(super) age: Millis,
     /// Whether `records` contain all keys of the topic.
-    is_whole: bool,
+    pub(super) is_whole: bool,
     /// Keys and values that the requesting host may not know.
-    records: Vec<(String, String)>,
+    pub(super) records: Vec<(String, String)>,
     /// Large records that it may not know.
     #[serde(default)]
-    encoded: Vec<EncodedRecord>,
+    pub(super) encoded: Vec<EncodedRecord>,
 }
 
 /// Answer to a request for updates.
@@ -202,7 +202,7 @@
 
 /// Returns the update of a topic for a host that knows its records before the offset `next`. With `have`, the keys and
 /// hashes of the versions that it has, large records are encoded.
-fn topic_update(
+pub(super) fn topic_update(
     known: &mut KnownRecords,
     topic: Topic,
     next: u64,
@@ -462,7 +462,7 @@
     }
 
     /// Returns the version of the configuration in force; zero without one.
-    fn config_version(&self) -> u64 {
+    pub(super) fn config_version(&self) -> u64 {
         self.fleet.borrow().config.as_ref().map_or(0, |config| config.version)
     }
 
@@ -500,7 +500,10 @@
         true
     }
 
-    fn decode_record(&self, record: &EncodedRecord) -> Result<Vec<u8>, EncodedRecordError> {
+    pub(super) fn decode_record(
+        &self,
+        record: &EncodedRecord,
+    ) -> Result<Vec<u8>, EncodedRecordError> {
         let fleet = self.fleet.borrow();
         match fleet.known_records.versions.get(&record.key) {
             Some(versions) => versions.decode(record),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod tasks;
 pub mod traffic;
 pub mod upstreams;
+pub mod version_claims;
 pub mod version_notices;
 pub mod view;
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -3,6 +3,7 @@
 
 use crate::detour::SharedPaths;
 use crate::notices::SharedNotices;
+use crate::version_claims::VersionClaims;
 use event_listener::Event;
 use skylarkdock_freshness::versions::Proof;
 use skylarkdock_units::times::{HostTime, Millis};
@@ -23,6 +24,7 @@
     is_config_outdated: AtomicBool,
     paths: SharedPaths,
     notices: SharedNotices,
+    version_claims: VersionClaims,
     /// First task that has panicked.
     faulty_task: OnceLock<&'static str>,
     /// Notified when `faulty_task` is set.
@@ -49,6 +51,11 @@
         &self.notices
     }
 
+    /// Returns the claims of other hosts that they have a newer configuration.
+    pub const fn version_claims(&self) -> &VersionClaims {
+        &self.version_claims
+    }
+
     /// Returns whether the host has the state that it needs to serve callers.
     pub fn is_ready(&self) -> bool {
         self.is_ready.load(Ordering::Relaxed)
--- a/crates/edge/src/traffic/newer_versions.rs
+++ b/crates/edge/src/traffic/newer_versions.rs
@@ -42,6 +42,7 @@
             Ok(claims) => {
                 let now = clock::now();
                 let mut versions = self.versions.borrow_mut();
+                self.status.version_claims().add(&claims, versions.in_force(), now);
                 claims.into_iter().for_each(|claim| versions.on_claim(claim, now));
             }
             Err(e) => log::debug!("config: can't read a notice of versions: {e}"),
--- /dev/null
+++ b/crates/edge/src/version_claims.rs
@@ -0,0 +1,79 @@
+//! Claims of other hosts that they have a newer configuration, on their way from the traffic thread, which gets the notices, to
+//! the control thread, which fetches the configuration.
+
+use event_listener::{Event, EventListener};
+use skylarkdock_freshness::versions::{Claim, Origin};
+use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::times::HostTime;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Number of hosts whose claims are passed on.
+const MAX_CLAIMANTS: usize = 512;
+
+/// Newest version that a host claims to have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NewerVersion {
+    /// Host that has the version.
+    pub origin: Origin,
+    /// The version.
+    pub version: u64,
+    /// Earliest time at which it may have been published.
+    pub since: HostTime,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Newest version that each host was heard to have, as far as it is newer than the one in force.
+    known: FastMap<Origin, u64>,
+    /// Claims that the control thread has not taken yet.
+    added: Vec<NewerVersion>,
+}
+
+/// Claims of newer versions, shared by the threads of a host.
+#[derive(Debug, Default)]
+pub struct VersionClaims {
+    state: Mutex<State>,
+    /// Notified when a host is heard to have a newer version than before.
+    has_added: Event,
+}
+
+impl VersionClaims {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds those claims of a notice that are newer than the version in force. Repeated ones do not wake the control thread,
+    /// as notices arrive from all hosts in each round.
+    pub fn add(&self, claims: &[Claim], in_force: u64, now: HostTime) {
+        if claims.iter().all(|claim| claim.version <= in_force) {
+            return;
+        }
+        let mut state = self.lock();
+        let State { known, added } = &mut *state;
+        known.retain(|_, version| *version > in_force);
+        let count = added.len();
+        for Claim { origin, version, age } in claims {
+            let is_known = known.get(origin).is_some_and(|known| known >= version);
+            let has_room = known.len() < MAX_CLAIMANTS || known.contains_key(origin);
+            if *version > in_force && !is_known && has_room {
+                known.insert(*origin, *version);
+                added.push(NewerVersion { origin: *origin, version: *version, since: now - *age });
+            }
+        }
+        let has_added = added.len() > count;
+        drop(state);
+        if has_added {
+            self.has_added.notify(usize::MAX);
+        }
+    }
+
+    /// Takes the claims that were added since they were last taken.
+    pub fn take(&self) -> Vec<NewerVersion> {
+        std::mem::take(&mut self.lock().added)
+    }
+
+    /// Returns a listener that is notified when claims are added from now on.
+    pub fn listen(&self) -> EventListener {
+        self.has_added.listen()
+    }
+}
--- /dev/null
+++ b/crates/freshness/src/fetching.rs
@@ -0,0 +1,232 @@
+//! Whom a host asks for a configuration of which it was told, and when.
+//!
+//! Small messages tell a host of a version long before the record arrives if the host's source of updates is cut off or late.
+//! The hosts that claim to have the version can send it at once. Usually the source does so as soon, and all hosts are told at
+//! the same time. So a host leaves a young version to its source for a while, asks near hosts before far ones, and few hosts
+//! of a region ask another region before one of them can have told the others.
+
+use crate::versions::Origin;
+use skylarkdock_units::times::{HostTime, Millis};
+use std::cmp::Reverse;
+use std::collections::VecDeque;
+
+/// Age from which on a version is asked for at once, in percent of the time within which it has to be in force. The rest is
+/// for several calls before requests are refused.
+const URGENT_PERCENT: u64 = 60;
+/// Time after the first claim of a younger version that the source of updates gets to send it. Updates reach all of some
+/// hundred hosts within it.
+const UPDATE_TIME: Millis = Millis(400);
+/// Pause after the first call to a host without success; it doubles with each further one, up to the second value.
+const FIRST_PAUSE: Millis = Millis(100);
+const MAX_PAUSE: Millis = Millis(3_200);
+/// Number of hosts of a region that may ask another region at once. With each further turn the number of those that may has
+/// more than doubled.
+const FIRST_FAR_ASKERS: u32 = 4;
+/// Time between two such turns. A host that has the version tells its region within it.
+const FAR_TURN_TIME: Millis = Millis(200);
+/// Time after which a claim is forgotten. The version may not exist.
+const CLAIM_LIFETIME: Millis = Millis(60_000);
+/// Number of hosts whose claims are kept.
+const MAX_CLAIMANTS: usize = 512;
+
+/// Time of which the answers of a host are counted, and how many answers and bytes a host sends in it: half of the link of
+/// the smallest host.
+const ANSWER_WINDOW: Millis = Millis(100);
+const MAX_ANSWERS: usize = 16;
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// How far a host is from this one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Distance {
+    /// Same availability zone.
+    Zone,
+    /// Same region.
+    Region,
+    /// Another region.
+    Far,
+}
+
+/// Age from which on a version is asked for at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UrgentAge(Millis);
+
+impl UrgentAge {
+    /// Creates the age for the time within which a configuration has to be in force.
+    pub const fn new(apply_time: Millis) -> Self {
+        Self(Millis(apply_time.0 * URGENT_PERCENT / 100))
+    }
+}
+
+/// Place of a host in the order in which the hosts of a region ask another region.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FarTurn(u32);
+
+impl FarTurn {
+    /// Returns the turn of a host among the others of its region. The order differs for each version.
+    pub fn new(own: Origin, others: impl Iterator<Item = Origin>, version: u64) -> Self {
+        let salt = version ^ (version >> 32);
+        let place = |origin: Origin| (mix(u64::from(origin.0) ^ (salt << 32)), origin);
+        let before = others.filter(|other| place(*other) < place(own)).count();
+        let before = u32::try_from(before).unwrap_or(u32::MAX);
+        Self((before / FIRST_FAR_ASKERS).saturating_add(1).ilog2())
+    }
+
+    const fn wait(self) -> Millis {
+        Millis(FAR_TURN_TIME.0 * self.0 as u64)
+    }
+}
+
+/// What a host does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step<T> {
+    /// Ask this host for the configuration.
+    Ask(T),
+    /// Nothing before this time, unless another claim arrives.
+    WaitUntil(HostTime),
+    /// Nothing until another claim arrives.
+    Idle,
+}
+
+/// Host that claims to have a newer version than the one in force here.
+#[derive(Debug, Clone, Copy)]
+struct Claimant {
+    origin: Origin,
+    version: u64,
+    /// Earliest time at which the version may have been published.
+    since: HostTime,
+    /// When a newer version of this host was first heard of.
+    heard_at: HostTime,
+    /// Calls to it without success, and the end of the pause after the last one.
+    failures: u32,
+    retry_at: HostTime,
+}
+
+/// Hosts that a host can ask for a newer configuration than it has.
+#[derive(Debug)]
+pub struct Fetching {
+    own: Origin,
+    urgent_age: UrgentAge,
+    in_force: u64,
+    claimants: Vec<Claimant>,
+}
+
+impl Fetching {
+    /// Creates the state of a host that has no configuration.
+    pub const fn new(own: Origin, urgent_age: UrgentAge) -> Self {
+        Self { own, urgent_age, in_force: 0, claimants: Vec::new() }
+    }
+
+    /// Records the version in force on this host.
+    pub fn on_in_force(&mut self, version: u64) {
+        self.in_force = self.in_force.max(version);
+        self.claimants.retain(|claimant| claimant.version > self.in_force);
+    }
+
+    /// Records that a host claims to have a version that may have been published from `since` on.
+    pub fn on_claim(&mut self, origin: Origin, version: u64, since: HostTime, now: HostTime) {
+        self.claimants.retain(|claimant| is_current(claimant, now));
+        if origin == self.own || version <= self.in_force {
+            return;
+        }
+        if let Some(known) = self.claimants.iter_mut().find(|known| known.origin == origin) {
+            known.version = known.version.max(version);
+            known.since = known.since.min(since);
+            return;
+        }
+        if self.claimants.len() >= MAX_CLAIMANTS {
+            let claimants = self.claimants.iter().enumerate();
+            let oldest = claimants.min_by_key(|(_, claimant)| claimant.heard_at);
+            if let Some((index, _)) = oldest {
+                self.claimants.swap_remove(index);
+            }
+        }
+        self.claimants.push(Claimant {
+            origin,
+            version,
+            since,
+            heard_at: now,
+            failures: 0,
+            retry_at: now,
+        });
+    }
+
+    /// Records that a call to a host brought no newer configuration.
+    pub fn on_failure(&mut self, origin: Origin, now: HostTime) {
+        if let Some(claimant) = self.claimants.iter_mut().find(|known| known.origin == origin) {
+            let doublings = claimant.failures.min(MAX_PAUSE.0.ilog2());
+            claimant.failures = claimant.failures.saturating_add(1);
+            claimant.retry_at = now + Millis(FIRST_PAUSE.0 << doublings).min(MAX_PAUSE);
+        }
+    }
+
+    /// Returns the newest version that a host claims to have; `None` if none is newer than the one in force.
+    pub fn newest(&self) -> Option<u64> {
+        self.claimants.iter().map(|claimant| claimant.version).max()
+    }
+
+    /// Returns what to do next. `place` returns the distance of a host and what to call it by, `None` if it is not known.
+    pub fn next<T>(
+        &self,
+        place: impl Fn(Origin) -> Option<(Distance, T)>,
+        far_turn: FarTurn,
+        now: HostTime,
+    ) -> Step<T> {
+        if self.in_force == 0 {
+            return Step::Idle;
+        }
+        let current = || self.claimants.iter().filter(|claimant| is_current(claimant, now));
+        let (Some(heard_at), Some(since)) = (
+            current().map(|claimant| claimant.heard_at).min(),
+            current().map(|claimant| claimant.since).min(),
+        ) else {
+            return Step::Idle;
+        };
+        let due_at = (heard_at + UPDATE_TIME).min(heard_at.max(since + self.urgent_age.0));
+        let known = current().filter_map(|claimant| {
+            let (distance, called) = place(claimant.origin)?;
+            let wait = if distance == Distance::Far { far_turn.wait() } else { Millis(0) };
+            Some((claimant, distance, called, claimant.retry_at.max(due_at + wait)))
+        });
+        let (ready, later): (Vec<_>, Vec<_>) = known.partition(|(_, _, _, at)| *at <= now);
+        // Hosts that are told of the same claims at the same time ask different ones.
+        let spread = |origin: Origin| mix(u64::from(self.own.0) << 32 | u64::from(origin.0));
+        let best = ready.into_iter().min_by_key(|(claimant, distance, _, _)| {
+            let Claimant { origin, version, failures, .. } = **claimant;
+            (*distance, failures, Reverse(version), spread(origin))
+        });
+        if let Some((_, _, called, _)) = best {
+            return Step::Ask(called);
+        }
+        later.into_iter().map(|(_, _, _, at)| at).min().map_or(Step::Idle, Step::WaitUntil)
+    }
+}
+
+fn is_current(claimant: &Claimant, now: HostTime) -> bool {
+    now.since(claimant.heard_at) < CLAIM_LIFETIME
+}
+
+/// Answers that a host has lately sent to hosts that asked it for its configuration.
+#[derive(Debug, Default)]
+pub struct RecentAnswers(VecDeque<(HostTime, usize)>);
+
+impl RecentAnswers {
+    /// Returns whether this host may send another answer. The load of a host stays bounded if many are told at once that it
+    /// has a version.
+    pub fn admits(&mut self, now: HostTime) -> bool {
+        self.0.retain(|(at, _)| now.since(*at) < ANSWER_WINDOW);
+        let bytes: usize = self.0.iter().map(|(_, bytes)| bytes).sum();
+        self.0.len() < MAX_ANSWERS && bytes < MAX_ANSWER_BYTES
+    }
+
+    /// Records an answer of some bytes.
+    pub fn record(&mut self, bytes: usize, now: HostTime) {
+        self.0.push_back((now, bytes));
+    }
+}
+
+/// Mixes the bits of a number, the same on all hosts.
+const fn mix(number: u64) -> u64 {
+    let mixed = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -7,6 +7,7 @@
 //! only if the state is still too old at the time of its turn.
 
 pub mod election;
+pub mod fetching;
 pub mod proof;
 pub mod reading;
 pub mod registration;
--- a/crates/freshness/src/versions.rs
+++ b/crates/freshness/src/versions.rs
@@ -232,6 +232,11 @@
         first.is_some_and(|known| now.since(known.heard_at) <= time && is_told(known, now))
     }
 
+    /// Returns the version in force; zero if none is.
+    pub const fn in_force(&self) -> u64 {
+        self.in_force
+    }
+
     /// Returns the newest version that this host has heard of; zero if none.
     pub fn newest(&self) -> u64 {
         self.claims.iter().map(|known| known.version).max().unwrap_or_default().max(self.in_force)
