--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -80,22 +80,22 @@
 
 /// Update of a topic other than the registry.
 #[derive(Debug, Serialize, Deserialize)]
-struct TopicUpdate {
+pub(super) struct TopicUpdate {
     /// Offset after the last record that the answering host knows.
-    next: u64,
+    pub(super) next: u64,
     /// Time since the latest proof that the store had no newer record of the topic.
-    age: Millis,
+    pub(super) age: Millis,
     /// Whether `records` contain all keys of the topic.
-    is_whole: bool,
+    pub(super) is_whole: bool,
     /// Keys and values that the requesting host may not know.
-    records: Vec<(String, String)>,
+    pub(super) records: Vec<(String, String)>,
     /// Large records that it may not know.
     #[serde(default)]
-    encoded: Vec<EncodedRecord>,
+    pub(super) encoded: Vec<EncodedRecord>,
     /// Newest record of the configuration, if the answering host can't read it and the requesting host may not know it.
     /// `None` from a host of an earlier version, which drops such a record.
     #[serde(default)]
-    unread: Option<EncodedRecord>,
+    pub(super) unread: Option<EncodedRecord>,
 }
 
 /// Answer to a request for updates.
@@ -214,7 +214,7 @@
 
 /// Returns the update of a topic for a host that knows its records before the offset `next`. With `have`, the keys and
 /// hashes of the versions that it has, large records are encoded, and those that are no text.
-fn topic_update(
+pub(super) fn topic_update(
     known: &mut KnownRecords,
     topic: Topic,
     next: u64,
@@ -507,7 +507,7 @@
     }
 
     /// Returns the version of the configuration in force; zero without one.
-    fn config_version(&self) -> u64 {
+    pub(super) fn config_version(&self) -> u64 {
         self.fleet.borrow().config.as_ref().map_or(0, |config| config.version)
     }
 
@@ -530,21 +530,32 @@
         }
         // The other host may be one that drops configurations which it can't read, so its page may lack a record.
         let is_whole = update.is_whole && topic != Topic::Config;
-        let records = update.records.into_iter();
+        match self.decode_page(update) {
+            Ok(page) => {
+                self.apply_page(topic, page, is_whole, proof_at);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Returns the records of an update, in log order.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a record can't be decoded.
+    pub(super) fn decode_page(&self, update: TopicUpdate) -> Result<Page, EncodedRecordError> {
+        let texts = update.records.into_iter();
         let mut records: Vec<Record> =
-            records.map(|(key, text)| Record { key, value: text.into_bytes() }).collect();
+            texts.map(|(key, text)| Record { key, value: text.into_bytes() }).collect();
         // The one that the other host can't read is the newest.
         for record in update.encoded.into_iter().chain(update.unread) {
-            match self.decode_record(&record) {
-                Ok(value) => records.push(Record { key: record.key, value }),
-                Err(e) => {
-                    log::warn!(key = record.key.as_str(), error:% = e; "news: can't decode a record, asking for the whole one");
-                    return false;
-                }
-            }
+            let value = self.decode_record(&record).inspect_err(|e| {
+                log::warn!(key = record.key.as_str(), error:% = e; "news: can't decode a record, asking for the whole one");
+            })?;
+            records.push(Record { key: record.key, value });
         }
-        self.apply_page(topic, Page { records, next: update.next }, is_whole, proof_at);
-        true
+        Ok(Page { records, next: update.next })
     }
 
     fn decode_record(&self, record: &EncodedRecord) -> Result<Vec<u8>, EncodedRecordError> {
--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod earlier_configs;
 pub mod election;
+pub mod fetching;
 pub mod final_answers;
 pub mod missing_routes;
 pub mod proof;
