Keep the newest version that a host is known to have

A host that was told of more than four newer versions of one other host forgot the newest of them. So it gave final answers by a version between, once it had that one, although it had been told of a newer one that allows the request; and the gauge of the newest version fell back.

`the_newest_version_of_a_host_stays_known` printed `left: 21, right: 23` before. Where a claim has to go and all are newer than the version in force, it is now the newest but one. The oldest still tells since when this host is out of date.

--- a/crates/freshness/src/versions.rs
+++ b/crates/freshness/src/versions.rs
@@ -170,13 +170,16 @@
         self.claims.push(claim);
     }
 
-    /// Removes a claim of a host: the oldest version that is not newer than the one in force, or else the newest. The first
-    /// newer version tells since when the one in force is out of date.
+    /// Removes a claim of a host: the oldest version that is not newer than the one in force, or else the newest but one. The
+    /// first newer version tells since when the one in force is out of date, and the newest what may be in force.
     fn remove_least_useful(&mut self, origin: Origin) {
         let in_force = self.in_force;
+        let versions = self.claims.iter().filter(|known| known.origin == origin);
+        let newest = versions.map(|known| known.version).max().unwrap_or_default();
         let usefulness = |known: &KnownClaim| {
             let is_newer = known.version > in_force;
-            (is_newer, if is_newer { u64::MAX - known.version } else { known.version })
+            let by_age = if is_newer { u64::MAX - known.version } else { known.version };
+            (is_newer, known.version == newest, by_age)
         };
         let claims = self.claims.iter().enumerate().filter(|(_, known)| known.origin == origin);
         if let Some((index, _)) = claims.min_by_key(|(_, known)| usefulness(known)) {
--- a/crates/freshness/tests/versions.rs
+++ b/crates/freshness/tests/versions.rs
@@ -237,3 +237,15 @@
     assert!(refuses(&known, OLD_PROOF, 2_000 + REFUSE_AFTER));
     assert_eq!(known.claims_to_tell(told_at).first().map(|claim| claim.version), Some(14));
 }
+
+/// Guards against a host that forgets of the newest version as others of the same host follow in one notice.
+#[test]
+fn the_newest_version_of_a_host_stays_known() {
+    let mut known = KnownVersions::new(OWN);
+    for version in [11, 13, 17, 23, 19, 21] {
+        known.on_claim(claim(2, version, 100), START);
+    }
+    assert_eq!(known.newest_unrefuted(OLD_PROOF), 23);
+    known.on_in_force(20, START, START + Millis(10));
+    assert_eq!((known.newest(), known.newest_unrefuted(OLD_PROOF)), (23, 23));
+}
