Look for the former table before one is written over an unreadable record

What callers saw: nothing yet; a known red test. A leader that had missed a version wrote its own one in place of it.

Cause: a record that can't be read was taken for no table, and as proof that the table before it is the newest.

The leader now reads the log back to its first retained record. Tables follow each other without a gap, so the last readable one is the newest. Without one there, it asks the other hosts for theirs (new call `/known-table`; hosts of the version before answer 404) and takes the newest. Nothing is recorded meanwhile. If nobody has it, a first table follows once every grant has certainly expired: a read of an unreadable record is no proof any more, so no grant outlives `expiry_without_acks` after such a record was seen. Its version and tokens are above the number of records that the log has ever had: each table takes a record, and raises both by one at most. Reading tokens back from refusals was weighed; upstreams that are cut off just then would be missed.

`confirm_write` accepted version 1 only while no table is known; it accepts any then, as that of the new first table is larger. With a known table it is as strict as before. `spans::lost` decides, in the daemon and in the simulation.

Hosts of the version before still count such a record as proof while both run.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod sources;
 mod store_sync;
 pub mod table_reader;
+mod table_search;
 mod updates;
 
 use crate::client::{self, ControlClient};
@@ -172,8 +173,8 @@
     /// Offset after the last known record of the fleet topic; zero until the topic was read.
     fleet_end: u64,
     known_records: known_records::KnownRecords,
-    /// Keys of ownership tables of which the newest record can't be read.
-    unreadable_tables: FastSet<String>,
+    /// Ownership tables of which the newest record can't be read.
+    unreadable_tables: table_search::UnreadableTables,
     /// When each host last sent this one a sample.
     last_sample_at: FastMap<HostId, HostTime>,
     /// Hosts that said in their last sample that they reach no upstream.
@@ -195,7 +196,7 @@
             published_peers: None,
             fleet_end: 0,
             known_records: known_records::KnownRecords::default(),
-            unreadable_tables: FastSet::default(),
+            unreadable_tables: table_search::UnreadableTables::default(),
             last_sample_at: FastMap::default(),
             cut_off: FastSet::default(),
             rests: FastMap::default(),
@@ -203,15 +204,6 @@
         }
     }
 
-    /// Records whether the newest record of an ownership table can be read.
-    fn record_readability(&mut self, key: &str, is_readable: bool) {
-        if is_readable {
-            self.unreadable_tables.remove(key);
-        } else {
-            self.unreadable_tables.insert(key.to_owned());
-        }
-    }
-
     /// Returns the recorded hosts other than this one. Calls without a change in between share the list.
     fn peers(&mut self, own_host: &HostId) -> Arc<Vec<PeerInfo>> {
         if let Some(peers) = &self.published_peers {
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -317,6 +317,7 @@
             return;
         }
         for service in services {
+            self.search_table(&service);
             let leader_inputs = self.leader_inputs(&service, now);
             let actions = {
                 let mut owners = self.owners.borrow_mut();
@@ -385,6 +386,7 @@
         let rates = load.rates(now);
         let key = store_sync::table_key(service);
         let is_record_unreadable = fleet.unreadable_tables.contains(&key);
+        let search = fleet.unreadable_tables.search(&key);
         drop(owners);
         drop(fleet);
         Inputs {
@@ -394,6 +396,7 @@
             cut_off: self.cut_off_hosts(),
             is_leaving: self.is_handing_over.get(),
             is_record_unreadable,
+            search,
         }
     }
 
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -26,6 +26,7 @@
 const PEER_TIMEOUT: Millis = Millis(400);
 const LOAD_PATH: &str = "/load";
 const TABLE_PATH: &str = "/table";
+const KNOWN_TABLE_PATH: &str = "/known-table";
 const RELEASE_PATH: &str = "/release";
 pub(super) const UPDATES_PATH: &str = "/news";
 
@@ -70,6 +71,9 @@
         let answered = match req.head.path() {
             LOAD_PATH => serde_json::from_slice(&req.body).map(|sample| self.on_sample(sample)),
             TABLE_PATH => serde_json::from_slice(&req.body).map(|table| self.on_table(table)),
+            KNOWN_TABLE_PATH => {
+                serde_json::from_slice(&req.body).map(|service| self.on_table_request(&service))
+            }
             RELEASE_PATH => match serde_json::from_slice::<Release>(&req.body) {
                 Ok(release) => Ok(encode(&self.send_release(&release).await)),
                 Err(e) => Err(e),
@@ -168,6 +172,34 @@
         encode(&ack)
     }
 
+    /// Returns the newest table of a service that this host knows.
+    fn on_table_request(&self, service: &ServiceName) -> Option<Vec<u8>> {
+        encode(self.owners.borrow().renewals.get(service)?.table()?)
+    }
+
+    /// Requests the newest table of a service that another host knows. Hosts of an earlier version don't answer.
+    pub(super) async fn request_table(
+        &self,
+        addr: SocketAddr,
+        service: &ServiceName,
+    ) -> Option<Table> {
+        let body = match self.call_peer(addr, KNOWN_TABLE_PATH, service).await {
+            Ok(body) if body.is_empty() => return None,
+            Ok(body) => body,
+            Err(e) => {
+                log::info!(peer:% = addr, error:% = e; "peers: request for a table failed");
+                return None;
+            }
+        };
+        match serde_json::from_slice(&body) {
+            Ok(table) => Some(table),
+            Err(e) => {
+                log::warn!(peer:% = addr, error:% = e; "peers: can't decode a table");
+                None
+            }
+        }
+    }
+
     /// Sends a sample to the leader, over a connection that is kept as long as the leader stays the same.
     pub(super) async fn send_sample(&self, sample: Sample) {
         let leader = {
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -433,8 +433,12 @@
             let mut fleet = self.fleet.borrow_mut();
             fleet.fleet_end = fleet.fleet_end.max(page.next);
         }
-        for renewals in self.owners.borrow_mut().renewals.values_mut() {
-            renewals.prove(asked_at);
+        {
+            let fleet = self.fleet.borrow();
+            for (service, renewals) in &mut self.owners.borrow_mut().renewals {
+                let is_readable = !fleet.unreadable_tables.contains(&table_key(service));
+                renewals.on_read(asked_at, is_readable);
+            }
         }
         if changed {
             self.publish();
@@ -471,7 +475,11 @@
                 None
             }
         };
-        self.fleet.borrow_mut().record_readability(&record.key, table.is_some());
+        self.fleet.borrow_mut().unreadable_tables.record(
+            &record.key,
+            table.is_some(),
+            clock::now(),
+        );
         table.is_some_and(|table| self.adopt_table(table))
     }
 
@@ -505,7 +513,7 @@
         let is_confirmed = {
             let owners = self.owners.borrow();
             let renewals = owners.renewals.get(&table.service);
-            renewals.map_or(table.version == 1, |renewals| renewals.confirm_write(table))
+            renewals.is_none_or(|renewals| renewals.confirm_write(table))
         };
         if !is_confirmed {
             log::info!(service:% = table.service, version = table.version; "owners: table not written, as another was recorded since it was planned");
@@ -526,7 +534,7 @@
             Ok(end) => {
                 let mut fleet = self.fleet.borrow_mut();
                 fleet.fleet_end = fleet.fleet_end.max(end);
-                fleet.record_readability(&record.key, true);
+                fleet.unreadable_tables.record(&record.key, true, asked_at);
                 // Hosts that start in an outage need the table even if this host can't read it any more.
                 let page = Page { records: vec![record], next: end };
                 fleet.known_records.record_page(Topic::Fleet, &page, false, asked_at);
--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -5,6 +5,7 @@
 //! leader fails in between, the next one resumes from the recorded table.
 
 use crate::load::Rates;
+use crate::lost::Search;
 use crate::plan::{self, Candidate};
 use crate::renewal::{Ack, CallEnd, Grant, LastSent, Release};
 use crate::table::{FencingToken, Holder, Keeper, Span, Table};
@@ -72,6 +73,8 @@
     pub is_leaving: bool,
     /// Whether the newest record of the table can't be read. Hosts that start have no table then.
     pub is_record_unreadable: bool,
+    /// State of the search for the version before such a record.
+    pub search: Search,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -421,6 +424,10 @@
     /// Returns the next version of the table with confirmed grants, changed owners and changed keepers, `None` if it
     /// is the same.
     fn next_table(&mut self, inputs: &Inputs, now: HostTime) -> Option<Table> {
+        if inputs.search == Search::Pending {
+            // A version that this leader does not know may precede the record.
+            return None;
+        }
         self.avoided_until.retain(|_, until| *until > now);
         let candidates: Vec<Candidate> = inputs
             .candidates
@@ -474,14 +481,19 @@
         if !is_quiet && now.since(first_at) < MAX_FIRST_TABLE_DELAY {
             return None;
         }
+        let (version, fence) = if inputs.is_record_unreadable {
+            inputs.search.unused_numbers(self.timing, now)?
+        } else {
+            (1, FencingToken(1))
+        };
         let mut table = Table {
             service: self.service.clone(),
-            version: 1,
+            version,
             leader: self.own_host.clone(),
             keepers: Vec::new(),
             retired: Vec::new(),
-            next_fence: FencingToken(2),
-            spans: plan::initial_spans(candidates, FencingToken(1)),
+            next_fence: FencingToken(fence.0 + 1),
+            spans: plan::initial_spans(candidates, fence),
         };
         self.choose_keepers(&mut table, inputs, now);
         Some(table)
--- a/crates/spans/src/lib.rs
+++ b/crates/spans/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod leader;
 pub mod load;
+pub mod lost;
 pub mod plan;
 pub mod renewal;
 pub mod resting;
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -178,6 +178,14 @@
         }
     }
 
+    /// Handles a read of the store that was sent at `at`. If the newest record of the table can't be read, it may be a newer
+    /// table, so the read proves nothing.
+    pub fn on_read(&mut self, at: HostTime, is_readable: bool) {
+        if is_readable {
+            self.prove(at);
+        }
+    }
+
     /// Returns whether the last proof is recent enough for this host to send grants of its table.
     pub fn has_proof(&self, now: HostTime) -> bool {
         self.proof_at.0 > 0 && now.since(self.proof_at) < self.timing.proof_lifetime
@@ -261,10 +269,11 @@
         may_send
     }
 
-    /// Returns whether a table that was planned earlier may still be written: it must follow the newest one known. The store
-    /// only checks that this host knows all records, and meanwhile it may have read a table of another leader.
+    /// Returns whether a table that was planned earlier may still be written: it must follow the newest one known, if there
+    /// is one. The store only checks that this host knows all records, and meanwhile it may have read a table of another
+    /// leader.
     pub fn confirm_write(&self, table: &Table) -> bool {
-        table.version == self.table.as_ref().map_or(0, |known| known.version) + 1
+        self.table.as_ref().is_none_or(|known| table.version == known.version + 1)
     }
 
     /// Records that the upstream confirmed a grant which this host sent as leader.
--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -9,6 +9,8 @@
 use skylarkdock_units::times::Millis;
 
 const DEFAULT_CASES: u64 = 8;
+/// Cases with damaged records of tables.
+const DAMAGED_RECORD_CASES: u64 = 16;
 /// Cases with entries of other writers.
 const FOREIGN_ENTRY_CASES: u64 = 12;
 const FAULT_STEPS: usize = 2_400;
@@ -110,6 +112,23 @@
     }
 }
 
+/// Another writer damages records of tables, and hosts that start know no table.
+#[test]
+fn no_two_upstreams_hold_a_key_when_records_of_tables_are_damaged() {
+    let cases = variable("SKYLARKDOCK_FUZZ_CASES", DAMAGED_RECORD_CASES);
+    let first = variable("SKYLARKDOCK_FUZZ_SEED", 1);
+    let mut sum = FaultCounts::default();
+    for seed in first..first + cases {
+        let safeguards = Safeguards { has_damaged_records: true, ..Safeguards::default() };
+        let fault_counts =
+            run(seed, safeguards).unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+        sum.damaged_records += fault_counts.damaged_records;
+        sum.lost_tables += fault_counts.lost_tables;
+    }
+    println!("{cases} cases: {} damaged, {} lost", sum.damaged_records, sum.lost_tables);
+    assert!(sum.damaged_records > 0);
+}
+
 /// A keeper without the store that was stopped for less than a grant's lifetime opens its first connection to the next
 /// incarnation of an owner that had released its keys.
 #[rstest]
@@ -144,6 +163,7 @@
     ..Safeguards::default()
 })]
 #[case::grants_are_sent_after_a_wait_without_another_look(100, Safeguards { confirms_sends: false, ..Safeguards::default() })]
+#[case::tables_are_written_over_damaged_records(1, Safeguards { has_damaged_records: true, searches_former_tables: false, ..Safeguards::default() })]
 #[case::tables_are_written_after_a_wait_without_another_look(1_700, Safeguards { confirms_writes: false, ..Safeguards::default() })]
 fn the_simulation_detects_a_missing_safeguard(#[case] first: u64, #[case] safeguards: Safeguards) {
     let found = (first..first + 400)
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -1,8 +1,10 @@
 //! Simulation of a store, hosts and upstreams in virtual time, with injected faults and a check for two holders of a key.
 
+mod damage;
 mod network;
 mod upstream;
 
+use damage::Damage;
 use network::{GrantCalls, Message};
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
@@ -41,6 +43,10 @@
     /// Whether upstreams start anew at other addresses, and other writers replace entries of running upstreams by ones
     /// with a later start. Not a safeguard either.
     pub has_foreign_entries: bool,
+    /// Whether a leader looks for the version before a record that can't be read, and such a record is no proof.
+    pub searches_former_tables: bool,
+    /// Whether another writer damages the record of the table. Not a safeguard either.
+    pub has_damaged_records: bool,
 }
 
 pub const TIMING: Timing =
@@ -57,6 +63,8 @@
             confirms_writes: true,
             has_frequent_faults: false,
             has_foreign_entries: false,
+            searches_former_tables: true,
+            has_damaged_records: false,
         }
     }
 }
@@ -68,6 +76,7 @@
     renewals: Renewals,
     leader: Option<Leader>,
     version_read: u64,
+    damage: damage::Seen,
     read_at: u64,
     reaches_store: bool,
     frozen_until: u64,
@@ -97,6 +106,9 @@
     pub later_incarnations: u64,
     /// Entries of running upstreams that another writer replaced.
     pub foreign_entries: u64,
+    /// Records of the table that another writer damaged, and searches that found nothing.
+    pub damaged_records: u64,
+    pub lost_tables: u64,
 }
 
 pub struct Simulation {
@@ -108,6 +120,7 @@
     hosts: Vec<Host>,
     pub upstreams: Vec<Upstream>,
     log: Vec<Table>,
+    damage: Damage,
     log_end: u64,
     messages: Vec<(u64, Message)>,
     calls: FastMap<(usize, Holder), GrantCalls>,
@@ -142,6 +155,7 @@
             hosts,
             upstreams,
             log: Vec::new(),
+            damage: Damage::new(seed),
             log_end: 0,
             messages: Vec::new(),
             calls: FastMap::default(),
@@ -258,6 +272,9 @@
                 host.believes_to_lead = self.rng.u32(..3) == 0;
             }
         }
+        if self.safeguards.has_damaged_records {
+            self.damage_records();
+        }
         if self.hosts.iter().filter(|host| host.believes_to_lead).count() > 1 {
             self.fault_counts.steps_with_several_leaders += 1;
         }
@@ -288,7 +305,8 @@
 
     fn lead(&mut self, index: usize) {
         let now = HostTime(self.now);
-        let inputs = self.inputs(index);
+        let search = self.search_former_table(index);
+        let inputs = Inputs { search, ..self.inputs(index) };
         let host = &mut self.hosts[index];
         let table = host.renewals.table().cloned();
         let leader = host.leader.get_or_insert_with(|| {
@@ -310,7 +328,9 @@
             return;
         }
         host.read_at = self.now;
+        let is_readable = self.damage.read(&mut host.damage, self.log_end, self.now);
         if let Some(table) = self.log.last()
+            && is_readable
             && table.version != host.version_read
         {
             host.version_read = table.version;
@@ -319,7 +339,8 @@
                 leader.on_table(table);
             }
         }
-        host.renewals.prove(HostTime(self.now));
+        let proves = is_readable || !self.safeguards.searches_former_tables;
+        host.renewals.on_read(HostTime(self.now), proves);
         // The registry confirms an incarnation one second after its suspension.
         for (holder, at) in host.renewals.suspended() {
             let is_confirmed = self.upstreams.iter().any(|upstream| {
@@ -356,7 +377,9 @@
         }
         let has_no_path = |host: &&Host| host.reachable_upstreams.iter().all(|reaches| !reaches);
         let cut_off = self.hosts.iter().filter(has_no_path).map(|host| host.id.clone()).collect();
-        Inputs { candidates, rates, hosts, cut_off, ..Inputs::default() }
+        let is_record_unreadable =
+            self.safeguards.searches_former_tables && self.hosts[index].damage.is_unreadable();
+        Inputs { candidates, rates, hosts, cut_off, is_record_unreadable, ..Inputs::default() }
     }
 
     fn carry_out(&mut self, index: usize, action: Action) {
@@ -429,6 +452,7 @@
         region,
         leader: None,
         version_read: 0,
+        damage: damage::Seen::default(),
         read_at: 0,
         reaches_store: true,
         frozen_until: 0,
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -199,12 +199,17 @@
         let now = HostTime(self.now);
         let host = &mut self.hosts[from];
         let newest = self.log.last().map_or(0, |last| last.version);
-        let knows_newest = host.renewals.table().map_or(0, |known| known.version) == newest;
+        let knows_newest = if self.damage.is_newest_damaged(self.log_end) {
+            host.damage.has_read(self.damage.end())
+        } else {
+            host.renewals.table().map_or(0, |known| known.version) == newest
+        };
         let is_confirmed = host.renewals.confirm_write(&table) || !self.safeguards.confirms_writes;
         let is_recorded =
             host.reaches_store && knows_newest && is_confirmed && table.check().is_ok();
         if is_recorded {
-            self.log_end += 1;
+            self.log_end = self.damage.end_after(self.log_end) + 1;
+            host.damage.on_written();
             self.fault_counts.moves += table.spans.iter().filter(|s| !s.is_granted).count() as u64;
             self.log.push(table.clone());
             host.renewals.adopt(table.clone());
