Read all anew from a store that came back from an older copy

A store that comes back from a copy some seconds old gives offsets out again. A host that read on at its offset missed what operators had written again below it, and each such read counted as proof that nothing is newer: 404 for routes of the newest configuration.

The store names a number in its answers that rises each time (`Store-Era`). Nothing read it. It is now the high part of each offset that leaves the client, so that offsets of a later copy are larger than all before, in every comparison that the code makes. A read from an offset of an earlier copy fails as if the records were deleted, an append on condition of one is a conflict, an answer with a smaller number than the largest known one counts as none, and one with a number that can't be read is malformed. A store that names no number has the number zero: its offsets are as they were.

A read shows which configuration is the newest only if it was sent 5 s after the copy became known, as operators are still writing again until then; a final answer is a 503 meanwhile. A host that starts can't tell when the store came back and waits as long, if the number is not zero. There is a log line with both numbers and a counter.

Hosts of the version before get offsets without the number, by a new field of the request that they don't send. With the number in them, their conditional appends would never succeed after the next change of the leader.

On the code before, the new test of the host program, with the stand-in store extended by copies, printed "HTTP/1.1 404 Not Found" for a route of a version that was written again below the read offset. It passes now, as do those of the client, of offsets and of final answers just after the store came back.

This covers reads, proofs and appends on condition. An append under way when the store comes back may be accepted at an equal offset of the new copy: it is reported as a conflict, but stays in the store.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -37,6 +37,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use registry::Registry;
 use serde::{Deserialize, Serialize};
+use skylarkdock_freshness::copies::KnownCopy;
 use skylarkdock_freshness::reading::Limits;
 use skylarkdock_spans::leader::{Leader, SpanId};
 use skylarkdock_spans::load::KeyLoad;
@@ -168,6 +169,8 @@
     config_published_after: HostTime,
     /// Newest record of the configuration, if this host can't read it.
     unread_config: Option<config_page::UnreadRecord>,
+    /// Copy of the store from which the records are.
+    store_copy: KnownCopy,
     registry: Registry,
     hosts: FastMap<HostId, HostRecord>,
     /// The other hosts as published; `None` if the host records have changed since.
@@ -194,6 +197,7 @@
             config: None,
             config_published_after: HostTime(0),
             unread_config: None,
+            store_copy: KnownCopy::default(),
             registry: Registry::new(heartbeat),
             hosts: FastMap::default(),
             published_peers: None,
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -8,6 +8,7 @@
 use crate::store::{Page, Record, StoreError, Topic};
 use async_io::Timer;
 use metrics::counter;
+use skylarkdock_freshness::copies::Position;
 use skylarkdock_freshness::reading::{self, Knowledge, Records};
 use skylarkdock_freshness::versions;
 use skylarkdock_spans::leader::Leader;
@@ -223,7 +224,7 @@
             counter!("skylarkdock_store_calls_total", "call" => "read").increment(1);
             match (self.store.end)(topic).await {
                 Ok(end) => next = next.filter(|_| end <= offset + 1),
-                Err(e @ StoreError::Unanswered(_)) => return Err(e),
+                Err(e @ (StoreError::Unanswered(_) | StoreError::EarlierCopy)) => return Err(e),
                 Err(e) => {
                     log::warn!(topic:? = topic, error:% = e; "store: the end of a topic could not be read");
                 }
@@ -306,6 +307,7 @@
     /// sent the read or, for updates, the computed time for which the other host had proof. With `is_whole` the page
     /// contains all keys of the topic.
     pub(super) fn apply_page(&self, topic: Topic, page: Page, is_whole: bool, asked_at: HostTime) {
+        self.record_copy(page.next);
         match topic {
             Topic::Config => {
                 // An invalid configuration must not replace a valid one, neither here nor on hosts that get updates
@@ -316,7 +318,7 @@
                 // The record counts as known even if it can't be read: reading it once more would not help.
                 let page = Page { records, next };
                 fleet.known_records.record_page(topic, &page, false, asked_at);
-                if fleet.unread_config.is_none() {
+                if fleet.unread_config.is_none() && fleet.store_copy.shows_newest(asked_at) {
                     let version = fleet.config.as_ref().map_or(0, |config| config.version);
                     self.status.set_config_proof(asked_at, version);
                 }
@@ -337,6 +339,15 @@
         }
     }
 
+    /// Records the copy of the store that an offset belongs to.
+    fn record_copy(&self, offset: u64) {
+        let copy = Position::of(offset).copy;
+        if let Some(before) = self.fleet.borrow_mut().store_copy.on_records(copy, clock::now()) {
+            counter!("skylarkdock_store_restored_total").increment(1);
+            log::warn!(before:% = before, copy:% = copy; "store: it came back from an older copy");
+        }
+    }
+
     /// Puts the newest valid configuration of a page in force and returns its record; `None` if the page has none or
     /// the one in force is newer. With `is_whole` the page has the newest record of each key.
     fn apply_config(&self, page: Page, is_whole: bool) -> Option<Record> {
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -23,6 +23,7 @@
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
 use skylarkdock_deltas::{self as deltas, DeltaError};
+use skylarkdock_freshness::copies::{CopyNumber, Position};
 use skylarkdock_freshness::proof;
 use skylarkdock_spans::leader::SpanId;
 use skylarkdock_units::ids::{HostId, ServiceName};
@@ -76,6 +77,10 @@
     /// earlier version, which reads no encoded records.
     #[serde(default)]
     versions: Option<Vec<(String, u64)>>,
+    /// Whether the offsets name the copy of the store that they belong to. Those of a host of an earlier version don't, nor
+    /// may those in its answer.
+    #[serde(default)]
+    names_copies: bool,
 }
 
 /// Update of a topic other than the registry.
@@ -156,9 +161,31 @@
     pub(super) const fn reads_compressed(&self) -> bool {
         self.versions.is_some()
     }
+
+    /// Makes offsets that name no copy those of a copy.
+    fn set_copy(&mut self, copy: CopyNumber) {
+        if self.names_copies {
+            return;
+        }
+        for offset in [&mut self.config, &mut self.fleet] {
+            // Zero means that nothing is known.
+            if *offset > 0 {
+                let position = Position { copy, index: *offset };
+                *offset = position.offset().unwrap_or_default();
+            }
+        }
+    }
 }
 
 impl UpdateResponse {
+    /// Removes the copy of the store from all offsets, for a host of an earlier version.
+    fn remove_copies(&mut self) {
+        for offset in [&mut self.config.next, &mut self.fleet.next] {
+            *offset = Position::of(*offset).index;
+        }
+        self.registry_next = self.registry_next.map(|offset| Position::of(offset).index);
+    }
+
     /// Returns the age of the answering host's configuration, and the offset after its last record.
     pub(super) const fn config_state(&self) -> (Millis, u64) {
         (self.config.age, self.config.next)
@@ -273,8 +300,12 @@
 impl Control {
     /// Answers a request once there are updates or its wait has passed. Returns `None` on a host that has resigned, so
     /// that its followers look for another source.
-    pub(super) async fn on_update_request(&self, request: UpdateRequest) -> Option<UpdateResponse> {
+    pub(super) async fn on_update_request(
+        &self,
+        mut request: UpdateRequest,
+    ) -> Option<UpdateResponse> {
         let asked_at = clock::now();
+        request.set_copy(self.fleet.borrow().store_copy.number());
         let number = self.number_follower(request.host.as_ref(), asked_at);
         let until = asked_at + request.wait.min(UPDATE_WAIT);
         loop {
@@ -315,7 +346,7 @@
                 (changes, fleet.registry.kept(now).collect())
             }
         };
-        Some(UpdateResponse {
+        let mut response = UpdateResponse {
             run: known.run,
             version: known.version,
             waited: now.since(asked_at),
@@ -332,7 +363,11 @@
             granted: self.owners.borrow().unrecorded_grants(),
             hosts: self.host_count.get(),
             number,
-        })
+        };
+        if !request.names_copies {
+            response.remove_copies();
+        }
+        Some(response)
     }
 
     /// Records that a host requests updates. Returns its number among those that do.
@@ -443,6 +478,7 @@
                 let versions = fleet.known_records.versions.iter();
                 versions.map(|(key, versions)| (key.clone(), versions.newest())).collect()
             }),
+            names_copies: true,
         }
     }
 
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -32,6 +32,9 @@
     /// The store no longer keeps the requested records.
     #[error("the store no longer keeps the requested records")]
     Deleted,
+    /// The answer is from an earlier copy of the store than another answer was, so it counts as none.
+    #[error("the answer is from a copy of the store that has been replaced")]
+    EarlierCopy,
     /// The log no longer ended at the expected offset, because other records were appended first.
     #[error("other records were appended first")]
     Conflict,
@@ -60,7 +63,7 @@
 pub struct Page {
     /// The records, in log order.
     pub records: Vec<Record>,
-    /// Offset from which to continue reading.
+    /// Offset from which to continue reading; see [`skylarkdock_freshness::copies`].
     pub next: u64,
 }
 
--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -6,6 +6,7 @@
 //! keep each other late. So the hosts of an availability zone take turns: the first one reads at once, each further one
 //! only if the state is still too old at the time of its turn.
 
+pub mod copies;
 pub mod election;
 pub mod proof;
 pub mod reading;
