Bound what a fleet that is told of a version at once asks for

If all hosts of a fleet are told of a version while their updates are silent, near hosts use up the answers of the only host that has it, so the first hosts of the other region are turned away, and with each turn more of them ask across. Hosts near one that is busy also took it for one that does not answer, and asked another region.

A host that can't answer now says so, and is asked again after 100 ms; only if no near host is left that has not failed, another region is asked. Requests say where they come from, and answers to other regions are counted apart, 4 in 100 ms. Turns are 300 ms apart: within 200 ms the first four had not got a large configuration over the shared link. Requests that were turned away don't count as answers.

--- a/crates/edge/src/control/config_fetch.rs
+++ b/crates/edge/src/control/config_fetch.rs
@@ -19,6 +19,7 @@
 use skylarkdock_freshness::proof;
 use skylarkdock_freshness::versions::Origin;
 use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::ids::Region;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -33,6 +34,8 @@
 /// Request for a newer configuration than the sender has. It is answered at once.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct ConfigRequest {
+    /// Region of the requesting host.
+    region: Region,
     /// Offset after the last configuration record that the requesting host knows.
     next: u64,
     /// Keys of the large records that it has, and the hashes of its versions.
@@ -41,7 +44,16 @@
 
 /// Answer to a request for the configuration.
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) struct ConfigResponse {
+pub(super) enum ConfigResponse {
+    /// The answering host has sent as many answers lately as it may.
+    Busy,
+    /// What the requesting host lacks.
+    Newer(ConfigUpdate),
+}
+
+/// Records of the configuration that the answering host has and the requesting one lacks.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct ConfigUpdate {
     config: TopicUpdate,
     /// Longest time for which the configuration in force may have been published.
     config_age: Millis,
@@ -67,6 +79,8 @@
     Text(#[source] serde_json::Error),
     #[error("can't decode a record")]
     Record(#[source] EncodedRecordError),
+    #[error("too many hosts ask for it")]
+    Busy,
     #[error("the host has no newer one")]
     NothingNewer,
     #[error("the newer one can't be put in force")]
@@ -79,6 +93,7 @@
         match self {
             Self::Call(_) => "no_answer",
             Self::Compression(_) | Self::Text(_) | Self::Record(_) => "undecodable",
+            Self::Busy => "busy",
             Self::NothingNewer => "nothing_newer",
             Self::Rejected => "rejected",
         }
@@ -95,27 +110,26 @@
 }
 
 impl Control {
-    /// Answers a request for the configuration. Returns `None` if this host has sent as many answers lately as it may.
-    pub(super) fn on_config_request(&self, request: &ConfigRequest) -> Option<ConfigResponse> {
+    /// Returns the encoded answer to a request for the configuration.
+    pub(super) fn on_config_request(&self, request: &ConfigRequest) -> Option<Vec<u8>> {
         let now = clock::now();
-        if !self.config_answers.borrow_mut().admits(now) {
+        let is_far = request.region != self.settings.region;
+        if !self.config_answers.borrow_mut().admits(is_far, now) {
             counter!("skylarkdock_config_requests_refused_total").increment(1);
-            log::debug!("config: too many hosts ask for it");
-            return None;
+            log::debug!(is_far = is_far; "config: too many hosts ask for it");
+            return peers::encode(&ConfigResponse::Busy);
         }
-        let mut fleet = self.fleet.borrow_mut();
-        let config_age = now.since(fleet.config_published_after);
-        let known = &mut fleet.known_records;
-        let have = Some(request.versions.as_slice());
-        let config = updates::topic_update(known, Topic::Config, request.next, have, now);
-        Some(ConfigResponse { config, config_age })
-    }
-
-    /// Compresses an answer to a request for the configuration and counts its size.
-    pub(super) fn compress_config(&self, answer: Vec<u8>) -> Vec<u8> {
-        let answer = updates::compress(answer);
-        self.config_answers.borrow_mut().record(answer.len(), clock::now());
-        answer
+        let update = {
+            let mut fleet = self.fleet.borrow_mut();
+            let config_age = now.since(fleet.config_published_after);
+            let known = &mut fleet.known_records;
+            let have = Some(request.versions.as_slice());
+            let config = updates::topic_update(known, Topic::Config, request.next, have, now);
+            ConfigUpdate { config, config_age }
+        };
+        let answer = updates::compress(peers::encode(&ConfigResponse::Newer(update))?);
+        self.config_answers.borrow_mut().record(answer.len(), is_far, now);
+        Some(answer)
     }
 
     /// Fetches configurations in an endless loop, with one call at a time.
@@ -135,8 +149,10 @@
                     let result = self.fetch_config(addr, needs_whole).await;
                     needs_whole = matches!(result, Err(FetchError::Record(_)));
                     record_fetch(addr, now, self.config_version(), &result);
-                    if result.is_err() {
-                        fetching.on_failure(origin, clock::now());
+                    match result {
+                        Ok(_) => {}
+                        Err(FetchError::Busy) => fetching.on_busy(origin, clock::now()),
+                        Err(_) => fetching.on_failure(origin, clock::now()),
                     }
                 }
                 Step::WaitUntil(at) => {
@@ -199,8 +215,10 @@
         } else {
             body
         };
-        let response = serde_json::from_slice(&text).map_err(FetchError::Text)?;
-        self.apply_fetched(response, request.next, asked_at)
+        match serde_json::from_slice(&text).map_err(FetchError::Text)? {
+            ConfigResponse::Busy => Err(FetchError::Busy),
+            ConfigResponse::Newer(update) => self.apply_fetched(update, request.next, asked_at),
+        }
     }
 
     fn config_request(&self, needs_whole: bool) -> ConfigRequest {
@@ -212,18 +230,19 @@
             let of_config = large.filter(|(key, _)| known.config.records.contains_key(*key));
             versions.extend(of_config.map(|(key, versions)| (key.clone(), versions.newest())));
         }
-        ConfigRequest { next: known.config.next, versions }
+        let region = self.settings.region.clone();
+        ConfigRequest { region, next: known.config.next, versions }
     }
 
     /// Applies the records of an answer to a request from the offset `known_next` on, also if the proof of the other host is older:
     /// it holds for less, but what this host lacks is newer than what its own proof was about.
     fn apply_fetched(
         &self,
-        response: ConfigResponse,
+        update: ConfigUpdate,
         known_next: u64,
         asked_at: HostTime,
     ) -> Result<Fetched, FetchError> {
-        let ConfigResponse { config, config_age } = response;
+        let ConfigUpdate { config, config_age } = update;
         let (next, absent_at) = {
             let fleet = self.fleet.borrow();
             (fleet.known_records.config.next, fleet.known_records.proof_at(Topic::Config))
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -94,12 +94,7 @@
                 Err(e) => Err(e),
             },
             CONFIG_PATH => match serde_json::from_slice::<ConfigRequest>(&req.body) {
-                Ok(request) => match self.on_config_request(&request) {
-                    Some(response) => {
-                        Ok(encode(&response).map(|answer| self.compress_config(answer)))
-                    }
-                    None => return Answer::empty(503),
-                },
+                Ok(request) => Ok(self.on_config_request(&request)),
                 Err(e) => Err(e),
             },
             DIRECTORY_PATH => match serde_json::from_slice::<DirectoryRequest>(&req.body) {
@@ -277,7 +272,7 @@
     Ok(reply.body)
 }
 
-fn encode<T: Serialize>(message: &T) -> Option<Vec<u8>> {
+pub(super) fn encode<T: Serialize>(message: &T) -> Option<Vec<u8>> {
     match serde_json::to_vec(message) {
         Ok(bytes) => Some(bytes),
         Err(e) => {
--- a/crates/freshness/src/fetching.rs
+++ b/crates/freshness/src/fetching.rs
@@ -19,21 +19,26 @@
 /// Pause after the first call to a host without success; it doubles with each further one, up to the second value.
 const FIRST_PAUSE: Millis = Millis(100);
 const MAX_PAUSE: Millis = Millis(3_200);
+/// Pause after a call to a host that had answered as many hosts as it may.
+const BUSY_PAUSE: Millis = ANSWER_WINDOW;
 /// Number of hosts of a region that may ask another region at once. With each further turn the number of those that may has
 /// more than doubled.
 const FIRST_FAR_ASKERS: u32 = 4;
-/// Time between two such turns. A host that has the version tells its region within it.
-const FAR_TURN_TIME: Millis = Millis(200);
+/// Time between two such turns. Within it the first hosts get a large configuration over a shared link, and tell their
+/// region.
+const FAR_TURN_TIME: Millis = Millis(300);
 /// Time after which a claim is forgotten. The version may not exist.
 const CLAIM_LIFETIME: Millis = Millis(60_000);
 /// Number of hosts whose claims are kept.
 const MAX_CLAIMANTS: usize = 512;
 
-/// Time of which the answers of a host are counted, and how many answers and bytes a host sends in it: half of the link of
-/// the smallest host.
+/// Time of which the answers of a host are counted, and how many answers and bytes it sends in it to its own region: half of
+/// the link of the smallest host.
 const ANSWER_WINDOW: Millis = Millis(100);
 const MAX_ANSWERS: usize = 16;
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
+/// Number of answers to hosts of other regions in the same time.
+const MAX_FAR_ANSWERS: usize = FIRST_FAR_ASKERS as usize;
 
 /// How far a host is from this one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -159,6 +164,13 @@
         }
     }
 
+    /// Records that a host had answered as many other hosts lately as it may.
+    pub fn on_busy(&mut self, origin: Origin, now: HostTime) {
+        if let Some(claimant) = self.claimants.iter_mut().find(|known| known.origin == origin) {
+            claimant.retry_at = now + BUSY_PAUSE;
+        }
+    }
+
     /// Returns the newest version that a host claims to have; `None` if none is newer than the one in force.
     pub fn newest(&self) -> Option<u64> {
         self.claimants.iter().map(|claimant| claimant.version).max()
@@ -184,10 +196,20 @@
         let due_at = (heard_at + UPDATE_TIME).min(heard_at.max(since + self.urgent_age.0));
         let known = current().filter_map(|claimant| {
             let (distance, called) = place(claimant.origin)?;
+            Some((claimant, distance, called))
+        });
+        let known: Vec<_> = known.collect();
+        let answers_near = known
+            .iter()
+            .any(|(claimant, distance, _)| *distance != Distance::Far && claimant.failures == 0);
+        let known = known
+            .into_iter()
+            .filter(|(_, distance, _)| !answers_near || *distance != Distance::Far);
+        let timed = known.map(|(claimant, distance, called)| {
             let wait = if distance == Distance::Far { far_turn.wait() } else { Millis(0) };
-            Some((claimant, distance, called, claimant.retry_at.max(due_at + wait)))
+            (claimant, distance, called, claimant.retry_at.max(due_at + wait))
         });
-        let (ready, later): (Vec<_>, Vec<_>) = known.partition(|(_, _, _, at)| *at <= now);
+        let (ready, later): (Vec<_>, Vec<_>) = timed.partition(|(_, _, _, at)| *at <= now);
         // Hosts that are told of the same claims at the same time ask different ones.
         let spread = |origin: Origin| mix(u64::from(self.own.0) << 32 | u64::from(origin.0));
         let best = ready.into_iter().min_by_key(|(claimant, distance, _, _)| {
@@ -205,22 +227,34 @@
     now.since(claimant.heard_at) < CLAIM_LIFETIME
 }
 
+/// Answer to a host that asked for the configuration.
+#[derive(Debug, Clone, Copy)]
+struct Answered {
+    at: HostTime,
+    bytes: usize,
+    is_far: bool,
+}
+
 /// Answers that a host has lately sent to hosts that asked it for its configuration.
 #[derive(Debug, Default)]
-pub struct RecentAnswers(VecDeque<(HostTime, usize)>);
+pub struct RecentAnswers(VecDeque<Answered>);
 
 impl RecentAnswers {
-    /// Returns whether this host may send another answer. The load of a host stays bounded if many are told at once that it
-    /// has a version.
-    pub fn admits(&mut self, now: HostTime) -> bool {
-        self.0.retain(|(at, _)| now.since(*at) < ANSWER_WINDOW);
-        let bytes: usize = self.0.iter().map(|(_, bytes)| bytes).sum();
-        self.0.len() < MAX_ANSWERS && bytes < MAX_ANSWER_BYTES
+    /// Returns whether this host may answer another host. The load of a host stays bounded if many are told at once that it has
+    /// a version. Hosts of other regions are counted apart: few ask, and each of them has a region that waits for it.
+    pub fn admits(&mut self, is_far: bool, now: HostTime) -> bool {
+        self.0.retain(|answered| now.since(answered.at) < ANSWER_WINDOW);
+        let of_kind = || self.0.iter().filter(|answered| answered.is_far == is_far);
+        if is_far {
+            return of_kind().count() < MAX_FAR_ANSWERS;
+        }
+        let bytes: usize = of_kind().map(|answered| answered.bytes).sum();
+        of_kind().count() < MAX_ANSWERS && bytes < MAX_ANSWER_BYTES
     }
 
     /// Records an answer of some bytes.
-    pub fn record(&mut self, bytes: usize, now: HostTime) {
-        self.0.push_back((now, bytes));
+    pub fn record(&mut self, bytes: usize, is_far: bool, now: HostTime) {
+        self.0.push_back(Answered { at: now, bytes, is_far });
     }
 }
 
--- a/crates/freshness/tests/fetching.rs
+++ b/crates/freshness/tests/fetching.rs
@@ -158,7 +158,7 @@
         });
         let waits: Vec<u64> = waits.collect();
         let count = |wait| waits.iter().filter(|other| **other == wait).count();
-        let counts = [0, 200, 400, 600, 800, 1_000].map(count);
+        let counts = [0, 300, 600, 900, 1_200, 1_500].map(count);
         assert_eq!(counts, [4, 8, 16, 32, 64, 23], "version {version}");
     }
 }
@@ -172,19 +172,48 @@
     assert_eq!(at(&claimed(&[30, 20])), Step::Ask(Origin(20)));
 }
 
+/// Guards against calls to another region as the near hosts that have the version can't answer all at once.
+#[test]
+fn a_near_host_that_is_busy_is_asked_again() {
+    let mut fetching = claimed(&[10, 20, 30]);
+    for asked in [10, 20] {
+        assert_eq!(step(&fetching, 0), Step::Ask(Origin(asked)));
+        fetching.on_busy(Origin(asked), START);
+    }
+    assert_eq!(step(&fetching, 0), Step::WaitUntil(START + Millis(100)));
+    assert_eq!(step(&fetching, 100), Step::Ask(Origin(10)));
+    for asked in [10, 20] {
+        fetching.on_failure(Origin(asked), START + Millis(100));
+    }
+    assert_eq!(step(&fetching, 100), Step::Ask(Origin(30)));
+}
+
 /// Guards against a host that answers so many others that its link is full.
 #[test]
 fn the_answers_of_a_host_are_bounded() {
     let mut answers = RecentAnswers::default();
     for _ in 0..16 {
-        assert!(answers.admits(START));
-        answers.record(100, START);
+        assert!(answers.admits(false, START));
+        answers.record(100, false, START);
+    }
+    assert!(!answers.admits(false, START + Millis(99)));
+    assert!(answers.admits(false, START + Millis(100)));
+    answers.record(500_000, false, START + Millis(100));
+    assert!(!answers.admits(false, START + Millis(199)));
+    assert!(answers.admits(false, START + Millis(200)));
+}
+
+/// Guards against a region that waits as the hosts near the only one that has a version ask it as well.
+#[test]
+fn near_hosts_do_not_use_up_the_answers_to_another_region() {
+    let mut answers = RecentAnswers::default();
+    (0..16).for_each(|_| answers.record(500_000, false, START));
+    for _ in 0..4 {
+        assert!(answers.admits(true, START));
+        answers.record(500_000, true, START);
     }
-    assert!(!answers.admits(START + Millis(99)));
-    assert!(answers.admits(START + Millis(100)));
-    answers.record(500_000, START + Millis(100));
-    assert!(!answers.admits(START + Millis(199)));
-    assert!(answers.admits(START + Millis(200)));
+    assert!(!answers.admits(true, START + Millis(99)));
+    assert!(answers.admits(true, START + Millis(100)));
 }
 
 /// Guards against memory that grows with damaged or invented claims.
