--- a/crates/edge/src/control/config_fetch.rs
+++ b/crates/edge/src/control/config_fetch.rs
@@ -30,6 +30,8 @@
 /// Time limits of a request for the configuration: its silence, well below the time for which hosts without a version refuse
 /// requests, and the time that the largest answer may take.
 const FETCH_PATIENCE: Patience = Patience { silence: Millis(250), total: Millis(3_000) };
+/// Number of calls in a row without success from which on requests don't wait for the next one.
+const MAX_AWAITED_FAILURES: u32 = 2;
 
 /// Request for a newer configuration than the sender has. It is answered at once.
 #[derive(Debug, Serialize, Deserialize)]
@@ -137,6 +139,7 @@
         let own = Origin(NameHash::of(self.settings.host.as_str()).0);
         let mut fetching = Fetching::new(own, UrgentAge::new(self.settings.apply_time));
         let mut needs_whole = false;
+        let mut failures: u32 = 0;
         loop {
             let added = self.status.version_claims().listen();
             let now = clock::now();
@@ -146,14 +149,20 @@
             }
             match self.next_step(&fetching, own, now) {
                 Step::Ask((origin, addr)) => {
+                    if failures < MAX_AWAITED_FAILURES {
+                        self.status.version_claims().on_fetch();
+                    }
                     let result = self.fetch_config(addr, needs_whole).await;
                     needs_whole = matches!(result, Err(FetchError::Record(_)));
                     record_fetch(addr, now, self.config_version(), &result);
+                    failures = if result.is_ok() { 0 } else { failures.saturating_add(1) };
                     match result {
-                        Ok(_) => {}
+                        // The traffic thread applies it next.
+                        Ok(_) => continue,
                         Err(FetchError::Busy) => fetching.on_busy(origin, clock::now()),
                         Err(_) => fetching.on_failure(origin, clock::now()),
                     }
+                    self.status.version_claims().on_fetch_end();
                 }
                 Step::WaitUntil(at) => {
                     let due = async {
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! The traffic thread, which serves callers' requests.
 
 mod attempt;
+mod config_wait;
 mod crash_reports;
 mod detours;
 mod history;
@@ -208,6 +209,8 @@
 
     fn apply(&self, publication: Publication) {
         let view = publication.view;
+        let version = |view: &View| view.config.as_ref().map_or(0, |config| config.version);
+        let is_newer = version(&self.view.borrow()) < version(&view);
         if let Some(config) = &view.config {
             self.shared.limits.set(Some(config.limits));
             let since = view.config_published_after;
@@ -230,6 +233,9 @@
             clock::now(),
         );
         *self.view.borrow_mut() = Arc::new(view);
+        if is_newer {
+            self.status.version_claims().on_fetch_end();
+        }
     }
 
     /// Applies the configuration, the number of hosts and the owners of keys to the services. A new service starts with
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -80,6 +80,7 @@
         let arrived = clock::now();
         let config_age = self.status.config_age(arrived);
         let id = incoming.head.headers.get_str(self.protocol.names.request_id).map(str::to_owned);
+        self.wait_for_config(&incoming.head.headers, arrived).await;
         let req = match self.accept(incoming, arrived) {
             Ok(req) => req,
             Err(rejection) => {
--- a/crates/edge/src/version_claims.rs
+++ b/crates/edge/src/version_claims.rs
@@ -27,6 +27,8 @@
     known: FastMap<Origin, u64>,
     /// Claims that the control thread has not taken yet.
     added: Vec<NewerVersion>,
+    /// Whether a call for a configuration is under way, or has brought one that the traffic thread does not apply yet.
+    is_fetching: bool,
 }
 
 /// Claims of newer versions, shared by the threads of a host.
@@ -35,6 +37,8 @@
     state: Mutex<State>,
     /// Notified when a host is heard to have a newer version than before.
     has_added: Event,
+    /// Notified when a call for a configuration has failed, or a configuration is applied.
+    fetch_ended: Event,
 }
 
 impl VersionClaims {
@@ -49,7 +53,7 @@
             return;
         }
         let mut state = self.lock();
-        let State { known, added } = &mut *state;
+        let State { known, added, .. } = &mut *state;
         known.retain(|_, version| *version > in_force);
         let count = added.len();
         for Claim { origin, version, age } in claims {
@@ -72,6 +76,29 @@
         std::mem::take(&mut self.lock().added)
     }
 
+    /// Records that a call for a configuration begins.
+    pub fn on_fetch(&self) {
+        self.lock().is_fetching = true;
+    }
+
+    /// Records that a call for a configuration has failed, or that the traffic thread applies a newer configuration.
+    pub fn on_fetch_end(&self) {
+        self.lock().is_fetching = false;
+        self.fetch_ended.notify(usize::MAX);
+    }
+
+    /// Returns whether a newer configuration may be here soon: a call for it is under way, or begins for claims that were
+    /// just added.
+    pub fn is_fetching(&self) -> bool {
+        let state = self.lock();
+        state.is_fetching || !state.added.is_empty()
+    }
+
+    /// Returns a listener that is notified when a call for a configuration has failed, or one is applied, from now on.
+    pub fn listen_for_end(&self) -> EventListener {
+        self.fetch_ended.listen()
+    }
+
     /// Returns a listener that is notified when claims are added from now on.
     pub fn listen(&self) -> EventListener {
         self.has_added.listen()
