--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod attempt;
+mod config_wait;
 mod crash_reports;
 mod detours;
 mod history;
@@ -218,6 +219,8 @@
 
     fn apply(&self, publication: Publication) {
         let view = publication.view;
+        let version = |view: &View| view.config.as_ref().map_or(0, |config| config.version);
+        let is_newer = version(&self.view.borrow()) < version(&view);
         if let Some(config) = &view.config {
             self.shared.limits.set(Some(config.limits));
             self.shared.limits_version.set(config.version);
@@ -243,6 +246,9 @@
             self.pool.borrow_mut().close_expired();
         }
         *self.view.borrow_mut() = Arc::new(view);
+        if is_newer {
+            self.status.version_claims().on_fetch_end();
+        }
     }
 
     /// Returns the version of the configuration that is applied; zero if there is none.
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -80,6 +80,7 @@
         let arrived = clock::now();
         let config_age = self.status.config_age(arrived);
         let incoming = Incoming { head: incoming.head.into_origin_form(), ..incoming };
+        self.wait_for_config(&incoming.head.headers, arrived).await;
         let accepted = match self.accept(&incoming, arrived) {
             Ok(accepted) => accepted,
             Err(rejection) => return self.reject(&incoming, rejection, arrived),
