Test late copies of answers and any spelling of a path

Of what could end a request wrongly on a connection in use again, no test covered a second copy of a signed answer, nor an earlier refusal written once more behind another host. The route table had no test by random paths.

Up to four copies of an earlier 200, 302, 404 or 500 before the next answer are skipped, five end as 502 and the request is not sent again.

--- a/crates/dispatch/tests/route_forms.rs
+++ b/crates/dispatch/tests/route_forms.rs
@@ -99,3 +99,38 @@
     let routes = routes(&places.map(|(host, prefix)| (hosts[host], prefix)));
     assert_eq!(routes.find(host, path).map(|route| &*route.name), Some(found));
 }
+
+/// Number of random paths.
+const PATHS: u64 = 20_000;
+
+/// Guards against a missing route, or an end of the process, for any path and any way to write it.
+#[test]
+fn a_path_finds_its_route_however_it_is_encoded() {
+    for seed in 0..PATHS {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let pieces =
+            ["a", "Z", "7", "~", "-", ".", "..", "/", "%", "%2f", "%2", "%C3%a9", "é", "*", "%25"];
+        let path: String =
+            (0..random.usize(..12)).map(|_| pieces[random.usize(..pieces.len())]).collect();
+        let routes = routes(&[("h.example", &format!("/{path}/"))]);
+        let encode = |c: char, random: &mut fastrand::Rng| match c {
+            'a' | 'Z' | '7' | '~' | '-' if random.bool() => format!("%{:02x}", c as u32),
+            _ => c.to_string(),
+        };
+        // What follows a percent sign may be the digits of an encoded character.
+        let is_plain = !path.contains('%');
+        let written: String = if is_plain {
+            path.chars().map(|c| encode(c, &mut random)).collect()
+        } else {
+            path.clone()
+        };
+        for host in ["h.example", "H.example.:80"] {
+            let found = routes.find(host, &format!("/{written}/x"));
+            assert!(found.is_some(), "seed {seed}: {path} as {written}");
+        }
+        // Any part of it may be the path of a request.
+        let cut = random.usize(..=path.chars().count());
+        let part: String = path.chars().take(cut).collect();
+        let _ = routes.find(&part, &part);
+    }
+}
--- a/crates/edge/tests/repeated_refusals.rs
+++ b/crates/edge/tests/repeated_refusals.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use support::LONG;
+use support::{LONG, scripted};
 
 /// Starts an upstream that refuses the first request on each connection and runs the others. Before it answers the second
 /// one, it writes the refusal once more. Returns its address and the number of runs.
@@ -122,3 +122,33 @@
         assert_eq!((second.status, runs.load(Ordering::SeqCst)), (status, 1));
     });
 }
+
+/// The same over another host, whose connection to the upstream the next attempt may share.
+#[rstest]
+fn a_refusal_is_not_taken_for_the_answer_to_the_next_attempt_over_another_host(
+    #[values(shed, misdirected, shed_without_id, misdirected_without_id)] refusal: fn(
+        &str,
+    )
+        -> String,
+) {
+    support::with_host(LONG, move |host| async move {
+        let (addr, runs) = upstream(refusal);
+        let config = support::config(1, &[("/films/", &[("films", 1)])]);
+        let mut state = support::state(&config, &[("films", addr)]);
+        let owner = state.upstreams[0].id().clone();
+        state.view.keys =
+            vec![("films".parse().unwrap(), KeyMap::new(vec![(u16::MAX, Some(owner))]))];
+        let intermediary = scripted::start_intermediary(support::PROTOCOL, addr);
+        state.view.peers = Some(Arc::new(vec![support::peer(intermediary)]));
+        host.apply(state).await;
+        host.status.paths().on_failure(addr, &"cut off");
+        for id in ["a", "b"] {
+            let head = "GET /films/x HTTP/1.1\r\nHost: h.example\r\nKey: 7\r\nDeadline: 500\r\n";
+            let runs_before = runs.load(Ordering::SeqCst);
+            let answer = host.answer(&format!("{head}Id: {id}\r\n")).await;
+            let runs = runs.load(Ordering::SeqCst) - runs_before;
+            assert!(runs <= 1, "it ran {runs} times");
+            assert!(runs == 0 || answer.status != 503, "it ran and the caller was told otherwise");
+        }
+    });
+}
--- a/crates/edge/tests/wrong_process.rs
+++ b/crates/edge/tests/wrong_process.rs
@@ -6,8 +6,8 @@
 
 use rstest::rstest;
 use skylarkdock_http1::head::RequestHead;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use support::scripted::{self, Then};
 use support::{Host, LONG};
 
@@ -199,3 +199,40 @@
         assert_eq!(host.answer(head).await.status, 503);
     });
 }
+
+/// Guards against taking a second copy of an answer, which arrives late on a connection in use again, for the answer to the
+/// next request.
+#[rstest]
+#[case::none(0, 200)]
+#[case::one(1, 200)]
+#[case::several(4, 200)]
+#[case::too_many(5, 502)]
+fn a_second_copy_of_an_answer_is_not_taken_for_the_next_one(
+    #[case] copies: usize,
+    #[case] expected: u16,
+    #[values(200, 302, 404, 500)] status: u16,
+    #[values(Over::NewConnection, Over::AnotherHost)] over: Over,
+) {
+    support::with_host(LONG, |host| async move {
+        let last = Mutex::new(String::new());
+        let (addr, received) = scripted::start(move |head, _| {
+            let mut last = last.lock().unwrap();
+            let late = last.repeat(copies);
+            let (status, body) = if last.is_empty() { (status, "first") } else { (200, "next") };
+            let fields = fields(head, Repeats::Own, Some("s"));
+            let answer = format!(
+                "HTTP/1.1 {status} X\r\n{fields}Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            (*last).clone_from(&answer);
+            (late + &answer, Then::Keep)
+        });
+        route_to(&host, addr, over).await;
+        assert_eq!(status_of(&host, "a").await, status);
+        let head = "GET /order/x HTTP/1.1\r\nHost: h.example\r\nDeadline: 3000\r\nId: b\r\n";
+        let answer = host.answer(head).await;
+        assert_eq!(answer.status, expected);
+        assert!(answer.body.is_empty() || answer.body == b"next");
+        assert_eq!(received.load(Ordering::SeqCst), 2);
+    });
+}
