Close connections on which a refusal with a success status arrived

A request that must run once could run twice: an upstream said with a status below 400 that it had not run it, and wrote that answer once more on the same connection while it ran the second attempt. The copy passed for the answer to that attempt, and the request was sent a third time.

Cause: a connection remembers the requests that may come again on it by a status from 400 on. Others may come again, too: those whose answer is not passed on (unsigned, encoded) or bears the mark with a lower status.

The connection of such an answer is not used again, as it is rare. Those from 400 on stay remembered as before.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -38,7 +38,7 @@
 /// Number of requests on a connection that were answered with a failure or refusal, after which it is closed.
 const MAX_FAILED: usize = 16;
 /// Status from which an answer is a failure or a refusal, after which the same request may be sent again.
-const FIRST_FAILURE_STATUS: u16 = 400;
+pub(crate) const FIRST_FAILURE_STATUS: u16 = 400;
 
 /// Reason for which a request has no answer.
 #[derive(Debug, Error)]
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -409,7 +409,9 @@
                 paths.on_success(upstream);
                 let (id, born) = incarnation;
                 notices.record(id, *born, (self.protocol.parse_notices)(&reply, id));
-                if let Some(conn) = conn.0.take().filter(|_| reusable && has_id) {
+                let may_reuse =
+                    reusable && has_id && self.protocol.names.may_reuse_connection(&reply);
+                if let Some(conn) = conn.0.take().filter(|_| may_reuse) {
                     self.pool.borrow_mut().put(upstream, conn, MAX_IDLE);
                 }
                 let headers = reply.head.headers.0.into_iter();
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -366,7 +366,7 @@
         };
         let (reply, reusable) = conn.exchange(req).or(timed_out).await?;
         self.status.paths().on_success(addr);
-        if reusable {
+        if reusable && self.protocol.names.may_reuse_connection(&reply) {
             self.keep_connection(attempt, addr, conn);
         }
         Ok(reply)
--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -1,6 +1,6 @@
 //! Protocol between the host and upstreams. The adapter of each platform provides header names and message formats.
 
-use crate::client::{Outgoing, Reply};
+use crate::client::{FIRST_FAILURE_STATUS, Outgoing, Reply};
 use skylarkdock_dispatch::notices::Notices;
 use skylarkdock_http1::head::Headers;
 use skylarkdock_spans::renewal::{CallEnd, Grant, Release};
@@ -110,6 +110,13 @@
         instance.is_some_and(|instance| instance != id.as_str())
     }
 
+    /// Returns whether other requests may be sent on the connection of an answer. A connection remembers failures and
+    /// refusals by their status. After one with a lower status, the same request could be sent on it again, and the answer
+    /// once more would pass for that to the new attempt.
+    pub fn may_reuse_connection(&self, reply: &Reply) -> bool {
+        reply.head.status >= FIRST_FAILURE_STATUS || self.classify(reply) == ReplyKind::Final
+    }
+
     /// Classifies an upstream's answer.
     pub fn classify(&self, reply: &Reply) -> ReplyKind {
         let headers: &Headers = &reply.head.headers;
--- a/crates/edge/tests/repeated_refusals.rs
+++ b/crates/edge/tests/repeated_refusals.rs
@@ -68,6 +68,14 @@
     format!("HTTP/1.1 421 X\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 }
 
+fn not_run_with_success(id: &str) -> String {
+    format!("HTTP/1.1 200 X\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+fn not_run_with_redirection(id: &str) -> String {
+    format!("HTTP/1.1 302 X\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
 fn shed_without_id(_: &str) -> String {
     "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
 }
@@ -80,10 +88,15 @@
 /// answer to the second attempt, which runs.
 #[rstest]
 fn a_refusal_is_not_taken_for_the_answer_to_the_next_attempt(
-    #[values(shed, misdirected, shed_without_id, misdirected_without_id)] refusal: fn(
-        &str,
-    )
-        -> String,
+    #[values(
+        shed,
+        misdirected,
+        shed_without_id,
+        misdirected_without_id,
+        not_run_with_success,
+        not_run_with_redirection
+    )]
+    refusal: fn(&str) -> String,
 ) {
     support::with_host(LONG, move |host| async move {
         let (addr, runs) = upstream(refusal);
@@ -126,10 +139,15 @@
 /// The same over another host, whose connection to the upstream the next attempt may share.
 #[rstest]
 fn a_refusal_is_not_taken_for_the_answer_to_the_next_attempt_over_another_host(
-    #[values(shed, misdirected, shed_without_id, misdirected_without_id)] refusal: fn(
-        &str,
-    )
-        -> String,
+    #[values(
+        shed,
+        misdirected,
+        shed_without_id,
+        misdirected_without_id,
+        not_run_with_success,
+        not_run_with_redirection
+    )]
+    refusal: fn(&str) -> String,
 ) {
     support::with_host(LONG, move |host| async move {
         let (addr, runs) = upstream(refusal);
