Test random heads, and processes at the address of another host

No test sent heads with random bytes through the whole of what validates and routes them, and none had another program at the address over which a request makes a detour.

2000 seeds of heads end as 400, 404 or 503, and their targets stay as they are unless they are in absolute form. A program that answers a call of another host with any of twelve statuses and three bodies makes the request end as 502, 503 or 504, and the upstream gets nothing.

--- a/crates/edge/tests/request_forms.rs
+++ b/crates/edge/tests/request_forms.rs
@@ -6,7 +6,9 @@
 
 use rstest::rstest;
 use skylarkdock_dispatch::routes::Idempotency;
+use skylarkdock_edge::serve::Incoming;
 use skylarkdock_http1::head::RequestHead;
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
@@ -164,3 +166,63 @@
         assert_eq!((answer.status, received.lock().unwrap().len()), (503, 0));
     });
 }
+
+/// Number of random heads.
+const HEADS: u64 = 2_000;
+
+/// Guards against an end of the process, or a changed target, by any bytes that a caller sends.
+#[test]
+fn any_head_that_can_be_parsed_is_answered() {
+    let pieces: [&[u8]; 24] = [
+        b"GET ",
+        b"OPTIONS ",
+        b"/read/",
+        b"*",
+        b"http://",
+        b"h.example",
+        b"?",
+        b"#",
+        b" HTTP/1.0\r\n",
+        b"Host: ",
+        b"Id: ",
+        b"Key: ",
+        b"Deadline: ",
+        b"1",
+        b"-.e9",
+        b"\r\n",
+        b"Content-Length: 1\r\n",
+        b"Connection: \xff,close\r\n",
+        b"\xc3\xa9",
+        b"\xff",
+        b"%",
+        b"%2e",
+        b"..",
+        b":",
+    ];
+    support::with_host(LONG, |host| async move {
+        let config = support::config(1, &[("/read/", &[("films", 1), ("orders", 1)])]);
+        host.apply(support::state(&config, &[])).await;
+        support::prove_config(&host.status, 1);
+        let mut statuses = BTreeSet::new();
+        for seed in 0..HEADS {
+            let mut random = fastrand::Rng::with_seed(seed);
+            let mut buf = b"GET http://h.example/read/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\nKey: 7\r\n\r\n"
+                .to_vec();
+            for _ in 0..random.usize(..6) {
+                let at = random.usize(..=buf.len());
+                let end = (at + random.usize(..4)).min(buf.len());
+                buf.splice(at..end, pieces[random.usize(..pieces.len())].iter().copied());
+            }
+            let Ok(Some((mut head, _))) = RequestHead::parse(&buf) else { continue };
+            let origin = head.clone().into_origin_form();
+            assert_eq!(origin.clone().into_origin_form(), origin, "seed {seed}");
+            assert!(!head.target.starts_with('/') || origin.target == head.target, "seed {seed}");
+            // No request waits for the owner of a key.
+            head.headers.remove("Deadline");
+            head.headers.push("Deadline", "0");
+            let answer = host.traffic.answer(Incoming { head, body: Vec::new() }).await;
+            statuses.insert(answer.status);
+        }
+        assert_eq!(statuses, BTreeSet::from([400, 404, 503]));
+    });
+}
--- a/crates/edge/tests/wrong_process.rs
+++ b/crates/edge/tests/wrong_process.rs
@@ -236,3 +236,28 @@
         assert_eq!(received.load(Ordering::SeqCst), 2);
     });
 }
+
+/// Guards against a final rejection in the name of a process that has taken over the address of another host.
+#[rstest]
+fn a_process_at_the_address_of_another_host_rejects_no_request(
+    #[values(200, 302, 400, 401, 404, 405, 413, 421, 429, 431, 500, 503)] status: u16,
+    #[values("", "no call", "\u{1}\u{2}\u{0}\u{0}")] body: &'static str,
+    #[values(Then::Keep, Then::Close)] then: Then,
+) {
+    support::with_host(LONG, |host| async move {
+        let (addr, received) = scripted::start(|head, _| good_answer(head));
+        let (intermediary, _) = scripted::start(move |_, _| {
+            let fields = format!("Id: a\r\nSignature: s\r\nContent-Length: {}", body.len());
+            (format!("HTTP/1.1 {status} X\r\n{fields}\r\n\r\n{body}"), then)
+        });
+        let config = support::config(1, &[("/order/", &[("orders", 1)])]);
+        let mut state = support::state(&config, &[("orders", addr)]);
+        state.view.peers = Some(Arc::new(vec![support::peer(intermediary)]));
+        host.apply(state).await;
+        host.status.paths().on_failure(addr, &"cut off");
+        let head = "GET /order/x HTTP/1.1\r\nHost: h.example\r\nDeadline: 100\r\nId: a\r\n";
+        let status = host.answer(head).await.status;
+        assert!(matches!(status, 502..=504), "{status}");
+        assert_eq!(received.load(Ordering::SeqCst), 0);
+    });
+}
