Count the version that a host had before it was started again

A host that starts again may get a configuration that is older than the one it had: it reads another host's, or can't read the newest any more. Others told it of the newer one under its own name, and it ignored each claim of its own. So it gave final answers by the older one, although it had been told of the newer.

Shown by the fuzz of final answers: only the host that was started again could read version 46, it applied 45, and answered 404 for a route that 46 has. The newest version that others say this host had now keeps it from final answers, until a later read of the store refutes it. It makes the host no witness of its own: when it refuses all requests is as before, and so is the newest version that it reports.

`a_host_that_starts_again_counts_its_own_earlier_claim` printed `left: 9, right: 12` before.

--- a/crates/freshness/src/versions.rs
+++ b/crates/freshness/src/versions.rs
@@ -118,12 +118,15 @@
     own: Origin,
     in_force: u64,
     claims: Vec<KnownClaim>,
+    /// Newest version of which others say that this host had it, and when it heard so. One that is newer than the one in
+    /// force is from before it was started again.
+    before_start: Option<(u64, HostTime)>,
 }
 
 impl KnownVersions {
     /// Creates the state of a host that knows no version.
     pub const fn new(own: Origin) -> Self {
-        Self { own, in_force: 0, claims: Vec::new() }
+        Self { own, in_force: 0, claims: Vec::new(), before_start: None }
     }
 
     /// Records that this host puts a version in force that may have been published from `since` on.
@@ -138,7 +141,11 @@
     /// Records a claim that was told to this host.
     pub fn on_claim(&mut self, claim: Claim, now: HostTime) {
         let Claim { origin, version, age } = claim;
-        if origin != self.own {
+        if origin == self.own {
+            if self.before_start.is_none_or(|(known, _)| known < version) {
+                self.before_start = Some((version, now));
+            }
+        } else {
             let since = HostTime(now.0.saturating_sub(age.0));
             self.insert(KnownClaim { origin, version, since, heard_at: now }, now);
         }
@@ -243,8 +250,12 @@
     /// Returns the newest version that this host has, or has heard of without a later read of the store that refutes it;
     /// zero if none.
     pub fn newest_unrefuted(&self, proof: Proof) -> u64 {
+        let is_unrefuted = |(version, heard_at): &(u64, HostTime)| {
+            proof.version >= *version || proof.at <= *heard_at
+        };
+        let before_start = self.before_start.filter(is_unrefuted).map(|(version, _)| version);
         let witnesses = self.witnesses(proof);
-        let newest = witnesses.iter().map(|witness| witness.version).max();
+        let newest = witnesses.iter().map(|witness| witness.version).chain(before_start).max();
         newest.unwrap_or_default().max(self.in_force)
     }
 
--- a/crates/freshness/tests/versions.rs
+++ b/crates/freshness/tests/versions.rs
@@ -249,3 +249,19 @@
     known.on_in_force(20, START, START + Millis(10));
     assert_eq!((known.newest(), known.newest_unrefuted(OLD_PROOF)), (23, 23));
 }
+
+/// Guards against a host that starts again and takes an older version for the newest, although others tell it of the one
+/// that it had itself.
+#[test]
+fn a_host_that_starts_again_counts_its_own_earlier_claim() {
+    let mut known = host();
+    known.on_claim(claim(1, 9, 100), START);
+    assert_eq!(known.newest_unrefuted(OLD_PROOF), 9);
+    known.on_claim(claim(1, 12, 100), START);
+    known.on_claim(claim(1, 11, 100), START + Millis(10));
+    assert_eq!(known.newest_unrefuted(OLD_PROOF), 12);
+    let later_proof = Proof { at: START + Millis(1), version: 9 };
+    assert_eq!(known.newest_unrefuted(later_proof), 9);
+    known.on_in_force(13, START, START + Millis(20));
+    assert_eq!(known.newest_unrefuted(OLD_PROOF), 13);
+}
