--- a/crates/freshness/tests/versions.rs
+++ b/crates/freshness/tests/versions.rs
@@ -117,8 +117,8 @@
     assert!(refuses(&known, OLD_PROOF, 20_000 + REFUSE_AFTER - 100));
 }
 
-/// Guards against claims of a version that does not exist, of one that this host can't read, and of one that a restored
-/// store no longer has: a later read shows no such version.
+/// Guards against claims of a version that does not exist, and of one that a restored store no longer has: a later read
+/// shows no such version.
 #[test]
 fn claims_that_a_later_read_of_the_store_refutes_do_not_count() {
     let mut known = host();
