Keep upstreams that an older copy of the store lacks

A host reads the whole registry anew when the store comes back from an older copy. Upstreams that were registered since the copy are missing from it until they write their entries again, within a heartbeat interval, so the host dropped upstreams that run, and a leader would have moved their keys.

Entries that are missing from a whole read within 2 s of the return are kept for 2 s, as after an outage. Deletions and later reads count as before.

Without the rule the new test fails in both cases, as the read of the older copy drops the upstream that it lacks.

--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -78,6 +78,8 @@
     read_at: HostTime,
     /// When this host sent its last read that failed.
     failed_at: HostTime,
+    /// When this host last learned that the store had come back from an older copy.
+    restored_at: Option<HostTime>,
     /// First read known after the last pause in which the store may have been away.
     read_since: HostTime,
 }
@@ -92,6 +94,7 @@
             heartbeat,
             read_at: never,
             failed_at: never,
+            restored_at: None,
             read_since: never,
         }
     }
@@ -101,6 +104,12 @@
         self.failed_at = self.failed_at.max(asked_at);
     }
 
+    /// Records that the store has come back from an older copy, as became known at `now`. Upstreams that were registered
+    /// since the copy write their entries again.
+    pub fn on_restored(&mut self, now: HostTime) {
+        self.restored_at = Some(now);
+    }
+
     /// Applies a page that this host read from the store; see [`Registry::apply_read`]. Of an upstream whose newest entry
     /// can't be read, the one before is kept until the upstream had the time to write another. If it was dropped at once,
     /// the keys of an upstream that still runs would move because of what another writer did.
@@ -131,7 +140,7 @@
 
     /// Applies what this host read from the store, in the order in which it was recorded. The read was sent at
     /// `asked_at`. With `is_whole` the changes contain all entries, and others were deleted. Deleted entries are kept
-    /// for now if the store was unavailable before the read. Returns the changes that are more than heartbeats.
+    /// for now if the store was unavailable before the read, or has just come back from an older copy. Returns the changes that are more than heartbeats.
     pub fn apply_read(
         &mut self,
         changes: Vec<RegistryChange>,
@@ -144,8 +153,11 @@
         let is_kept =
             |id: &UpstreamId| self.upstreams.get(id).is_some_and(|u| u.kept_until.is_some());
         let missing: Vec<UpstreamId> = missing.into_iter().filter(|id| !is_kept(id)).collect();
-        let kept_until = self.follows_outage(asked_at).then(|| asked_at + REWRITE_TIME);
-        if kept_until.is_some() {
+        let follows_outage = self.follows_outage(asked_at);
+        let is_restored = self.restored_at.is_some_and(|at| asked_at.since(at) < REWRITE_TIME);
+        let keeps_missing = follows_outage || (is_whole && is_restored);
+        let kept_until = keeps_missing.then(|| asked_at + REWRITE_TIME);
+        if follows_outage {
             let pause = asked_at.since(self.read_at);
             log::info!(pause:% = pause; "registry: the store was unavailable, expired entries are kept for now");
         }
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -342,7 +342,9 @@
     /// Records the copy of the store that an offset belongs to.
     fn record_copy(&self, offset: u64) {
         let copy = Position::of(offset).copy;
-        if let Some(before) = self.fleet.borrow_mut().store_copy.on_records(copy, clock::now()) {
+        let mut fleet = self.fleet.borrow_mut();
+        if let Some(before) = fleet.store_copy.on_records(copy, clock::now()) {
+            fleet.registry.on_restored(clock::now());
             counter!("skylarkdock_store_restored_total").increment(1);
             log::warn!(before:% = before, copy:% = copy; "store: it came back from an older copy");
         }
--- a/crates/edge/tests/registry.rs
+++ b/crates/edge/tests/registry.rs
@@ -128,6 +128,30 @@
     assert_eq!(!reads.listed().is_empty(), is_written_again);
 }
 
+/// A store that came back from an older copy lacks the entries that were written since, until their upstreams write them
+/// again. Dropping them at once would move the keys of upstreams that run.
+#[rstest]
+#[case::is_written_again(true)]
+#[case::is_not_written_again(false)]
+fn entry_that_an_older_copy_of_the_store_lacks_is_kept_until_it_may_return(
+    #[case] is_written_again: bool,
+) {
+    let mut reads = Reads::start(vec![put("a", 1), put("b", 1)]);
+    reads.now = reads.now + Millis(300);
+    reads.registry.on_restored(reads.now);
+    assert!(reads.apply(Millis(0), vec![put("b", 2)], true).is_empty());
+    assert_eq!(reads.listed(), ["a", "b"], "dropped although it may be written again");
+    let written = if is_written_again { vec![put("a", 2)] } else { Vec::new() };
+    reads.apply(Millis(1_000), written, false);
+    assert_eq!(reads.listed(), ["a", "b"], "dropped although it may be written again");
+    reads.apply(Millis(1_000), vec![put("b", 3)], false);
+    assert_eq!(reads.listed().contains(&"a".to_owned()), is_written_again);
+    // An upstream that leaves then is dropped at once, and so is what a later whole read lacks.
+    assert_eq!(reads.apply(Millis(300), vec![delete("b")], false), [delete("b")]);
+    reads.apply(Millis(300), Vec::new(), true);
+    assert!(reads.listed().is_empty());
+}
+
 #[test]
 fn entry_deleted_while_the_store_is_available_is_dropped() {
     let mut reads = Reads::start(vec![put("a", 1)]);
