Take the age of a version from the claim that knows it best

A host that was suspended read the notices that waited in its socket in their order, and kept the first claim of each host. Only the later ones tell how old the version is, so it took the version for young, and requests for one that may still be awaited were refused.

--- a/crates/edge/src/control/config_fetch.rs
+++ b/crates/edge/src/control/config_fetch.rs
@@ -151,6 +151,8 @@
                 Step::Ask((origin, addr)) => {
                     if failures < MAX_AWAITED_FAILURES {
                         self.status.version_claims().on_fetch();
+                    } else {
+                        self.status.version_claims().on_fetch_end();
                     }
                     let result = self.fetch_config(addr, needs_whole).await;
                     needs_whole = matches!(result, Err(FetchError::Record(_)));
@@ -165,12 +167,19 @@
                     self.status.version_claims().on_fetch_end();
                 }
                 Step::WaitUntil(at) => {
+                    self.status.version_claims().on_fetch_end();
                     let due = async {
                         Timer::at(clock::instant(at)).await;
                     };
                     added.or(due).await;
                 }
-                Step::Idle => added.await,
+                Step::Idle => {
+                    // Without a newer version, the traffic thread applies what this one has put in force.
+                    if fetching.newest().is_some() {
+                        self.status.version_claims().on_fetch_end();
+                    }
+                    added.await;
+                }
             }
         }
     }
--- a/crates/edge/src/version_claims.rs
+++ b/crates/edge/src/version_claims.rs
@@ -4,12 +4,15 @@
 use event_listener::{Event, EventListener};
 use skylarkdock_freshness::versions::{Claim, Origin};
 use skylarkdock_units::collections::FastMap;
-use skylarkdock_units::times::HostTime;
+use skylarkdock_units::times::{HostTime, Millis};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Number of hosts whose claims are passed on.
 const MAX_CLAIMANTS: usize = 512;
 
+/// Difference in age up to which a repeated claim says nothing new.
+const AGE_TOLERANCE: Millis = Millis(50);
+
 /// Newest version that a host claims to have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NewerVersion {
@@ -21,10 +24,18 @@
     pub since: HostTime,
 }
 
+impl NewerVersion {
+    /// Returns whether another claim of the same host says nothing new. One that waited on its way, as on a host that was
+    /// suspended, is followed by some that know the version to be older.
+    fn covers(&self, other: &Self) -> bool {
+        self.version >= other.version && self.since <= other.since + AGE_TOLERANCE
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// Newest version that each host was heard to have, as far as it is newer than the one in force.
-    known: FastMap<Origin, u64>,
+    known: FastMap<Origin, NewerVersion>,
     /// Claims that the control thread has not taken yet.
     added: Vec<NewerVersion>,
     /// Whether a call for a configuration is under way, or has brought one that the traffic thread does not apply yet.
@@ -54,14 +65,15 @@
         }
         let mut state = self.lock();
         let State { known, added, .. } = &mut *state;
-        known.retain(|_, version| *version > in_force);
+        known.retain(|_, claim| claim.version > in_force);
         let count = added.len();
         for Claim { origin, version, age } in claims {
-            let is_known = known.get(origin).is_some_and(|known| known >= version);
+            let claim = NewerVersion { origin: *origin, version: *version, since: now - *age };
+            let is_known = known.get(origin).is_some_and(|known| known.covers(&claim));
             let has_room = known.len() < MAX_CLAIMANTS || known.contains_key(origin);
             if *version > in_force && !is_known && has_room {
-                known.insert(*origin, *version);
-                added.push(NewerVersion { origin: *origin, version: *version, since: now - *age });
+                known.insert(*origin, claim);
+                added.push(claim);
             }
         }
         let has_added = added.len() > count;
@@ -71,9 +83,12 @@
         }
     }
 
-    /// Takes the claims that were added since they were last taken.
+    /// Takes the claims that were added since they were last taken. If there are any, a call for a configuration counts as
+    /// under way until [`Self::on_fetch_end`] is called.
     pub fn take(&self) -> Vec<NewerVersion> {
-        std::mem::take(&mut self.lock().added)
+        let mut state = self.lock();
+        state.is_fetching |= !state.added.is_empty();
+        std::mem::take(&mut state.added)
     }
 
     /// Records that a call for a configuration begins.
