Ask the store for fresh proof before a grant opens a connection

What callers saw: two upstreams may hold the same keys (known red of spans).

Cause: a keeper that can't read the store renews by proof of up to 14 s ago. Since then the keys may have got another owner, and the holder may have released them and started anew at its address, so that it knows of no larger token. A new connection reaches the next incarnation; an open one would have broken.

What is new is that a host whose proof is too old for a new connection asks the store for the end of the log, which does not wait for records. If it knows all records up to there, that is proof of that moment. So a grant is withheld only while the store can't be asked, or has records that this host lacks.

Weighed: an answer that names the instance says nothing of a later start under the same id, and a heartbeat of the registry can't be read when the store can't.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -440,6 +440,11 @@
         self.addr
     }
 
+    /// Returns whether the next call goes over a kept connection, unless the peer has closed it.
+    pub fn is_connected(&self) -> bool {
+        self.conn.as_ref().is_some_and(|conn| conn.used_at.elapsed() < CONTROL_IDLE_TIMEOUT)
+    }
+
     /// Opens a connection for the next call, for a peer that may not be there: a host without power answers nothing, and the
     /// call would wait for it as long as for its answer.
     ///
@@ -472,8 +477,8 @@
         patience: Patience,
     ) -> Result<Reply, Failure> {
         let give_up_at = clock::now() + patience.total;
-        let kept = self.conn.take().filter(|conn| conn.used_at.elapsed() < CONTROL_IDLE_TIMEOUT);
-        let mut conn = match kept {
+        let is_kept = self.is_connected();
+        let mut conn = match self.conn.take().filter(|_| is_kept) {
             Some(conn) if conn.is_clean() => conn,
             Some(_) => {
                 self.consecutive_failures += 1;
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod directory;
 mod election;
 pub mod encoded;
+mod fresh_proof;
 pub mod key_maps;
 pub mod known_records;
 mod lateness;
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -13,7 +13,7 @@
 use skylarkdock_spans::leader::{Action, Inputs};
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::plan::Candidate;
-use skylarkdock_spans::renewal::{CallEnd, Grant, Purpose, Release};
+use skylarkdock_spans::renewal::{CallEnd, Connection, Grant, Purpose, Release};
 use skylarkdock_spans::resting::is_widely_resting;
 use skylarkdock_spans::table::{Holder, Keeper, Table};
 use skylarkdock_units::collections::FastMap;
@@ -46,6 +46,8 @@
     callers: RefCell<FastMap<Holder, Rc<Mutex<ControlClient>>>>,
     /// Number of the last heartbeat of each holder when it was suspended.
     suspended_at_seq: RefCell<FastMap<Holder, u64>>,
+    /// When the store last gave no fresh proof of the recorded tables; zero if it never failed to.
+    pub(super) proof_failed_at: Mutex<HostTime>,
 }
 
 /// Starts the tasks that renew grants, lead services and process samples.
@@ -122,20 +124,28 @@
         let decided_at = clock::now();
         let caller = self.caller(&grant.holder);
         let mut caller = caller.lock().await;
+        let is_direct = paths.lock().is_direct(addr);
+        let is_open = is_direct && caller.is_connected();
+        let conn = if is_open { Connection::Open } else { Connection::New };
+        if conn == Connection::New {
+            self.refresh_proof(service, &grant.holder).await;
+        }
         let started = clock::now();
-        if !self.confirm_send(service, grant, purpose, started) {
+        if !self.confirm_send(service, grant, purpose, conn, started) {
             let waited = started.since(decided_at);
-            log::debug!(service:% = service, first = grant.first, last = grant.last, upstream:% = grant.holder.id, waited:% = waited; "owners: grant not sent, as it is no longer due");
+            log::debug!(service:% = service, first = grant.first, last = grant.last, upstream:% = grant.holder.id, waited:% = waited, connection:? = conn; "owners: grant not sent, as it is no longer due");
             return None;
         }
         // Another host opens a new connection, which a later incarnation may have accepted.
-        let may_detour = purpose == Purpose::Move || {
-            let owners = self.owners.borrow();
-            let renewals = owners.renewals.get(service);
-            renewals.is_some_and(|renewals| renewals.has_recent_answer(&grant.holder, started))
+        let may_detour = match purpose {
+            Purpose::Renewal => {
+                let owners = self.owners.borrow();
+                let renewals = owners.renewals.get(service);
+                renewals.is_some_and(|renewals| renewals.has_recent_answer(&grant.holder, started))
+            }
+            Purpose::Move => self.may_connect(service, &grant.holder, started),
         };
         let req = (self.protocol.build_grant)(grant, self.timing.hold);
-        let is_direct = paths.lock().is_direct(addr);
         if is_direct {
             let failure = match caller.call(&req, self.timing.call_timeout).await {
                 Ok(reply) => {
@@ -183,6 +193,7 @@
         service: &ServiceName,
         grant: &Grant,
         purpose: Purpose,
+        conn: Connection,
         now: HostTime,
     ) -> bool {
         let entry_born =
@@ -190,7 +201,7 @@
         let mut owners = self.owners.borrow_mut();
         let renewals = owners.renewals.get_mut(service);
         entry_born <= grant.holder.born
-            && renewals.is_some_and(|renewals| renewals.confirm_send(grant, purpose, now))
+            && renewals.is_some_and(|renewals| renewals.confirm_send(grant, purpose, conn, now))
     }
 
     /// Records what the answer to a grant or release asks of this host.
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -161,6 +161,20 @@
     assert!(matches!(end, Err(Failure::NotSent(_))), "{end:?}");
 }
 
+/// A grant by old proof may only go to the process that accepted the kept connection.
+#[test]
+fn a_client_tells_whether_the_next_call_opens_a_connection() {
+    let addr = slow_peer(&["HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"], Duration::ZERO);
+    let mut client = ControlClient::new(addr);
+    assert!(!client.is_connected());
+    let req = Outgoing::new("POST", "/", &Headers::default(), b"grant");
+    async_io::block_on(client.call(&req, Millis(20_000))).unwrap();
+    assert!(client.is_connected());
+    let end = async_io::block_on(client.call(&req, Millis(20_000)));
+    assert!(end.is_err(), "the peer answers one call");
+    assert!(!client.is_connected());
+}
+
 /// Starts a peer that answers in pieces with pauses between them, and then goes silent.
 fn slow_peer(pieces: &'static [&'static str], pause: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -15,7 +15,7 @@
 
 /// Time without an answer after which a renewal that fails suspends a holder: it may have crashed unnoticed and a later
 /// incarnation may listen at its address. A holder that has never answered is suspended by its first renewal that
-/// fails.
+/// fails. Proof of this age no longer tells whether a new connection reaches the same incarnation.
 const MAX_ANSWER_AGE: Millis = Millis(1_500);
 
 /// A call that grants a holder a span for one grant lifetime.
@@ -42,6 +42,15 @@
     Move,
 }
 
+/// The connection over which a call to a holder goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Connection {
+    /// One that is open, to the process that accepted it.
+    Open,
+    /// A new one, which the process accepts that listens at the address by then.
+    New,
+}
+
 /// A call that makes a holder release keys before they are granted to another.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Release {
@@ -253,11 +262,18 @@
 
     /// Returns whether a grant that was decided on earlier may be sent now, and records it as sent if so. While it waited
     /// for another call to the holder, the keys may have got another owner, or the holder may have been suspended.
-    pub fn confirm_send(&mut self, grant: &Grant, purpose: Purpose, now: HostTime) -> bool {
+    pub fn confirm_send(
+        &mut self,
+        grant: &Grant,
+        purpose: Purpose,
+        conn: Connection,
+        now: HostTime,
+    ) -> bool {
         self.notice_stop(now);
         let Some(table) = &self.table else { return false };
         let span = table.span(grant.first).filter(|span| span.matches(grant));
         let may_send = self.has_proof(now)
+            && (conn == Connection::Open || self.may_connect(&grant.holder, now))
             && span.is_some_and(|span| match purpose {
                 Purpose::Renewal => self.is_keeper(table) && self.renews(table, span),
                 Purpose::Move => table.leader == self.own_host && !span.is_granted,
@@ -269,6 +285,13 @@
         may_send
     }
 
+    /// Returns whether a grant may go over a new connection, by recent proof or as the holder answered lately. Since older
+    /// proof, the keys may have got another owner, and the holder may have released them and started anew, so that it
+    /// knows of no larger token.
+    pub fn may_connect(&self, holder: &Holder, now: HostTime) -> bool {
+        now.since(self.proof_at) <= MAX_ANSWER_AGE || self.has_recent_answer(holder, now)
+    }
+
     /// Returns whether a table that was planned earlier may still be written: it must follow the newest one known, if there
     /// is one. The store only checks that this host knows all records, and meanwhile it may have read a table of another
     /// leader.
--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -112,6 +112,19 @@
     }
 }
 
+/// Hosts withheld grants over new connections for good, as their proof was too old while nothing changed.
+#[test]
+fn keys_are_granted_over_new_connections_when_proof_is_late() {
+    let cases = variable("SKYLARKDOCK_FUZZ_CASES", DEFAULT_CASES);
+    let first = variable("SKYLARKDOCK_FUZZ_SEED", 1);
+    for seed in first..first + cases {
+        let safeguards = Safeguards { has_late_proof: true, ..Safeguards::default() };
+        run(seed, safeguards).unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+        let frequent = Safeguards { has_frequent_faults: true, ..safeguards };
+        run_faults(seed, frequent).unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+    }
+}
+
 /// Another writer damages records of tables, and hosts that start know no table.
 #[test]
 fn no_two_upstreams_hold_a_key_when_records_of_tables_are_damaged() {
--- a/crates/spans/tests/other_hosts_grants.rs
+++ b/crates/spans/tests/other_hosts_grants.rs
@@ -4,7 +4,7 @@
 
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
-use skylarkdock_spans::renewal::{Ack, CallEnd, LastSent, Purpose, Renewals};
+use skylarkdock_spans::renewal::{Ack, CallEnd, Connection, Grant, LastSent, Purpose, Renewals};
 use skylarkdock_spans::table::{FencingToken, FormerGrant, Holder, Keeper, Span, Table};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::measures::HostSize;
@@ -14,6 +14,8 @@
     Timing { hold: Millis(3_000), call_timeout: Millis(400), proof_lifetime: Millis(14_000) };
 const START: HostTime = HostTime(100_000);
 const TICK: Millis = Millis(50);
+/// Age from which proof no longer suffices for a new connection.
+const OLD_PROOF: Millis = Millis(1_500);
 
 fn holder(name: &str, born: u64) -> Holder {
     let port = if name == "a" { 9_000 } else { 9_001 };
@@ -164,8 +166,52 @@
     let due = renewals.due_renewals(START);
     assert_eq!(due.len(), 1);
     let now = START + TIMING.hold + Millis(1_000);
-    assert!(!renewals.confirm_send(&due[0], Purpose::Renewal, now));
+    assert!(!renewals.confirm_send(&due[0], Purpose::Renewal, Connection::Open, now));
     assert_eq!(renewals.due_renewals(now), []);
     renewals.prove(now);
     assert_eq!(renewals.due_renewals(now + TICK).len(), 1);
 }
+
+/// Since the proof, the keys may have got another owner, and the holder may have released them and started anew. A new
+/// connection would reach the next incarnation, which knows of no larger token.
+#[test]
+fn a_grant_by_old_proof_goes_over_no_new_connection() {
+    let started = HostTime(START.0 - 1_000);
+    let mut renewals = Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, started);
+    let owner = holder("a", 1);
+    renewals.adopt(table(3, &owner, 3, None));
+    renewals.prove(START);
+    let grant = renewals.due_renewals(START).remove(0);
+    let mut may_renew = |conn, now| {
+        assert!(renewals.has_proof(now));
+        renewals.due_renewals(now);
+        renewals.confirm_send(&grant, Purpose::Renewal, conn, now)
+    };
+    assert!(may_renew(Connection::New, START + OLD_PROOF - TICK), "by recent proof");
+    assert!(!may_renew(Connection::New, START + OLD_PROOF + TICK));
+    assert!(
+        may_renew(Connection::Open, START + OLD_PROOF + TICK),
+        "to the process that accepted it"
+    );
+    let answered_at = START + OLD_PROOF + OLD_PROOF;
+    renewals.on_renewal_end(&grant, CallEnd::Done, answered_at);
+    let soon = answered_at + Millis(1_000);
+    assert!(renewals.confirm_send(&grant, Purpose::Renewal, Connection::New, soon));
+}
+
+/// A leader that can't read the store does not know that another one has moved the keys on.
+#[test]
+fn a_leader_grants_nothing_by_old_proof_over_a_new_connection() {
+    let started = HostTime(START.0 - 1_000);
+    let mut renewals = Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, started);
+    let owner = holder("a", 1);
+    renewals.adopt(table(3, &owner, 3, Some((&holder("b", 1), 2))));
+    renewals.prove(START);
+    let fence = FencingToken(3);
+    let grant = Grant { first: 0, last: u16::MAX, holder: owner, fence, handover: None };
+    let now = START + OLD_PROOF + TICK;
+    assert!(!renewals.confirm_send(&grant, Purpose::Move, Connection::New, now));
+    assert!(renewals.confirm_send(&grant, Purpose::Move, Connection::Open, now));
+    renewals.prove(now);
+    assert!(renewals.confirm_send(&grant, Purpose::Move, Connection::New, now));
+}
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
-use skylarkdock_spans::renewal::{CallEnd, Grant, Purpose, Renewals};
+use skylarkdock_spans::renewal::{CallEnd, Connection, Grant, Purpose, Renewals};
 use skylarkdock_spans::table::{FencingToken, Holder, Keeper, Table};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::measures::HostSize;
@@ -76,7 +76,12 @@
                 self.leader.on_written(table, true, self.now);
             }
             Action::Grant(grant) => {
-                assert!(self.renewals.confirm_send(&grant, Purpose::Move, self.now));
+                assert!(self.renewals.confirm_send(
+                    &grant,
+                    Purpose::Move,
+                    Connection::Open,
+                    self.now
+                ));
                 self.leader.on_granted(&grant, CallEnd::Done, self.now);
             }
             Action::Release(release) => {
@@ -302,9 +307,9 @@
         }
     }
     let grant = grants.first().unwrap();
-    assert!(fixture.renewals.confirm_send(grant, Purpose::Move, fixture.now));
+    assert!(fixture.renewals.confirm_send(grant, Purpose::Move, Connection::Open, fixture.now));
     let late = fixture.now + TIMING.proof_lifetime;
-    assert!(!fixture.renewals.confirm_send(grant, Purpose::Move, late));
+    assert!(!fixture.renewals.confirm_send(grant, Purpose::Move, Connection::Open, late));
 }
 
 /// A renewal or grant that waited for another call must not be sent after its keys got another owner.
@@ -313,9 +318,9 @@
     let mut fixture = Fixture::new();
     let due = fixture.renewals.due_renewals(fixture.now);
     let grant = due.iter().find(|grant| grant.holder == holder("b")).unwrap();
-    assert!(fixture.renewals.confirm_send(grant, Purpose::Renewal, fixture.now));
+    assert!(fixture.renewals.confirm_send(grant, Purpose::Renewal, Connection::Open, fixture.now));
     fixture.first_grant_at(10, true);
-    assert!(!fixture.renewals.confirm_send(grant, Purpose::Renewal, fixture.now));
+    assert!(!fixture.renewals.confirm_send(grant, Purpose::Renewal, Connection::Open, fixture.now));
 }
 
 #[test]
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -20,6 +20,8 @@
 pub const HOSTS: usize = 4;
 pub const UPSTREAMS: usize = 5;
 const STEP_MS: u64 = 25;
+/// Age of the proof that a read gives if reads wait for records: twice the longest wait.
+const LATE_PROOF_MS: u64 = 3_000;
 const ENTRY_EXPIRY_MS: u64 = 2_600;
 
 /// Timing of the hosts, and the safeguards that a test can disable.
@@ -45,6 +47,11 @@
     pub has_foreign_entries: bool,
     /// Whether a leader looks for the version before a record that can't be read, and such a record is no proof.
     pub searches_former_tables: bool,
+    /// Whether hosts ask the store for fresh proof before they open a connection to a holder.
+    pub refreshes_proof: bool,
+    /// Whether reads of the store wait for records, so that hosts have proof of seconds ago while nothing changes. Not a
+    /// safeguard either.
+    pub has_late_proof: bool,
     /// Whether another writer damages the record of the table. Not a safeguard either.
     pub has_damaged_records: bool,
 }
@@ -64,6 +71,8 @@
             has_frequent_faults: false,
             has_foreign_entries: false,
             searches_former_tables: true,
+            refreshes_proof: true,
+            has_late_proof: false,
             has_damaged_records: false,
         }
     }
@@ -340,7 +349,8 @@
             }
         }
         let proves = is_readable || !self.safeguards.searches_former_tables;
-        host.renewals.on_read(HostTime(self.now), proves);
+        let proof_age = if self.safeguards.has_late_proof { LATE_PROOF_MS } else { 0 };
+        host.renewals.on_read(HostTime(self.now.saturating_sub(proof_age)), proves);
         // The registry confirms an incarnation one second after its suspension.
         for (holder, at) in host.renewals.suspended() {
             let is_confirmed = self.upstreams.iter().any(|upstream| {
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -1,7 +1,7 @@
 //! Calls between hosts and upstreams, which may be delayed, lost or carried out without an answer.
 
 use super::Simulation;
-use skylarkdock_spans::renewal::{Ack, CallEnd, Grant, Purpose, Release};
+use skylarkdock_spans::renewal::{Ack, CallEnd, Connection, Grant, Purpose, Release};
 use skylarkdock_spans::table::{Holder, Table};
 use skylarkdock_units::times::HostTime;
 use std::collections::VecDeque;
@@ -100,8 +100,30 @@
     fn may_send(&mut self, from: usize, by_leader: bool, grant: &Grant) -> bool {
         let now = HostTime(self.now);
         let purpose = if by_leader { Purpose::Move } else { Purpose::Renewal };
+        // A connection that broke counts as open until a call shows that.
+        let calls = self.calls.get(&(from, grant.holder.clone()));
+        let is_connected = calls.is_some_and(|calls| calls.connected_to.is_some());
+        let index = self.index_of(&grant.holder);
+        let is_direct = self.hosts[from].reachable_upstreams[index];
+        let conn = if is_connected && is_direct { Connection::Open } else { Connection::New };
+        if conn == Connection::New {
+            self.refresh_proof(from, &grant.holder);
+        }
         let renewals = &mut self.hosts[from].renewals;
-        renewals.confirm_send(grant, purpose, now) || !self.safeguards.confirms_sends
+        renewals.confirm_send(grant, purpose, conn, now) || !self.safeguards.confirms_sends
+    }
+
+    /// Asks the store whether a host knows the newest record, unless its last proof suffices for a new connection.
+    fn refresh_proof(&mut self, from: usize, holder: &Holder) {
+        let now = HostTime(self.now);
+        let newest = self.log.last().map_or(0, |last| last.version);
+        let is_damaged = self.damage.is_newest_damaged(self.log_end);
+        let host = &mut self.hosts[from];
+        let is_answered = host.reaches_store && self.safeguards.refreshes_proof;
+        if is_answered && !host.renewals.may_connect(holder, now) {
+            let knows_newest = host.renewals.table().map_or(0, |known| known.version) == newest;
+            host.renewals.on_read(now, knows_newest && !is_damaged);
+        }
     }
 
     fn on_withheld(&mut self, from: usize, by_leader: bool, grant: &Grant) {
