--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod election;
 pub mod encoded;
+mod fresh_proof;
 pub mod key_maps;
 pub mod known_records;
 mod lateness;
