Pause between calls for a configuration that nobody can give

A host that can't use a newer version, for example as it can't read the record, asked each host that claims to have it, one after the other without a pause: only calls to the same host had one. Found by reading; no caller has seen it.

Evidence: calls_become_rare_however_many_hosts_claim_a_version, with 300 hosts that claim a version and don't send it, printed "6523 calls" in the 60 s for which claims are kept, and allows 30.

From the third call in a row without success on, the next one waits as well, by the same doubling pauses, until the version in force changes. Three calls are enough to get from a zone over the region to another one.

--- a/crates/freshness/src/fetching.rs
+++ b/crates/freshness/src/fetching.rs
@@ -19,6 +19,8 @@
 /// Pause after the first call to a host without success; it doubles with each further one, up to the second value.
 const FIRST_PAUSE: Millis = Millis(100);
 const MAX_PAUSE: Millis = Millis(3_200);
+/// Number of calls in a row without success, to any hosts, from which on the next one waits as well, by the same pauses.
+const MAX_UNPAUSED_FAILURES: u32 = 3;
 /// Pause after a call to a host that had answered as many hosts as it may.
 const BUSY_PAUSE: Millis = ANSWER_WINDOW;
 /// Number of hosts of a region that may ask another region at once. With each further turn the number of those that may has
@@ -113,17 +115,24 @@
     urgent_age: UrgentAge,
     in_force: u64,
     claimants: Vec<Claimant>,
+    /// Calls without success since the version in force changed, and the end of the pause after the last one.
+    failures: u32,
+    retry_at: HostTime,
 }
 
 impl Fetching {
     /// Creates the state of a host that has no configuration.
     pub const fn new(own: Origin, urgent_age: UrgentAge) -> Self {
-        Self { own, urgent_age, in_force: 0, claimants: Vec::new() }
+        let retry_at = HostTime(0);
+        Self { own, urgent_age, in_force: 0, claimants: Vec::new(), failures: 0, retry_at }
     }
 
     /// Records the version in force on this host.
     pub fn on_in_force(&mut self, version: u64) {
-        self.in_force = self.in_force.max(version);
+        if version > self.in_force {
+            self.in_force = version;
+            (self.failures, self.retry_at) = (0, HostTime(0));
+        }
         self.claimants.retain(|claimant| claimant.version > self.in_force);
     }
 
@@ -158,9 +167,12 @@
     /// Records that a call to a host brought no newer configuration.
     pub fn on_failure(&mut self, origin: Origin, now: HostTime) {
         if let Some(claimant) = self.claimants.iter_mut().find(|known| known.origin == origin) {
-            let doublings = claimant.failures.min(MAX_PAUSE.0.ilog2());
+            claimant.retry_at = now + pause(claimant.failures);
             claimant.failures = claimant.failures.saturating_add(1);
-            claimant.retry_at = now + Millis(FIRST_PAUSE.0 << doublings).min(MAX_PAUSE);
+        }
+        self.failures = self.failures.saturating_add(1);
+        if let Some(paused) = self.failures.checked_sub(MAX_UNPAUSED_FAILURES) {
+            self.retry_at = now + pause(paused);
         }
     }
 
@@ -207,7 +219,8 @@
             .filter(|(_, distance, _)| !answers_near || *distance != Distance::Far);
         let timed = known.map(|(claimant, distance, called)| {
             let wait = if distance == Distance::Far { far_turn.wait() } else { Millis(0) };
-            (claimant, distance, called, claimant.retry_at.max(due_at + wait))
+            let at = claimant.retry_at.max(self.retry_at).max(due_at + wait);
+            (claimant, distance, called, at)
         });
         let (ready, later): (Vec<_>, Vec<_>) = timed.partition(|(_, _, _, at)| *at <= now);
         // Hosts that are told of the same claims at the same time ask different ones.
@@ -223,6 +236,11 @@
     }
 }
 
+/// Returns the pause after a call without success, by the number of those before it.
+fn pause(failures: u32) -> Millis {
+    Millis(FIRST_PAUSE.0 << failures.min(MAX_PAUSE.0.ilog2())).min(MAX_PAUSE)
+}
+
 fn is_current(claimant: &Claimant, now: HostTime) -> bool {
     now.since(claimant.heard_at) < CLAIM_LIFETIME
 }
--- a/crates/freshness/tests/fetching.rs
+++ b/crates/freshness/tests/fetching.rs
@@ -117,6 +117,31 @@
     assert_eq!(step(&fetching, 60_000), Step::Idle);
 }
 
+/// Guards against a host that asks all others again and again for a version which it can't use.
+#[test]
+fn calls_become_rare_however_many_hosts_claim_a_version() {
+    let mut fetching = fetching();
+    for origin in 0..300 {
+        fetching.on_claim(Origin(1_000 + origin), 12, LONG_AGO, START);
+    }
+    let near = |origin| Some((Distance::Region, origin));
+    let alone = FarTurn::new(OWN, std::iter::empty(), 12);
+    let mut now = START;
+    let mut calls = 0;
+    loop {
+        match fetching.next(near, alone, now) {
+            Step::Ask(origin) => {
+                calls += 1;
+                now = now + Millis(5);
+                fetching.on_failure(origin, now);
+            }
+            Step::WaitUntil(at) => now = at,
+            Step::Idle => break,
+        }
+    }
+    assert!(calls <= 30, "{calls} calls");
+}
+
 /// Guards against a host that asks for what it has, or for an older version.
 #[test]
 fn nothing_is_asked_for_without_a_newer_version() {
