Send an unreadable configuration to hosts that ask for the newest one

A host that fetched a configuration from another one took it for the newest although a newer record followed, and answered 404 by it. Updates carry the newest record also if the answering host can't read it; the answer to a request for the configuration left it out, but had the offset behind it and the age of the proof for it. The requesting host recorded both: it held the older configuration for proven current, and asked nobody for the record again, as its offset was behind it.

The answer now has the record in the same field as updates have it. A record that can't be encoded marks an update as no proof; a fetched answer that is marked so is not applied ("incomplete"), and another host is asked. The time of publication that the other host states is that of its own configuration, so it does not count for a record which only the requesting host can read; updates make the same distinction.

That a host answers 404 behind such a fetch was read in the code, not shown.

--- a/crates/edge/src/control/config_fetch.rs
+++ b/crates/edge/src/control/config_fetch.rs
@@ -81,6 +81,8 @@
     Text(#[source] serde_json::Error),
     #[error("can't decode a record")]
     Record(#[source] EncodedRecordError),
+    #[error("a record is missing that could not be encoded")]
+    Incomplete,
     #[error("too many hosts ask for it")]
     Busy,
     #[error("the host has no newer one")]
@@ -95,6 +97,7 @@
         match self {
             Self::Call(_) => "no_answer",
             Self::Compression(_) | Self::Text(_) | Self::Record(_) => "undecodable",
+            Self::Incomplete => "incomplete",
             Self::Busy => "busy",
             Self::NothingNewer => "nothing_newer",
             Self::Rejected => "rejected",
@@ -126,7 +129,8 @@
             let config_age = now.since(fleet.config_published_after);
             let known = &mut fleet.known_records;
             let have = Some(request.versions.as_slice());
-            let config = updates::topic_update(known, Topic::Config, request.next, have, now);
+            let mut config = updates::topic_update(known, Topic::Config, request.next, have, now);
+            updates::add_unread(&mut config, fleet.unread_config.as_ref(), request.next);
             ConfigUpdate { config, config_age }
         };
         let answer = updates::compress(peers::encode(&ConfigResponse::Newer(update))?);
@@ -271,14 +275,19 @@
         if config.next <= next {
             return Err(FetchError::NothingNewer);
         }
-        let age = config.age;
+        if config.is_invalid() {
+            return Err(FetchError::Incomplete);
+        }
+        let (age, has_unread) = (config.age, config.unread.is_some());
         let page = self.decode_page(config).map_err(FetchError::Record)?;
         let proof = |age| proof::passed_on(asked_at, Millis(0), age);
         let before = self.config_version();
         self.publish_together(|| {
             // The other host may be one that drops configurations which it can't read.
             self.apply_page(Topic::Config, page, false, proof(age));
-            if before < self.config_version() {
+            // The other host's time is not that of a record which only this one can read.
+            let has_read_unread = has_unread && self.fleet.borrow().unread_config.is_none();
+            if before < self.config_version() && !has_read_unread {
                 self.record_config_publication(absent_at, Some(proof(config_age)));
             }
         });
--- a/crates/edge/src/control/updates.rs
+++ b/crates/edge/src/control/updates.rs
@@ -237,6 +237,11 @@
     fn invalidate(&mut self) {
         self.age = Millis(u64::MAX);
     }
+
+    /// Returns whether the update lacks a record that could not be encoded.
+    pub(super) fn is_invalid(&self) -> bool {
+        self.age == Millis(u64::MAX)
+    }
 }
 
 /// Returns the update of a topic for a host that knows its records before the offset `next`. With `have`, the keys and
@@ -284,7 +289,7 @@
 
 /// Adds the newest record of the configuration to an update, if this host can't read it: the requesting host may be able
 /// to, and must not take the last readable one for the newest otherwise.
-fn add_unread(update: &mut TopicUpdate, unread: Option<&UnreadRecord>, next: u64) {
+pub(super) fn add_unread(update: &mut TopicUpdate, unread: Option<&UnreadRecord>, next: u64) {
     let Some(unread) = unread.filter(|unread| unread.offset > next) else { return };
     update.unread = unread.encode();
     if update.unread.is_none() {
--- a/crates/edge/tests/unread_config.rs
+++ b/crates/edge/tests/unread_config.rs
@@ -7,11 +7,13 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use rstest::rstest;
+use skylarkdock_edge::client::{ControlClient, Outgoing};
 use skylarkdock_edge::clock;
 use skylarkdock_edge::control::Control;
 use skylarkdock_edge::status::Status;
 use skylarkdock_edge::store::{DecodeError, Page, Record, Store, StoreError, Topic};
 use skylarkdock_edge::view::{Config, Publication};
+use skylarkdock_http1::head::Headers;
 use skylarkdock_units::measures::HostSize;
 use skylarkdock_units::times::{HostTime, Millis};
 use std::cell::{Cell, RefCell};
@@ -28,6 +30,8 @@
 const SHORT_APPLY_TIME: Millis = Millis(1_000);
 /// Pause between two looks at the state of a host.
 const CHECK_PAUSE: Duration = Duration::from_millis(20);
+/// Timeout of a call to a host.
+const CALL_TIMEOUT: Millis = Millis(5_000);
 /// Number of looks until a test fails.
 const MAX_CHECKS: usize = 1_500;
 
@@ -157,6 +161,7 @@
 /// The control thread of a host.
 struct Host {
     _control: Rc<Control>,
+    peers: SocketAddr,
     status: Arc<Status>,
     published: async_channel::Receiver<Publication>,
     version: RefCell<u64>,
@@ -178,6 +183,7 @@
         settings.host = name.parse().unwrap();
         settings.size = HostSize(size);
         settings.peers = free_port(settings.reports);
+        let peers = settings.peers;
         let control = Control::start(
             settings,
             PROTOCOL,
@@ -187,7 +193,7 @@
             samples,
             Arc::clone(&status),
         );
-        Self { _control: control, status, published, version: RefCell::default() }
+        Self { _control: control, peers, status, published, version: RefCell::default() }
     }
 
     /// Returns the version in force; zero without one.
@@ -254,6 +260,36 @@
     });
 }
 
+/// Requests the configuration as a host does that was told of a newer one and knows the first record.
+async fn request_config(addr: SocketAddr) -> serde_json::Value {
+    let body = serde_json::json!({"region": "r1", "next": 1, "versions": []}).to_string();
+    let mut headers = Headers::default();
+    headers.push("Host", addr.to_string());
+    let req = Outgoing::new("POST", "/config", &headers, body.as_bytes());
+    let reply = ControlClient::new(addr).call(&req, CALL_TIMEOUT).await.unwrap();
+    serde_json::from_slice(&reply.body).unwrap()
+}
+
+/// Guards against a host that holds an older configuration for the newest one, as the host that it fetched the older one
+/// from can't read the newest one and leaves it out.
+#[test]
+fn a_configuration_that_a_host_cannot_read_is_part_of_what_others_fetch() {
+    with_follower((decode_text, decode_any), |log, leader, _follower| async move {
+        log.put(Topic::Config, "config", b"2");
+        log.put(Topic::Config, "config", BINARY);
+        for _ in 0..MAX_CHECKS {
+            let answer = request_config(leader.peers).await;
+            let config = &answer["Newer"]["config"];
+            if config["next"] == 3 {
+                assert!(config["unread"].is_object(), "the newest record is missing: {answer}");
+                return;
+            }
+            Timer::after(CHECK_PAUSE).await;
+        }
+        panic!("the leader does not read the records");
+    });
+}
+
 /// Guards against a record that is left out of an update which counts as complete.
 #[test]
 fn a_configuration_that_is_no_text_is_passed_on() {
