Pass claims of several versions of a host on only once

A host that has missed two or more versions woke its control thread for each notice, and held requests up to 250 ms that it could refuse at once: of the claims of one host, the older version replaced the newer one, as it is known from earlier on, and the next notice replaced it again. Claims that the control thread has not taken count as a call for a configuration, also while calls to silent hosts fail and requests should not wait for them.

What is known of a host is now its newest version and the earliest time of all its newer versions, which is what the calls are decided by.

On the code before, the new test failed: "panicked at crates/edge/tests/version_claims.rs:43:5", the line that expects no call under way after 99 repeated notices. It passes now, with the other 4 tests of version_claims and the 2 of config_wait.

--- a/crates/edge/src/version_claims.rs
+++ b/crates/edge/src/version_claims.rs
@@ -13,7 +13,7 @@
 /// Difference in age up to which a repeated claim says nothing new.
 const AGE_TOLERANCE: Millis = Millis(50);
 
-/// Newest version that a host claims to have.
+/// Newer version than the one in force that a host claims to have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NewerVersion {
     /// Host that has the version.
@@ -30,11 +30,19 @@
     fn covers(&self, other: &Self) -> bool {
         self.version >= other.version && self.since <= other.since + AGE_TOLERANCE
     }
+
+    /// Adds another claim of the same host. Of its newer versions, the newest is asked for, and the first one says since when
+    /// the one in force is out of date.
+    fn merge(&mut self, other: &Self) {
+        self.version = self.version.max(other.version);
+        self.since = self.since.min(other.since);
+    }
 }
 
 #[derive(Debug, Default)]
 struct State {
-    /// Newest version that each host was heard to have, as far as it is newer than the one in force.
+    /// What each host was heard to have that is newer than the version in force: the newest version, and the earliest time of
+    /// all.
     known: FastMap<Origin, NewerVersion>,
     /// Claims that the control thread has not taken yet.
     added: Vec<NewerVersion>,
@@ -72,7 +80,7 @@
             let is_known = known.get(origin).is_some_and(|known| known.covers(&claim));
             let has_room = known.len() < MAX_CLAIMANTS || known.contains_key(origin);
             if *version > in_force && !is_known && has_room {
-                known.insert(*origin, claim);
+                known.entry(*origin).or_insert(claim).merge(&claim);
                 added.push(claim);
             }
         }
--- a/crates/edge/tests/version_claims.rs
+++ b/crates/edge/tests/version_claims.rs
@@ -28,6 +28,22 @@
     assert_eq!(claims.take(), [newer(2, 6, 0)]);
 }
 
+/// Guards against requests that wait for nothing: claims that stay untaken count as a call, and a host that has missed
+/// several versions was woken for each notice of them.
+#[test]
+fn repeated_claims_of_several_versions_of_a_host_are_passed_on_once() {
+    let claims = VersionClaims::default();
+    let notice = |passed: u64| [claim(2, 6, 100 + passed), claim(2, 5, 900 + passed)];
+    claims.add(&notice(0), 4, NOW);
+    assert_eq!(claims.take(), [newer(2, 6, 100), newer(2, 5, 900)]);
+    claims.on_fetch_end();
+    for round in 1..100 {
+        claims.add(&notice(round * 100), 4, NOW + Millis(round * 100));
+    }
+    assert!(!claims.is_fetching());
+    assert_eq!(claims.take(), []);
+}
+
 /// Guards against a host that was suspended and takes a version for young: the first notices waited in its socket, and only the
 /// later ones tell how old it is.
 #[test]
