Drop claims of a configuration that is applied already

Requests could wait 250 ms at a host that is out of date and makes no call for the newer configuration. The traffic thread adds a claim, updates bring the version, and the traffic thread applies it before the control thread takes the claim: from then on a call counted as under way, until the next one or the next configuration, as nothing is left to apply that would end it.

The traffic thread now says which version it applies, and claims up to that one are dropped when they are taken. A claim of a version that the control thread has put in force and the traffic thread does not apply yet still counts, and ends when it is applied.

With on_applied doing no more than before, the new test failed: "assertion `left == right` failed, left: [NewerVersion { origin: Origin(2), version: 5, since: HostTime(100000) }], right: []". It passes now, with the other 5 tests of version_claims and the 2 of config_wait.

--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -247,7 +247,7 @@
         }
         *self.view.borrow_mut() = Arc::new(view);
         if is_newer {
-            self.status.version_claims().on_fetch_end();
+            self.status.version_claims().on_applied(self.config_version());
         }
     }
 
--- a/crates/edge/src/version_claims.rs
+++ b/crates/edge/src/version_claims.rs
@@ -41,6 +41,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Version that the traffic thread applies; zero if none.
+    applied: u64,
     /// What each host was heard to have that is newer than the version in force: the newest version, and the earliest time of
     /// all.
     known: FastMap<Origin, NewerVersion>,
@@ -91,12 +93,14 @@
         }
     }
 
-    /// Takes the claims that were added since they were last taken. If there are any, a call for a configuration counts as
-    /// under way until [`Self::on_fetch_end`] is called.
+    /// Takes the claims that were added since they were last taken, of versions newer than the applied one. If there are
+    /// any, a call for a configuration counts as under way until [`Self::on_fetch_end`] or [`Self::on_applied`] is called.
     pub fn take(&self) -> Vec<NewerVersion> {
         let mut state = self.lock();
-        state.is_fetching |= !state.added.is_empty();
-        std::mem::take(&mut state.added)
+        let mut added = std::mem::take(&mut state.added);
+        added.retain(|claim| claim.version > state.applied);
+        state.is_fetching |= !added.is_empty();
+        added
     }
 
     /// Records that a call for a configuration begins.
@@ -104,12 +108,18 @@
         self.lock().is_fetching = true;
     }
 
-    /// Records that a call for a configuration has failed, or that the traffic thread applies a newer configuration.
+    /// Records that a call for a configuration has failed.
     pub fn on_fetch_end(&self) {
         self.lock().is_fetching = false;
         self.fetch_ended.notify(usize::MAX);
     }
 
+    /// Records that the traffic thread applies a newer configuration.
+    pub fn on_applied(&self, version: u64) {
+        self.lock().applied = version;
+        self.on_fetch_end();
+    }
+
     /// Returns whether a newer configuration may be here soon: a call for it is under way, or begins for claims that were
     /// just added.
     pub fn is_fetching(&self) -> bool {
--- a/crates/edge/tests/version_claims.rs
+++ b/crates/edge/tests/version_claims.rs
@@ -44,6 +44,16 @@
     assert_eq!(claims.take(), []);
 }
 
+/// Guards against requests that wait for a version which is applied already: updates brought it before its claim was taken.
+#[test]
+fn claims_of_a_version_that_is_applied_are_dropped() {
+    let claims = VersionClaims::default();
+    claims.add(&[claim(2, 5, 0)], 4, NOW);
+    claims.on_applied(5);
+    assert_eq!(claims.take(), []);
+    assert!(!claims.is_fetching());
+}
+
 /// Guards against a host that was suspended and takes a version for young: the first notices waited in its socket, and only the
 /// later ones tell how old it is.
 #[test]
