Pass on an unreadable configuration that an older copy of the store had, too

A host could take an older configuration for the newest one after the store came back from an older copy: its source knew the newest record, which it can't read, from the copy before, and kept the offset of that. So updates left the record out for each host that had read any record of the later copy, and carried the later offset and a young proof all the same.

The offset is now that of the page that has the record last. It is still reported once.

That a host gets such an update was read in the code, not shown.

--- a/crates/edge/src/control/config_page.rs
+++ b/crates/edge/src/control/config_page.rs
@@ -77,11 +77,10 @@
                 Ok(None) => unread = unread.filter(|unread| unread.record.key != record.key),
                 Err(e) => {
                     // Each read of all records returns it again.
-                    let same = known.as_ref().filter(|known| known.is_same(&record)).cloned();
-                    if same.is_none() {
+                    if !known.as_ref().is_some_and(|known| known.is_same(&record)) {
                         rejected.push((record.clone(), e));
                     }
-                    unread = same.or_else(|| Some(UnreadRecord::new(record, page.next)));
+                    unread = Some(UnreadRecord::new(record, page.next));
                 }
             }
         }
--- a/crates/edge/tests/config_page.rs
+++ b/crates/edge/tests/config_page.rs
@@ -68,3 +68,14 @@
     assert!(second.rejected.is_empty());
     assert_eq!(second.unread, first.unread);
 }
+
+/// Guards against a host that gets no record that its source can't read: the source knew the same one from an older copy of
+/// the store, and took it for one that all hosts which have read the later copy know.
+#[test]
+fn a_record_that_was_written_again_counts_from_its_new_offset() {
+    let page = |next| Page { records: vec![record("config", "x")], next };
+    let first = ConfigPage::read(page(9), true, None, decode).unread;
+    let again = ConfigPage::read(page(1 << 40), true, first.clone(), decode).unread;
+    assert_eq!(first.map(|unread| unread.offset), Some(9));
+    assert_eq!(again.map(|unread| unread.offset), Some(1 << 40));
+}
