Look again for hosts whose version was told before their records were known

A host that was told of a newer version by hosts whose records it does not have yet never asked any of them: there was nothing to do until another claim arrived, and repeated claims are not passed on. It refused requests until updates or the store brought the version.

The step is now a pause of 250 ms while no host that claims to have a newer version is known, for as long as claims count (60 s).

On the code before, the new test failed: "assertion `left == right` failed, left: Idle, right: WaitUntil(HostTime(100250))". All tests of freshness pass. The case was shown in the pure decision, not between processes.

--- a/crates/freshness/src/fetching.rs
+++ b/crates/freshness/src/fetching.rs
@@ -21,6 +21,8 @@
 const MAX_PAUSE: Millis = Millis(3_200);
 /// Pause after a call to a host that had answered as many hosts as it may.
 const BUSY_PAUSE: Millis = ANSWER_WINDOW;
+/// Pause before hosts that claim to have a version are looked for again, if none of them is known. Their records may be late.
+const UNKNOWN_PAUSE: Millis = Millis(250);
 /// Number of hosts of a region that may ask another region at once. With each further turn the number of those that may has
 /// more than doubled.
 const FIRST_FAR_ASKERS: u32 = 4;
@@ -199,6 +201,9 @@
             Some((claimant, distance, called))
         });
         let known: Vec<_> = known.collect();
+        if known.is_empty() {
+            return Step::WaitUntil(now + UNKNOWN_PAUSE);
+        }
         let answers_near = known
             .iter()
             .any(|(claimant, distance, _)| *distance != Distance::Far && claimant.failures == 0);
--- a/crates/freshness/tests/fetching.rs
+++ b/crates/freshness/tests/fetching.rs
@@ -142,6 +142,19 @@
     assert_eq!(step(&fetching, 0), Step::Idle);
 }
 
+/// Guards against a host that never asks another one, as that told of its version before its record was known.
+#[test]
+fn a_host_that_is_not_known_yet_is_looked_for_again() {
+    let mut fetching = claimed(&[50]);
+    assert_eq!(step(&fetching, 0), Step::WaitUntil(START + Millis(250)));
+    let alone = FarTurn::new(OWN, std::iter::empty(), 12);
+    let later = START + Millis(250);
+    let place = |origin| Some((Distance::Zone, origin));
+    assert_eq!(fetching.next(place, alone, later), Step::Ask(Origin(50)));
+    fetching.on_in_force(12);
+    assert_eq!(step(&fetching, 250), Step::Idle);
+}
+
 /// Guards against hosts of a region that all ask another region at once.
 #[test]
 fn few_hosts_ask_another_region_at_first() {
