Pass on claims only once a host has a configuration

A host that starts, hears of the newest version and then gets an older one from its source never asked the hosts that have the newest: without a configuration it asks nobody, and claims that were passed on then are not passed on again.

Such a host has other ways to its first configuration, so claims do not count for calls until then. Hosts tell them again with each notice.

--- a/crates/edge/src/version_claims.rs
+++ b/crates/edge/src/version_claims.rs
@@ -67,10 +67,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Adds those claims of a notice that are newer than the version in force. Repeated ones do not wake the control thread,
+    /// Adds those claims of a notice that are newer than the version in force; none on a host without a configuration, which
+    /// has other ways to its first one and is told of the version again. Repeated ones do not wake the control thread,
     /// as notices arrive from all hosts in each round.
     pub fn add(&self, claims: &[Claim], in_force: u64, now: HostTime) {
-        if claims.iter().all(|claim| claim.version <= in_force) {
+        if in_force == 0 || claims.iter().all(|claim| claim.version <= in_force) {
             return;
         }
         let mut state = self.lock();
--- a/crates/edge/tests/version_claims.rs
+++ b/crates/edge/tests/version_claims.rs
@@ -44,6 +44,18 @@
     assert_eq!(claims.take(), []);
 }
 
+/// Guards against a host that never asks for a version of which it was told before it had a configuration, and that its source
+/// lacks: it asks nobody then, and repeated claims are not passed on.
+#[test]
+fn claims_count_once_a_host_has_a_configuration() {
+    let claims = VersionClaims::default();
+    claims.add(&[claim(2, 5, 0)], 0, NOW);
+    assert!(!claims.is_fetching());
+    assert_eq!(claims.take(), []);
+    claims.add(&[claim(2, 5, 300)], 4, NOW + Millis(300));
+    assert_eq!(claims.take(), [newer(2, 5, 0)]);
+}
+
 /// Guards against requests that wait for a version which is applied already: updates brought it before its claim was taken.
 #[test]
 fn claims_of_a_version_that_is_applied_are_dropped() {
