--- a/crates/edge/src/version_claims.rs
+++ b/crates/edge/src/version_claims.rs
@@ -13,7 +13,7 @@
 /// Difference in age up to which a repeated claim says nothing new.
 const AGE_TOLERANCE: Millis = Millis(50);
 
-/// Newest version that a host claims to have.
+/// Newer version than the one in force that a host claims to have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NewerVersion {
     /// Host that has the version.
@@ -30,11 +30,21 @@
     fn covers(&self, other: &Self) -> bool {
         self.version >= other.version && self.since <= other.since + AGE_TOLERANCE
     }
+
+    /// Adds another claim of the same host. Of its newer versions, the newest is asked for, and the first one says since when
+    /// the one in force is out of date.
+    fn merge(&mut self, other: &Self) {
+        self.version = self.version.max(other.version);
+        self.since = self.since.min(other.since);
+    }
 }
 
 #[derive(Debug, Default)]
 struct State {
-    /// Newest version that each host was heard to have, as far as it is newer than the one in force.
+    /// Version that the traffic thread applies; zero if none.
+    applied: u64,
+    /// What each host was heard to have that is newer than the version in force: the newest version, and the earliest time of
+    /// all.
     known: FastMap<Origin, NewerVersion>,
     /// Claims that the control thread has not taken yet.
     added: Vec<NewerVersion>,
@@ -57,10 +67,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Adds those claims of a notice that are newer than the version in force. Repeated ones do not wake the control thread,
+    /// Adds those claims of a notice that are newer than the version in force; none on a host without a configuration, which
+    /// has other ways to its first one and is told of the version again. Repeated ones do not wake the control thread,
     /// as notices arrive from all hosts in each round.
     pub fn add(&self, claims: &[Claim], in_force: u64, now: HostTime) {
-        if claims.iter().all(|claim| claim.version <= in_force) {
+        if in_force == 0 || claims.iter().all(|claim| claim.version <= in_force) {
             return;
         }
         let mut state = self.lock();
@@ -72,7 +83,7 @@
             let is_known = known.get(origin).is_some_and(|known| known.covers(&claim));
             let has_room = known.len() < MAX_CLAIMANTS || known.contains_key(origin);
             if *version > in_force && !is_known && has_room {
-                known.insert(*origin, claim);
+                known.entry(*origin).or_insert(claim).merge(&claim);
                 added.push(claim);
             }
         }
@@ -83,12 +94,14 @@
         }
     }
 
-    /// Takes the claims that were added since they were last taken. If there are any, a call for a configuration counts as
-    /// under way until [`Self::on_fetch_end`] is called.
+    /// Takes the claims that were added since they were last taken, of versions newer than the applied one. If there are
+    /// any, a call for a configuration counts as under way until [`Self::on_fetch_end`] or [`Self::on_applied`] is called.
     pub fn take(&self) -> Vec<NewerVersion> {
         let mut state = self.lock();
-        state.is_fetching |= !state.added.is_empty();
-        std::mem::take(&mut state.added)
+        let mut added = std::mem::take(&mut state.added);
+        added.retain(|claim| claim.version > state.applied);
+        state.is_fetching |= !added.is_empty();
+        added
     }
 
     /// Records that a call for a configuration begins.
@@ -96,12 +109,18 @@
         self.lock().is_fetching = true;
     }
 
-    /// Records that a call for a configuration has failed, or that the traffic thread applies a newer configuration.
+    /// Records that a call for a configuration has failed.
     pub fn on_fetch_end(&self) {
         self.lock().is_fetching = false;
         self.fetch_ended.notify(usize::MAX);
     }
 
+    /// Records that the traffic thread applies a newer configuration.
+    pub fn on_applied(&self, version: u64) {
+        self.lock().applied = version;
+        self.on_fetch_end();
+    }
+
     /// Returns whether a newer configuration may be here soon: a call for it is under way, or begins for claims that were
     /// just added.
     pub fn is_fetching(&self) -> bool {
