Use a store whose copies are counted from a large number

The platform's pages say that the number rises by one, and not where it begins. Found by the review.

The bits that fit are used now. They rise by one as the number does, but for one time in 16 million.

--- a/crates/freshness/src/copies.rs
+++ b/crates/freshness/src/copies.rs
@@ -16,13 +16,11 @@
 pub struct CopyNumber(u32);
 
 impl CopyNumber {
-    /// Largest number that fits into an offset.
-    pub const MAX: Self = Self((1 << (u64::BITS - INDEX_BITS)) - 1);
-
-    /// Creates a number; `None` if it is above [`Self::MAX`].
-    pub fn new(number: u64) -> Option<Self> {
-        let number = u32::try_from(number).ok()?;
-        (number <= Self::MAX.0).then_some(Self(number))
+    /// Creates a number of the bits that fit into an offset. A store may begin to count at any number, so higher ones must not
+    /// keep hosts from using it.
+    #[expect(clippy::cast_possible_truncation, reason = "masked")]
+    pub const fn of(number: u64) -> Self {
+        Self((number & ((1 << (u64::BITS - INDEX_BITS)) - 1)) as u32)
     }
 }
 
