Refuse requests with a short deadline in a fraction at once

A host that fetches a newer configuration lets requests wait up to 250 ms, but only with 500 ms left. It read the deadline by another rule than the route does, and took one with a fraction or a sign for none, so such a request waited too. Found by the review.

Both use the same function now.

--- a/crates/edge/src/traffic/config_wait.rs
+++ b/crates/edge/src/traffic/config_wait.rs
@@ -5,6 +5,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use metrics::counter;
+use skylarkdock_http1::fields;
 use skylarkdock_http1::head::Headers;
 use skylarkdock_units::times::{HostTime, Millis};
 
@@ -20,9 +21,8 @@
         if !claims.is_fetching() || !self.is_config_outdated(arrived) {
             return;
         }
-        let deadline = headers.get_str(self.protocol.names.deadline);
-        let time_left = deadline.and_then(|text| text.parse().ok()).map(Millis);
-        if time_left.is_some_and(|left| left < MIN_TIME_LEFT) {
+        let time_left = fields::millis(headers, self.protocol.names.deadline).ok().flatten();
+        if time_left.is_some_and(|left| Millis(left) < MIN_TIME_LEFT) {
             return;
         }
         let until = arrived + MAX_WAIT;
--- a/crates/edge/tests/config_wait.rs
+++ b/crates/edge/tests/config_wait.rs
@@ -87,7 +87,10 @@
         assert!(host.has_metric_with(REFUSED));
         // One that has no time left does not wait.
         host.status.version_claims().on_fetch();
-        let urgent = format!("{REQUEST}Deadline: 300\r\n");
-        assert_eq!(host.answer(&urgent).await.status, 503);
+        for deadline in ["300", "300.5", "-1"] {
+            let urgent = format!("{REQUEST}Deadline: {deadline}\r\n");
+            assert_eq!(host.answer(&urgent).await.status, 503);
+        }
+        assert!(host.has_metric("skylarkdock_config_waits_total{outcome=\"refused\"} 1"));
     });
 }
