--- a/crates/freshness/src/copies.rs
+++ b/crates/freshness/src/copies.rs
@@ -18,7 +18,6 @@
 impl CopyNumber {
     /// Creates a number of the bits that fit into an offset. A store may begin to count at any number, so higher ones must not
     /// keep hosts from using it.
-    #[expect(clippy::cast_possible_truncation, reason = "masked")]
     pub const fn of(number: u64) -> Self {
         Self((number & ((1 << (u64::BITS - INDEX_BITS)) - 1)) as u32)
     }
