Log which process refused a release, and over which path

A release that is refused with 400, 404, 405 or 421 counts as the end of its holder. The line named neither the process that answered, nor its statement that nothing was run, nor whether the answer came over another host, so a rightful end and a wrong one could not be told apart.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -520,12 +520,14 @@
                 self.record_answer(&release.holder, &reply);
                 let end = (self.protocol.parse_release_reply)(&reply);
                 if end.is_err() {
-                    log::info!(upstream:% = release.holder.id, status = reply.head.status, body = String::from_utf8_lossy(&reply.body).as_ref(); "owners: release refused");
+                    let headers = &reply.head.headers;
+                    let names = &self.protocol.names;
+                    log::info!(upstream:% = release.holder.id, direct = is_direct, status = reply.head.status, instance = headers.get_str(names.instance).unwrap_or_default(), not_run = headers.get(names.not_run).is_some(), body = String::from_utf8_lossy(&reply.body).as_ref(); "owners: release refused");
                 }
                 end
             }
             Err(failure) => {
-                log::info!(upstream:% = release.holder.id, error:% = failure; "owners: release failed");
+                log::info!(upstream:% = release.holder.id, direct = is_direct, error:% = failure; "owners: release failed");
                 Err(CallEnd::Unknown)
             }
         }
