Grant keys only once the former holder's grants have ended by evidence

What callers could see: two upstreams serve the same keys for up to three seconds.

Cause: 400, 404, 405 or 421 in answer to a release counted as the end of its holder, whoever gave it. The leader granted the keys at once, while an upstream that turned the call away before it looked at it, as one that sheds does, went on holding them. An answer that named the holder itself counted as its end, too.

Change: `GrantEnd` is the only thing that ends a leader's wait. It is made from the holder's confirmed release, from the name of another process at its address, or, by the leader itself, from the time since the last grant was sent. A refusal without such a name leaves the keys to the last of these.

What the wait costs where another process does have the address is open: the process is to be asked for its name.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -5,11 +5,13 @@
 use crate::clock;
 use crate::detour::DetourError;
 use crate::traffic::Sample;
+use crate::upstreams::ReleaseReply;
 use async_channel::Receiver;
 use async_io::Timer;
 use async_lock::Mutex;
 use skylarkdock_dispatch::notices::Notices;
 use skylarkdock_dispatch::paths::Intermediary;
+use skylarkdock_spans::end::{GrantEnd, NotEnded};
 use skylarkdock_spans::leader::{Action, Inputs};
 use skylarkdock_spans::load::KeyLoad;
 use skylarkdock_spans::plan::Candidate;
@@ -417,6 +419,11 @@
             Action::Write(table) => self.replace_table(&service, table).await,
             Action::RequestAck(host) => self.collect_ack(&service, host).await,
             Action::Grant(grant) => {
+                if let Some(leader) = self.owners.borrow().leaders.get(&service) {
+                    for (holder, by) in leader.ends(&grant) {
+                        log::info!(service:% = service, first = grant.first, last = grant.last, upstream:% = holder.id, born = holder.born, fence:% = grant.fence, by:% = by; "owners: former grant has ended");
+                    }
+                }
                 let Some(end) = self.send_grant(&service, &grant, Purpose::Move).await else {
                     if let Some(leader) = self.owners.borrow_mut().leaders.get_mut(&service) {
                         leader.on_withheld(&grant, clock::now());
@@ -437,12 +444,19 @@
             }
             Action::Release(release) => {
                 let mut end = self.send_release(&release).await;
-                if end == Err(CallEnd::Unknown)
+                if end == Err(NotEnded::Unknown)
                     && let Some(result) = self.release_through_peer(&service, &release).await
                 {
                     end = result;
                 }
-                log::info!(service:% = service, first = release.first, last = release.last, upstream:% = release.holder.id, fence:% = release.fence, end:? = end; "owners: released");
+                match &end {
+                    Ok(by) => {
+                        log::info!(service:% = service, first = release.first, last = release.last, upstream:% = release.holder.id, fence:% = release.fence, by:% = by; "owners: released");
+                    }
+                    Err(reason) => {
+                        log::info!(service:% = service, first = release.first, last = release.last, upstream:% = release.holder.id, fence:% = release.fence, reason:% = reason; "owners: not released");
+                    }
+                }
                 if let Some(leader) = self.owners.borrow_mut().leaders.get_mut(&service) {
                     leader.on_released(&release, end, clock::now());
                 }
@@ -492,7 +506,7 @@
         &self,
         service: &ServiceName,
         release: &Release,
-    ) -> Option<Result<Option<String>, CallEnd>> {
+    ) -> Option<Result<GrantEnd, NotEnded>> {
         let host = {
             let owners = self.owners.borrow();
             let table = owners.renewals.get(service)?.table()?;
@@ -505,7 +519,7 @@
     }
 
     /// Sends a release over a separate connection, as the answer comes only when the work on the keys has ended.
-    pub(super) async fn send_release(&self, release: &Release) -> Result<Option<String>, CallEnd> {
+    pub(super) async fn send_release(&self, release: &Release) -> Result<GrantEnd, NotEnded> {
         let addr = release.holder.addr;
         let req = (self.protocol.build_release)(release);
         let is_direct = self.status.paths().lock().is_direct(addr);
@@ -518,21 +532,39 @@
         match done {
             Ok(reply) => {
                 self.record_answer(&release.holder, &reply);
-                let end = (self.protocol.parse_release_reply)(&reply);
-                if end.is_err() {
-                    let headers = &reply.head.headers;
-                    let names = &self.protocol.names;
-                    log::info!(upstream:% = release.holder.id, direct = is_direct, status = reply.head.status, instance = headers.get_str(names.instance).unwrap_or_default(), not_run = headers.get(names.not_run).is_some(), body = String::from_utf8_lossy(&reply.body).as_ref(); "owners: release refused");
-                }
-                end
+                self.judge_release(release, is_direct, &reply)
             }
             Err(failure) => {
                 log::info!(upstream:% = release.holder.id, direct = is_direct, error:% = failure; "owners: release failed");
-                Err(CallEnd::Unknown)
+                Err(NotEnded::Unknown)
             }
         }
     }
 
+    /// Returns what the answer to a release shows of the holder's grants.
+    fn judge_release(
+        &self,
+        release: &Release,
+        is_direct: bool,
+        reply: &Reply,
+    ) -> Result<GrantEnd, NotEnded> {
+        let holder = &release.holder;
+        let end = match (self.protocol.parse_release_reply)(reply) {
+            ReleaseReply::Released { handover } => Ok(GrantEnd::released(handover)),
+            ReleaseReply::RefusedBy(found) => {
+                GrantEnd::replaced(holder, &found).ok_or(NotEnded::Refused)
+            }
+            ReleaseReply::Refused => Err(NotEnded::Refused),
+            ReleaseReply::Unknown => Err(NotEnded::Unknown),
+        };
+        let headers = &reply.head.headers;
+        let names = &self.protocol.names;
+        if !matches!(&end, Ok(end) if end.is_release()) {
+            log::info!(upstream:% = holder.id, direct = is_direct, status = reply.head.status, instance = headers.get_str(names.instance).unwrap_or_default(), not_run = headers.get(names.not_run).is_some(), body = String::from_utf8_lossy(&reply.body).as_ref(); "owners: release refused");
+        }
+        end
+    }
+
     async fn process_samples(self: Rc<Self>, samples: Receiver<Sample>) {
         while let Ok(sample) = samples.recv().await {
             let now = clock::now();
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -11,13 +11,15 @@
 use crate::detour::{DETOUR_PATH, Knowledge};
 use crate::listener::ListenerState;
 use crate::net;
+use crate::releases::PeerRelease;
 use crate::serve::{self, AnswerFuture, Incoming};
 use crate::traffic::Sample;
 use async_lock::Mutex;
 use serde::{Deserialize, Serialize};
 use skylarkdock_dispatch::notices::Notices;
 use skylarkdock_http1::head::Headers;
-use skylarkdock_spans::renewal::{Ack, CallEnd, Release};
+use skylarkdock_spans::end::{GrantEnd, NotEnded};
+use skylarkdock_spans::renewal::{Ack, Release};
 use skylarkdock_spans::table::Table;
 use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId};
 use skylarkdock_units::times::Millis;
@@ -77,7 +79,7 @@
                 serde_json::from_slice(&req.body).map(|service| self.on_table_request(&service))
             }
             RELEASE_PATH => match serde_json::from_slice::<Release>(&req.body) {
-                Ok(release) => Ok(encode(&self.send_release(&release).await)),
+                Ok(release) => Ok(encode(&PeerRelease::from(self.send_release(&release).await))),
                 Err(e) => Err(e),
             },
             DETOUR_PATH => match self.call_for_peer(&req.body).await {
@@ -259,11 +261,17 @@
         &self,
         host: &HostId,
         release: &Release,
-    ) -> Option<Result<Option<String>, CallEnd>> {
+    ) -> Option<Result<GrantEnd, NotEnded>> {
         let addr = self.peer_addr(host)?;
         let mut caller = ControlClient::new(addr);
         match call(&mut caller, RELEASE_PATH, release, Patience::whole(RELEASE_TIMEOUT)).await {
-            Ok(body) => serde_json::from_slice(&body).ok(),
+            Ok(body) => match serde_json::from_slice::<PeerRelease>(&body) {
+                Ok(answer) => Some(answer.end(&release.holder)),
+                Err(e) => {
+                    log::warn!(host:% = host, error:% = e; "peers: can't decode the result of a release");
+                    None
+                }
+            },
             Err(e) => {
                 log::info!(host:% = host, error:% = e; "peers: request to send a release failed");
                 None
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod notices;
 pub mod pool;
 pub mod relays;
+pub mod releases;
 pub mod serve;
 pub mod settings;
 pub mod status;
--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -42,13 +42,29 @@
     pub build_release: fn(&Release) -> Outgoing,
     /// Parses the answer to a grant.
     pub parse_grant_reply: fn(&Reply) -> CallEnd,
-    /// Parses the answer to a release. Returns the state that the holder hands over, if any.
-    pub parse_release_reply: fn(&Reply) -> Result<Option<String>, CallEnd>,
+    /// Parses the answer to a release.
+    pub parse_release_reply: fn(&Reply) -> ReleaseReply,
     /// Parses what an answer asks of the host that got it. Returns nothing if the answer names another upstream than
     /// the one called.
     pub parse_notices: fn(&Reply, &UpstreamId) -> Notices,
 }
 
+/// What the answer to a release shows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReleaseReply {
+    /// The keys are released, and no work on them runs any more.
+    Released {
+        /// State that the holder hands over, if any.
+        handover: Option<String>,
+    },
+    /// The process with this id refused the call.
+    RefusedBy(UpstreamId),
+    /// A process that did not say which one it is refused the call.
+    Refused,
+    /// Anything else. The call may have been carried out.
+    Unknown,
+}
+
 /// Kind of an upstream's answer to a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReplyKind {
--- a/crates/edge/tests/detour.rs
+++ b/crates/edge/tests/detour.rs
@@ -9,7 +9,7 @@
 use skylarkdock_edge::client::{Failure, Outgoing, Reply};
 use skylarkdock_edge::detour::{DetourClient, DetourError, DetourServer, Knowledge, SharedPaths};
 use skylarkdock_edge::notices::SharedNotices;
-use skylarkdock_edge::upstreams::{HeaderNames, Protocol, ReplyKind};
+use skylarkdock_edge::upstreams::{HeaderNames, Protocol, ReleaseReply, ReplyKind};
 use skylarkdock_http1::body::{Decoder, Framing};
 use skylarkdock_http1::head::{Headers, RequestHead};
 use skylarkdock_spans::renewal::CallEnd;
@@ -42,7 +42,7 @@
         build_grant: |_, _| request("/grant", b""),
         build_release: |_| request("/release", b""),
         parse_grant_reply: |_| CallEnd::Unknown,
-        parse_release_reply: |_| Err(CallEnd::Unknown),
+        parse_release_reply: |_| ReleaseReply::Unknown,
         parse_notices,
     }
 }
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -20,7 +20,7 @@
 use skylarkdock_edge::settings::Settings;
 use skylarkdock_edge::status::Status;
 use skylarkdock_edge::traffic::Traffic;
-use skylarkdock_edge::upstreams::{HeaderNames, Protocol};
+use skylarkdock_edge::upstreams::{HeaderNames, Protocol, ReleaseReply};
 use skylarkdock_edge::view::{
     Config, Entry, ListedUpstream, PeerInfo, Publication, ServiceInfo, UpstreamChange, View,
 };
@@ -53,7 +53,7 @@
     build_grant: |_, _| Outgoing::new("POST", "/grant", &Headers::default(), &[]),
     build_release: |_| Outgoing::new("POST", "/release", &Headers::default(), &[]),
     parse_grant_reply: |_| CallEnd::Unknown,
-    parse_release_reply: |_| Err(CallEnd::Unknown),
+    parse_release_reply: |_| ReleaseReply::Unknown,
     parse_notices: |reply, _| Notices {
         rest: None,
         is_leaving: reply.head.headers.get("x-leaving").is_some(),
--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -4,6 +4,7 @@
 //! certainly expired; the new owner is granted the keys with a larger fencing token; that grant is recorded. If the
 //! leader fails in between, the next one resumes from the recorded table.
 
+use crate::end::{GrantEnd, NotEnded};
 use crate::load::Rates;
 use crate::lost::Search;
 use crate::plan::{self, Candidate};
@@ -77,11 +78,11 @@
     pub search: Search,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum ReleaseState {
     Idle { not_before: HostTime },
     Sent,
-    Ended,
+    Ended(GrantEnd),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -209,11 +210,11 @@
         self.acks.insert(ack.host, received);
     }
 
-    /// Handles the result of a release: the handover, if the holder released the keys.
+    /// Handles the result of a release.
     pub fn on_released(
         &mut self,
         release: &Release,
-        end: Result<Option<String>, CallEnd>,
+        end: Result<GrantEnd, NotEnded>,
         now: HostTime,
     ) {
         let id = (release.first, release.last, release.fence);
@@ -221,12 +222,12 @@
         let former = span.former.iter().position(|former| former.holder == release.holder);
         let (Some(index), Some(progress)) = (former, self.moves.get_mut(&id)) else { return };
         match end {
-            Ok(handover) => {
-                progress.releases[index] = ReleaseState::Ended;
+            Ok(end) => {
+                let handover = end.handover().map(str::to_owned);
                 progress.handover = handover.or_else(|| progress.handover.take());
+                progress.releases[index] = ReleaseState::Ended(end);
             }
-            Err(CallEnd::Gone) => progress.releases[index] = ReleaseState::Ended,
-            Err(_) => {
+            Err(NotEnded::Refused | NotEnded::Unknown) => {
                 progress.has_failed_release = true;
                 progress.releases[index] = ReleaseState::Idle { not_before: now + RETRY_PAUSE };
             }
@@ -274,6 +275,20 @@
         actions
     }
 
+    /// Returns by what the grants of each former holder of a pending span have ended.
+    pub fn ends(&self, grant: &Grant) -> Vec<(&Holder, &GrantEnd)> {
+        let id = (grant.first, grant.last, grant.fence);
+        let (Some(span), Some(progress)) = (self.span(id), self.moves.get(&id)) else {
+            return Vec::new();
+        };
+        let releases = span.former.iter().zip(&progress.releases);
+        let ended = releases.filter_map(|(former, release)| match release {
+            ReleaseState::Ended(end) => Some((&former.holder, end)),
+            ReleaseState::Idle { .. } | ReleaseState::Sent => None,
+        });
+        ended.collect()
+    }
+
     /// Returns whether the grant of a span is not recorded yet or a table is being written.
     pub fn has_pending_changes(&self) -> bool {
         self.is_writing || !self.moves.is_empty()
@@ -325,8 +340,8 @@
             let Some(progress) = self.moves.get_mut(&id) else { continue };
             for (index, former) in span.former.iter().enumerate() {
                 let release = &mut progress.releases[index];
-                if has_expired[index] {
-                    *release = ReleaseState::Ended;
+                if has_expired[index] && !matches!(release, ReleaseState::Ended(_)) {
+                    *release = ReleaseState::Ended(GrantEnd::expired());
                 }
                 if let ReleaseState::Idle { not_before } = *release
                     && now >= not_before
@@ -340,7 +355,8 @@
                     }));
                 }
             }
-            let all_ended = progress.releases.iter().all(|release| *release == ReleaseState::Ended);
+            let has_ended = |release: &ReleaseState| matches!(release, ReleaseState::Ended(_));
+            let all_ended = progress.releases.iter().all(has_ended);
             needs_acks |= progress.has_failed_release && !all_ended;
             if let GrantState::Idle { not_before } = progress.granting
                 && all_ended
--- a/crates/spans/src/lib.rs
+++ b/crates/spans/src/lib.rs
@@ -5,6 +5,7 @@
 //! hosts, the keepers, [renew](renewal) the recorded grants, so that owners keep their keys while the leader or the
 //! store is unavailable.
 
+pub mod end;
 pub mod leader;
 pub mod load;
 pub mod lost;
--- a/crates/spans/tests/other_hosts_grants.rs
+++ b/crates/spans/tests/other_hosts_grants.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+use skylarkdock_spans::end::NotEnded;
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::{Ack, CallEnd, Connection, Grant, LastSent, Purpose, Renewals};
@@ -82,7 +83,7 @@
         for action in leader.tick(&inputs, now) {
             match action {
                 Action::Release(release) => {
-                    leader.on_released(&release, Err(CallEnd::Unknown), now)
+                    leader.on_released(&release, Err(NotEnded::Unknown), now)
                 }
                 Action::Grant(_) => granted_at = granted_at.or(Some(now)),
                 Action::RequestAck(host) if host.as_str() == "k" => {
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use rstest::rstest;
+use skylarkdock_spans::end::{GrantEnd, NotEnded};
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::{CallEnd, Connection, Grant, Purpose, Renewals};
@@ -85,7 +86,11 @@
                 self.leader.on_granted(&grant, CallEnd::Done, self.now);
             }
             Action::Release(release) => {
-                self.leader.on_released(&release, Ok(Some("state".to_owned())), self.now);
+                self.leader.on_released(
+                    &release,
+                    Ok(GrantEnd::released(Some("state".to_owned()))),
+                    self.now,
+                );
             }
             Action::RequestAck(_) => self.leader.on_ack(self.renewals.ack(self.now), self.now),
         }
@@ -99,7 +104,7 @@
             for action in self.tick(&["a"]) {
                 match action {
                     Action::Release(release) => {
-                        self.leader.on_released(&release, Err(CallEnd::Unknown), self.now);
+                        self.leader.on_released(&release, Err(NotEnded::Unknown), self.now);
                     }
                     Action::Grant(grant) => {
                         granted_at.get_or_insert(self.now);
@@ -245,7 +250,7 @@
                     leader.on_ack(renewals[index].ack(now), now);
                 }
                 Action::Release(release) => {
-                    leader.on_released(&release, Err(CallEnd::Unknown), now);
+                    leader.on_released(&release, Err(NotEnded::Unknown), now);
                 }
                 Action::Grant(grant) => {
                     if tick >= 240 {
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -1,6 +1,7 @@
 //! Calls between hosts and upstreams, which may be delayed, lost or carried out without an answer.
 
 use super::Simulation;
+use skylarkdock_spans::end::{GrantEnd, NotEnded};
 use skylarkdock_spans::renewal::{Ack, CallEnd, Connection, Grant, Purpose, Release};
 use skylarkdock_spans::table::{Holder, Table};
 use skylarkdock_units::times::HostTime;
@@ -21,7 +22,7 @@
 
 /// What a host learns of a grant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum GrantEnd {
+pub(super) enum GrantOutcome {
     Answered(CallEnd),
     /// The connection broke, or was refused.
     Broken,
@@ -51,12 +52,12 @@
         to: usize,
         by_leader: bool,
         grant: Grant,
-        end: GrantEnd,
+        end: GrantOutcome,
     },
     ReleaseResult {
         to: usize,
         release: Release,
-        end: Result<Option<String>, CallEnd>,
+        end: Result<GrantEnd, NotEnded>,
     },
     Ack {
         to: usize,
@@ -153,10 +154,10 @@
         let calls = self.calls.entry(key).or_default();
         let mut end = None;
         if !is_reached {
-            end = Some((CALL_TIMEOUT_MS, GrantEnd::TimedOut));
+            end = Some((CALL_TIMEOUT_MS, GrantOutcome::TimedOut));
             self.fault_counts.lost_grants += 1;
         } else if !is_up || (is_direct && calls.connected_to.is_some_and(|known| known != born)) {
-            end = Some((20, GrantEnd::Broken));
+            end = Some((20, GrantOutcome::Broken));
         }
         if end.is_some() {
             calls.connected_to = None;
@@ -167,9 +168,9 @@
         if end.is_none() && !answered {
             self.fault_counts.late_grants += 1;
             calls.connected_to = None;
-            end = Some((CALL_TIMEOUT_MS, GrantEnd::TimedOut));
+            end = Some((CALL_TIMEOUT_MS, GrantOutcome::TimedOut));
         }
-        if is_reached && is_up && !matches!(end, Some((_, GrantEnd::Broken))) {
+        if is_reached && is_up && !matches!(end, Some((_, GrantOutcome::Broken))) {
             let carried_out_at = arrives_at + delay;
             let grant = grant.clone();
             let message = Message::Grant {
@@ -194,15 +195,15 @@
         }
     }
 
-    fn on_grant_end(&mut self, to: usize, by_leader: bool, grant: &Grant, end: GrantEnd) {
+    fn on_grant_end(&mut self, to: usize, by_leader: bool, grant: &Grant, end: GrantOutcome) {
         let now = HostTime(self.now);
         let host = &mut self.hosts[to];
-        if end == GrantEnd::Broken {
+        if end == GrantOutcome::Broken {
             host.renewals.suspend(&grant.holder, now);
         }
         let end = match end {
-            GrantEnd::Answered(end) => end,
-            GrantEnd::Broken | GrantEnd::TimedOut => CallEnd::Unknown,
+            GrantOutcome::Answered(end) => end,
+            GrantOutcome::Broken | GrantOutcome::TimedOut => CallEnd::Unknown,
         };
         if by_leader {
             if end == CallEnd::Done {
@@ -272,9 +273,9 @@
                 let end = if upstream.born() == accepted_by && upstream.started_at <= arrives_at {
                     let has_fencing = self.safeguards.has_fencing;
                     let end = upstream.grant(&grant, arrives_at, carried_out_at, has_fencing)?;
-                    GrantEnd::Answered(end)
+                    GrantOutcome::Answered(end)
                 } else {
-                    GrantEnd::Broken
+                    GrantOutcome::Broken
                 };
                 if answered {
                     let at = self.now.max(arrives_at + 20);
@@ -286,11 +287,15 @@
                 let end = match self.reachable_upstream(from, &release.holder) {
                     Some(index) if self.upstreams[index].started_at <= arrives_at => {
                         self.upstreams[index].release(&release);
-                        if answered { Ok(Some("h".to_owned())) } else { Err(CallEnd::Unknown) }
+                        if answered {
+                            Ok(GrantEnd::released(Some("h".to_owned())))
+                        } else {
+                            Err(NotEnded::Unknown)
+                        }
                     }
                     _ => {
                         self.fault_counts.lost_releases += 1;
-                        Err(CallEnd::Unknown)
+                        Err(NotEnded::Unknown)
                     }
                 };
                 let at = self.now + 100;
@@ -299,7 +304,7 @@
             Message::GrantResult { to, by_leader, grant, end } => {
                 if let Some(calls) = self.calls.get_mut(&(to, grant.holder.clone())) {
                     calls.is_busy = false;
-                    if end == GrantEnd::Broken {
+                    if end == GrantOutcome::Broken {
                         calls.connected_to = None;
                     }
                 }
