Take only an answer of a holder for a sign that it runs

What callers could see: two upstreams hold the same keys for up to three seconds.

Cause: a holder whose connection broke is suspended until the registry shows an entry of its incarnation. `Renewals::resume` then counted that as an answer of this moment. The entry may have been written before the suspension: hosts learn of entries late, over other hosts also while they can't read the store themselves. For 1.5 s grants went over new connections and over other hosts by proof of up to 14 s, to whatever incarnation listened at the address by then.

Evidence: `a_holder_that_the_registry_confirms_has_not_answered` fails on the code before ("assertion failed: !renewals.has_recent_answer"). The simulation gets a mode in which hosts see the entry of an earlier incarnation up to 3 s after the next one has started, also without the store.

Change: the end of a suspension and a recent answer are two times. The first only gives the holder as much time for an answer as it had before, so a renewal that fails does not suspend it again at once. A new connection needs recent proof or an answer. So that resumed holders without a direct path are still renewed, a renewal goes over another host by the same rule as over a new connection; it needed a recent answer before.

`a_resumed_holder_is_renewed_while_the_store_is_ away_where_that_is_safe`: by recent proof, and then by its answers until there is no proof any more.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -139,14 +139,7 @@
             return None;
         }
         // Another host opens a new connection, which a later incarnation may have accepted.
-        let may_detour = match purpose {
-            Purpose::Renewal => {
-                let owners = self.owners.borrow();
-                let renewals = owners.renewals.get(service);
-                renewals.is_some_and(|renewals| renewals.has_recent_answer(&grant.holder, started))
-            }
-            Purpose::Move => self.may_connect(service, &grant.holder, started),
-        };
+        let may_detour = self.may_connect(service, &grant.holder, started);
         let req = (self.protocol.build_grant)(grant, self.timing.hold);
         if is_direct {
             let failure = match caller.call(&req, self.timing.call_timeout).await {
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -15,7 +15,8 @@
 
 /// Time without an answer after which a renewal that fails suspends a holder: it may have crashed unnoticed and a later
 /// incarnation may listen at its address. A holder that has never answered is suspended by its first renewal that
-/// fails. Proof of this age no longer tells whether a new connection reaches the same incarnation.
+/// fails. One whose suspension has ended has as much time for an answer. Proof of this age no longer tells whether a new
+/// connection reaches the same incarnation.
 const MAX_ANSWER_AGE: Millis = Millis(1_500);
 
 /// A call that grants a holder a span for one grant lifetime.
@@ -113,6 +114,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct HolderState {
     answered_at: HostTime,
+    /// When its last suspension ended; zero before the first one. An entry of the registry ends it, which is no answer.
+    resumed_at: HostTime,
     failures: u32,
     suspended_at: Option<HostTime>,
 }
@@ -334,7 +337,7 @@
             }
             CallEnd::Refused | CallEnd::Unknown => {
                 state.failures += 1;
-                if now.since(state.answered_at) > MAX_ANSWER_AGE {
+                if now.since(state.answered_at.max(state.resumed_at)) > MAX_ANSWER_AGE {
                     state.suspended_at.get_or_insert(now);
                 }
                 if state.failures <= UNREACHABLE_FAILURES {
@@ -350,11 +353,12 @@
         self.holders.entry(holder.clone()).or_default().suspended_at.get_or_insert(now);
     }
 
-    /// Resumes renewals to an incarnation that the registry has confirmed since its suspension.
+    /// Resumes renewals to an incarnation that the registry has confirmed since its suspension. Its entry may have been
+    /// written before the suspension, so a new connection to it still needs recent proof.
     pub fn resume(&mut self, holder: &Holder, now: HostTime) {
         if let Some(state) = self.holders.get_mut(holder) {
             state.suspended_at = None;
-            state.answered_at = now;
+            state.resumed_at = now;
         }
     }
 
--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -11,6 +11,8 @@
 const DEFAULT_CASES: u64 = 8;
 /// Cases with damaged records of tables.
 const DAMAGED_RECORD_CASES: u64 = 16;
+/// Cases with entries that are seen late.
+const LATE_ENTRY_CASES: u64 = 8;
 /// Cases with entries of other writers.
 const FOREIGN_ENTRY_CASES: u64 = 12;
 const FAULT_STEPS: usize = 2_400;
@@ -125,6 +127,35 @@
     }
 }
 
+/// Hosts took entries of earlier incarnations for answers, and renewed at the next one by old proof.
+#[test]
+fn no_two_upstreams_hold_a_key_when_entries_are_seen_late() {
+    let cases = variable("SKYLARKDOCK_FUZZ_CASES", LATE_ENTRY_CASES);
+    let first = variable("SKYLARKDOCK_FUZZ_SEED", 1);
+    let mut late_entries = 0;
+    for seed in first..first + cases {
+        let safeguards = Safeguards { has_late_registry: true, ..Safeguards::default() };
+        let fault_counts =
+            run(seed, safeguards).unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+        late_entries += fault_counts.late_entries;
+        let frequent = Safeguards { has_frequent_faults: true, ..safeguards };
+        let simulation = run_faults(seed, frequent)
+            .unwrap_or_else(|violation| panic!("seed {seed}, frequent faults: {violation}"));
+        late_entries += simulation.fault_counts.late_entries;
+    }
+    println!("{cases} cases: {late_entries} late entries");
+    assert!(late_entries > 0);
+}
+
+/// A keeper with proof of some seconds ago resumed a holder by an entry of its earlier incarnation, and renewed keys that had
+/// moved on at the next one.
+#[test]
+fn an_entry_that_is_seen_late_gives_no_second_holder() {
+    let (has_late_registry, has_frequent_faults) = (true, true);
+    let safeguards = Safeguards { has_late_registry, has_frequent_faults, ..Safeguards::default() };
+    run_faults(538, safeguards).unwrap_or_else(|violation| panic!("{violation}"));
+}
+
 /// Another writer damages records of tables, and hosts that start know no table.
 #[test]
 fn no_two_upstreams_hold_a_key_when_records_of_tables_are_damaged() {
--- a/crates/spans/tests/other_hosts_grants.rs
+++ b/crates/spans/tests/other_hosts_grants.rs
@@ -216,3 +216,72 @@
     renewals.prove(now);
     assert!(renewals.confirm_send(&grant, Purpose::Move, Connection::New, now));
 }
+
+/// The registry showed an entry that was written before the connection broke; keys that had moved on were renewed at the
+/// next incarnation.
+#[test]
+fn a_holder_that_the_registry_confirms_has_not_answered() {
+    let started = HostTime(START.0 - 1_000);
+    let mut renewals = Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, started);
+    let owner = holder("a", 1);
+    renewals.adopt(table(3, &owner, 3, None));
+    renewals.prove(START);
+    let grant = renewals.due_renewals(START).remove(0);
+    renewals.on_renewal_end(&grant, CallEnd::Done, START);
+    let mut now = START;
+    while now < START + Millis(5_000) {
+        now = now + TICK;
+        renewals.due_renewals(now);
+    }
+    renewals.suspend(&owner, now);
+    renewals.resume(&owner, now);
+    assert!(renewals.has_proof(now));
+    assert!(!renewals.has_recent_answer(&owner, now));
+    assert!(!renewals.may_connect(&owner, now));
+    assert!(!renewals.confirm_send(&grant, Purpose::Renewal, Connection::New, now));
+    // A refusal does not tell which incarnation gave it.
+    renewals.on_renewal_end(&grant, CallEnd::Refused, now);
+    assert!(!renewals.has_recent_answer(&owner, now));
+    assert!(renewals.confirm_send(&grant, Purpose::Renewal, Connection::Open, now));
+    renewals.on_renewal_end(&grant, CallEnd::Done, now);
+    assert!(renewals.confirm_send(&grant, Purpose::Renewal, Connection::New, now));
+}
+
+/// A resumed holder has time for an answer: without the store, nothing would end a second suspension.
+#[test]
+fn a_resumed_holder_is_renewed_while_the_store_is_away_where_that_is_safe() {
+    let started = HostTime(START.0 - 1_000);
+    let mut renewals = Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, started);
+    let owner = holder("a", 1);
+    renewals.adopt(table(3, &owner, 3, None));
+    renewals.prove(START);
+    let grant = renewals.due_renewals(START).remove(0);
+    renewals.suspend(&owner, START);
+    let resumed_at = START + Millis(1_000);
+    renewals.due_renewals(resumed_at);
+    renewals.resume(&owner, resumed_at);
+    assert!(
+        renewals.confirm_send(&grant, Purpose::Renewal, Connection::New, resumed_at),
+        "by recent proof"
+    );
+    let failed_at = resumed_at + Millis(400);
+    renewals.on_renewal_end(&grant, CallEnd::Unknown, failed_at);
+    assert_eq!(renewals.suspended_at(&owner), None);
+    let repeated = renewals.due_renewals(failed_at + TICK);
+    assert_eq!(repeated, std::slice::from_ref(&grant));
+    let answered_at = failed_at + TICK + TICK;
+    renewals.on_renewal_end(&grant, CallEnd::Done, answered_at);
+    // The answers keep it renewed as long as there is proof at all.
+    let mut now = answered_at;
+    while now < START + TIMING.proof_lifetime {
+        for due in renewals.due_renewals(now) {
+            assert!(renewals.confirm_send(&due, Purpose::Renewal, Connection::New, now), "{now}");
+            renewals.on_renewal_end(&due, CallEnd::Done, now);
+        }
+        now = now + TICK;
+    }
+    assert!(renewals.has_recent_answer(&owner, now));
+    let failed_at = now + OLD_PROOF + TICK;
+    renewals.on_renewal_end(&grant, CallEnd::Unknown, failed_at);
+    assert!(renewals.suspended_at(&owner).is_some(), "after a silence");
+}
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -1,10 +1,12 @@
 //! Simulation of a store, hosts and upstreams in virtual time, with injected faults and a check for two holders of a key.
 
 mod damage;
+mod late_registry;
 mod network;
 mod upstream;
 
 use damage::Damage;
+use late_registry::LateRegistry;
 use network::{GrantCalls, Message};
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
@@ -54,6 +56,8 @@
     pub has_late_proof: bool,
     /// Whether another writer damages the record of the table. Not a safeguard either.
     pub has_damaged_records: bool,
+    /// Whether hosts see entries of earlier incarnations, also without the store. Not a safeguard either.
+    pub has_late_registry: bool,
 }
 
 pub const TIMING: Timing =
@@ -74,6 +78,7 @@
             refreshes_proof: true,
             has_late_proof: false,
             has_damaged_records: false,
+            has_late_registry: false,
         }
     }
 }
@@ -118,6 +123,8 @@
     /// Records of the table that another writer damaged, and searches that found nothing.
     pub damaged_records: u64,
     pub lost_tables: u64,
+    /// Holders that were resumed by an entry although a later incarnation ran.
+    pub late_entries: u64,
 }
 
 pub struct Simulation {
@@ -130,6 +137,7 @@
     pub upstreams: Vec<Upstream>,
     log: Vec<Table>,
     damage: Damage,
+    late_registry: LateRegistry,
     log_end: u64,
     messages: Vec<(u64, Message)>,
     calls: FastMap<(usize, Holder), GrantCalls>,
@@ -165,6 +173,7 @@
             upstreams,
             log: Vec::new(),
             damage: Damage::new(seed),
+            late_registry: LateRegistry::new(seed),
             log_end: 0,
             messages: Vec::new(),
             calls: FastMap::default(),
@@ -293,6 +302,9 @@
         if !self.reads_last {
             self.read_store(index);
         }
+        if self.safeguards.has_late_registry {
+            self.resume_by_late_entries(index);
+        }
         self.renew(index);
         if self.hosts[index].believes_to_lead {
             self.lead(index);
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -141,7 +141,7 @@
         let answered = self.rng.f64() >= self.late_share;
         let delay = if answered { 0 } else { self.rng.u64(2_000..12_000) };
         let may_detour =
-            by_leader || self.hosts[from].renewals.has_recent_answer(&grant.holder, HostTime(now));
+            by_leader || self.hosts[from].renewals.may_connect(&grant.holder, HostTime(now));
         let index = self.index_of(&grant.holder);
         let is_direct = self.hosts[from].reachable_upstreams[index];
         let is_reached = is_direct || (may_detour && self.is_reached_over_other_host(from, index));
@@ -333,7 +333,7 @@
         Ok(())
     }
 
-    fn index_of(&self, holder: &Holder) -> usize {
+    pub(super) fn index_of(&self, holder: &Holder) -> usize {
         self.upstreams.iter().position(|u| u.holder().id == holder.id).unwrap_or_default()
     }
 
--- a/crates/spans/tests/simulation/upstream.rs
+++ b/crates/spans/tests/simulation/upstream.rs
@@ -14,6 +14,7 @@
 pub struct Upstream {
     index: usize,
     born: u64,
+    former_born: u64,
     pub started_at: u64,
     down_until: u64,
     pub reaches_store: bool,
@@ -34,6 +35,7 @@
         Self {
             index,
             born: 1,
+            former_born: 0,
             started_at: 0,
             down_until: 0,
             reaches_store: true,
@@ -50,6 +52,10 @@
         self.born
     }
 
+    pub const fn former_born(&self) -> u64 {
+        self.former_born
+    }
+
     pub const fn is_up(&self, now: u64) -> bool {
         now >= self.down_until
     }
@@ -66,6 +72,7 @@
     }
 
     pub fn crash(&mut self, now: u64, down_ms: u64, born_increase: u64) {
+        self.former_born = self.born;
         self.born += born_increase;
         self.started_at = now + down_ms;
         self.down_until = now + down_ms;
