Forget answers of a holder when its connection breaks

What callers could see: two upstreams hold the same keys for up to three seconds.

Cause: a broken connection, or an answer of another upstream, suspends a holder, but answers from before still counted as recent. Once an entry had ended the suspension, a grant could go over a new connection within 1.5 s of such an answer by proof of up to 14 s.

Evidence: `an_answer_from_before_a_connection_broke_does_not_count` fails on the code before ("assertion failed: !renewals.may_connect").

Change: a suspension by a broken connection, or by the answer of another upstream, drops the time of the last answer. Only an answer after it, or recent proof, lets a grant open a connection. This costs nothing while the store is away, as nothing resumes a holder then.

--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -113,6 +113,7 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct HolderState {
+    /// When its last answer arrived; zero if it has not answered since its connection broke.
     answered_at: HostTime,
     /// When its last suspension ended; zero before the first one. An entry of the registry ends it, which is no answer.
     resumed_at: HostTime,
@@ -330,7 +331,10 @@
                 state.answered_at = now;
             }
             CallEnd::Fenced => state.answered_at = now,
-            CallEnd::Gone => state.suspended_at = Some(now),
+            CallEnd::Gone => {
+                state.answered_at = HostTime(0);
+                state.suspended_at = Some(now);
+            }
             // The last answer proves that the same incarnation still runs only if it is recent.
             CallEnd::Refused if now.since(state.answered_at) <= MAX_ANSWER_AGE => {
                 state.answered_at = now;
@@ -348,9 +352,11 @@
     }
 
     /// Stops renewals to an incarnation whose connection broke: a later incarnation may listen at the address and must
-    /// not get the grants of the earlier one.
+    /// not get the grants of the earlier one. Answers from before no longer count.
     pub fn suspend(&mut self, holder: &Holder, now: HostTime) {
-        self.holders.entry(holder.clone()).or_default().suspended_at.get_or_insert(now);
+        let state = self.holders.entry(holder.clone()).or_default();
+        state.answered_at = HostTime(0);
+        state.suspended_at.get_or_insert(now);
     }
 
     /// Resumes renewals to an incarnation that the registry has confirmed since its suspension. Its entry may have been
--- a/crates/spans/tests/other_hosts_grants.rs
+++ b/crates/spans/tests/other_hosts_grants.rs
@@ -285,3 +285,24 @@
     renewals.on_renewal_end(&grant, CallEnd::Unknown, failed_at);
     assert!(renewals.suspended_at(&owner).is_some(), "after a silence");
 }
+
+/// An answer just before the connection broke let a grant go over a new one, to whatever listened by then.
+#[test]
+fn an_answer_from_before_a_connection_broke_does_not_count() {
+    let started = HostTime(START.0 - 1_000);
+    let mut renewals = Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, started);
+    let owner = holder("a", 1);
+    renewals.adopt(table(3, &owner, 3, None));
+    renewals.prove(START);
+    let grant = renewals.due_renewals(START).remove(0);
+    let now = START + OLD_PROOF + TICK;
+    renewals.on_renewal_end(&grant, CallEnd::Done, now);
+    assert!(renewals.may_connect(&owner, now));
+    renewals.suspend(&owner, now + TICK);
+    renewals.resume(&owner, now + TICK);
+    assert!(!renewals.may_connect(&owner, now + TICK));
+    renewals.on_renewal_end(&grant, CallEnd::Done, now + TICK);
+    renewals.on_renewal_end(&grant, CallEnd::Gone, now + TICK);
+    renewals.resume(&owner, now + TICK);
+    assert!(!renewals.may_connect(&owner, now + TICK), "another one answered");
+}
