Repeat a grant that was refused for a larger token only by newer proof

What callers could see: two upstreams hold the same keys for up to three seconds.

Cause: `409` says that the holder has seen a larger token for the keys, so a newer table exists, or did. The refusal counted as a recent answer of the holder, and the next renewal of the same grant went out by proof from before it. If the connection had been closed meanwhile, without having broken, a new one could reach the next incarnation of the holder, which knows of no token and takes the grant.

Evidence: `a_grant_that_was_refused_for_a_larger_token_waits_for_newer_proof` fails on the code before, over a new connection.

Change: a host remembers when a grant was refused for a larger token and sends it, as keeper or as leader, only by proof of the recorded table from after that. The holder's other grants go on. A grant that is refused although its table is the newest is sent as before once a later read has shown that.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -427,6 +427,11 @@
                 if let Some(leader) = self.owners.borrow_mut().leaders.get_mut(&service) {
                     leader.on_granted(&grant, end, clock::now());
                 }
+                if end == CallEnd::Fenced
+                    && let Some(renewals) = self.owners.borrow_mut().renewals.get_mut(&service)
+                {
+                    renewals.on_fenced(&grant, clock::now());
+                }
                 if end == CallEnd::Done {
                     if let Some(renewals) = self.owners.borrow_mut().renewals.get_mut(&service) {
                         renewals.on_granted(&grant);
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -140,6 +140,8 @@
     /// Spans that this host granted as leader. While they are not recorded as granted, it renews them even if it no
     /// longer leads: no other host knows of them while the store is unavailable.
     granted: FastSet<(u16, u16, FencingToken)>,
+    /// When each grant was last refused because the holder has seen a larger token, so that a newer table may exist.
+    fenced_at: FastMap<(u16, u16, FencingToken), HostTime>,
     /// When each grant that may still be in force was last sent, including grants of earlier tables.
     sent: FastMap<(Holder, u16, u16, FencingToken), HostTime>,
 }
@@ -159,6 +161,7 @@
             holders: FastMap::default(),
             renewed_at: FastMap::default(),
             granted: FastSet::default(),
+            fenced_at: FastMap::default(),
             sent: FastMap::default(),
         }
     }
@@ -174,11 +177,13 @@
             return;
         }
         // Most hosts renew nothing.
-        if !self.renewed_at.is_empty() || !self.granted.is_empty() {
+        let is_idle = self.renewed_at.is_empty() && self.granted.is_empty();
+        if !is_idle || !self.fenced_at.is_empty() {
             let recorded: FastSet<(u16, u16, FencingToken)> =
                 table.spans.iter().map(|span| (span.first, span.last, span.fence)).collect();
             self.renewed_at.retain(|span, _| recorded.contains(span));
             self.granted.retain(|span| recorded.contains(span));
+            self.fenced_at.retain(|span, _| recorded.contains(span));
         }
         self.table = Some(table);
     }
@@ -276,7 +281,9 @@
         self.notice_stop(now);
         let Some(table) = &self.table else { return false };
         let span = table.span(grant.first).filter(|span| span.matches(grant));
+        let id = (grant.first, grant.last, grant.fence);
         let may_send = self.has_proof(now)
+            && self.fenced_at.get(&id).is_none_or(|refused_at| self.proof_at > *refused_at)
             && (conn == Connection::Open || self.may_connect(&grant.holder, now))
             && span.is_some_and(|span| match purpose {
                 Purpose::Renewal => self.is_keeper(table) && self.renews(table, span),
@@ -284,7 +291,7 @@
             });
         if may_send {
             self.record_sent(grant, now);
-            self.renewed_at.insert((grant.first, grant.last, grant.fence), now);
+            self.renewed_at.insert(id, now);
         }
         may_send
     }
@@ -308,6 +315,12 @@
         self.granted.insert((grant.first, grant.last, grant.fence));
     }
 
+    /// Records that the holder refused a grant because it has seen a larger token. Proof from before does not count for the
+    /// grant any more: the next incarnation of the holder would take it.
+    pub fn on_fenced(&mut self, grant: &Grant, now: HostTime) {
+        self.fenced_at.insert((grant.first, grant.last, grant.fence), now);
+    }
+
     /// Returns the spans that this host granted as leader and that its table does not record as granted yet.
     pub fn unrecorded_grants(&self) -> impl Iterator<Item = (u16, u16, FencingToken)> {
         let spans = self.table.iter().flat_map(|table| &table.spans);
@@ -330,7 +343,10 @@
                 state.failures = 0;
                 state.answered_at = now;
             }
-            CallEnd::Fenced => state.answered_at = now,
+            CallEnd::Fenced => {
+                state.answered_at = now;
+                self.on_fenced(grant, now);
+            }
             CallEnd::Gone => {
                 state.answered_at = HostTime(0);
                 state.suspended_at = Some(now);
--- a/crates/spans/tests/other_hosts_grants.rs
+++ b/crates/spans/tests/other_hosts_grants.rs
@@ -306,3 +306,33 @@
     renewals.resume(&owner, now + TICK);
     assert!(!renewals.may_connect(&owner, now + TICK), "another one answered");
 }
+
+/// A holder that has seen a larger token was sent the grant again by proof from before, also at its next incarnation.
+#[test]
+fn a_grant_that_was_refused_for_a_larger_token_waits_for_newer_proof() {
+    let started = HostTime(START.0 - 1_000);
+    let mut renewals = Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, started);
+    let owner = holder("a", 1);
+    let mut shared = table(3, &owner, 3, None);
+    shared.spans = vec![
+        Span { last: 9, ..shared.spans[0].clone() },
+        Span { first: 10, ..shared.spans[0].clone() },
+    ];
+    renewals.adopt(shared);
+    renewals.prove(START);
+    let due = renewals.due_renewals(START);
+    let [fenced, other] = due.as_slice() else { panic!("{due:?}") };
+    let now = START + TIMING.renewal_interval();
+    renewals.due_renewals(now);
+    renewals.on_renewal_end(fenced, CallEnd::Fenced, now);
+    // Other keys of the holder are still its own, so it answers.
+    renewals.on_renewal_end(other, CallEnd::Done, now);
+    for conn in [Connection::New, Connection::Open] {
+        assert!(renewals.confirm_send(other, Purpose::Renewal, conn, now));
+        assert!(!renewals.confirm_send(fenced, Purpose::Renewal, conn, now), "{conn:?}");
+    }
+    renewals.prove(now);
+    assert!(!renewals.confirm_send(fenced, Purpose::Renewal, Connection::New, now));
+    renewals.prove(now + TICK);
+    assert!(renewals.confirm_send(fenced, Purpose::Renewal, Connection::New, now + TICK));
+}
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -209,6 +209,9 @@
             if end == CallEnd::Done {
                 host.renewals.on_granted(grant);
             }
+            if end == CallEnd::Fenced {
+                host.renewals.on_fenced(grant, now);
+            }
             if let Some(leader) = &mut host.leader {
                 leader.on_granted(grant, end, now);
             }
