Let the store of the simulation come back from an older copy

The simulation gets a mode in which the store loses the tables of the last 0 to 5 s, at any step, twice in a row at times, and is away for up to 3 s. It then also checks that no upstream accepts a key with a token that another one had, or a smaller one.

Cause, read: the token comes from `next_fence` of the recorded table, and versions of tables and acknowledgements are compared as numbers. A leader that has not known the lost tables goes on from an older one with numbers that were used, and reads of the older table give proof of whatever table a host knows.

--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -13,6 +13,8 @@
 const DAMAGED_RECORD_CASES: u64 = 16;
 /// Cases with entries that are seen late.
 const LATE_ENTRY_CASES: u64 = 8;
+/// Cases with a store that comes back from older copies.
+const RESTORED_STORE_CASES: u64 = 60;
 /// Cases with entries of other writers.
 const FOREIGN_ENTRY_CASES: u64 = 12;
 const FAULT_STEPS: usize = 2_400;
@@ -156,6 +158,25 @@
     run_faults(538, safeguards).unwrap_or_else(|violation| panic!("{violation}"));
 }
 
+/// The store comes back from older copies of itself: hosts know different tables of the same version, and tokens that were
+/// granted are handed out again.
+#[test]
+fn no_two_upstreams_hold_a_key_when_the_store_comes_back_from_an_older_copy() {
+    let cases = variable("SKYLARKDOCK_FUZZ_CASES", RESTORED_STORE_CASES);
+    let first = variable("SKYLARKDOCK_FUZZ_SEED", 1);
+    let mut sum = FaultCounts::default();
+    for seed in first..first + cases {
+        let safeguards = Safeguards { has_restored_store: true, ..Safeguards::default() };
+        let fault_counts =
+            run(seed, safeguards).unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+        sum.losses += fault_counts.losses;
+        sum.lost_records += fault_counts.lost_records;
+        sum.losses_in_moves += fault_counts.losses_in_moves;
+    }
+    println!("{cases} cases: {sum:?}");
+    assert!(sum.losses_in_moves > 0);
+}
+
 /// Another writer damages records of tables, and hosts that start know no table.
 #[test]
 fn no_two_upstreams_hold_a_key_when_records_of_tables_are_damaged() {
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -3,11 +3,13 @@
 mod damage;
 mod late_registry;
 mod network;
+mod restored;
 mod upstream;
 
 use damage::Damage;
 use late_registry::LateRegistry;
 use network::{GrantCalls, Message};
+use restored::{Copies, Position};
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::Renewals;
@@ -58,6 +60,8 @@
     pub has_damaged_records: bool,
     /// Whether hosts see entries of earlier incarnations, also without the store. Not a safeguard either.
     pub has_late_registry: bool,
+    /// Whether the store comes back from older copies of itself. Not a safeguard either.
+    pub has_restored_store: bool,
 }
 
 pub const TIMING: Timing =
@@ -79,6 +83,7 @@
             has_late_proof: false,
             has_damaged_records: false,
             has_late_registry: false,
+            has_restored_store: false,
         }
     }
 }
@@ -90,6 +95,8 @@
     renewals: Renewals,
     leader: Option<Leader>,
     version_read: u64,
+    /// End of the log when this host read it last.
+    read_to: Position,
     damage: damage::Seen,
     read_at: u64,
     reaches_store: bool,
@@ -125,6 +132,10 @@
     pub lost_tables: u64,
     /// Holders that were resumed by an entry although a later incarnation ran.
     pub late_entries: u64,
+    /// Times that the store came back from an older copy, tables that it lost, and times that it lost some while keys moved.
+    pub losses: u64,
+    pub lost_records: u64,
+    pub losses_in_moves: u64,
 }
 
 pub struct Simulation {
@@ -138,6 +149,7 @@
     log: Vec<Table>,
     damage: Damage,
     late_registry: LateRegistry,
+    copies: Copies,
     log_end: u64,
     messages: Vec<(u64, Message)>,
     calls: FastMap<(usize, Holder), GrantCalls>,
@@ -174,6 +186,7 @@
             log: Vec::new(),
             damage: Damage::new(seed),
             late_registry: LateRegistry::new(seed),
+            copies: Copies::new(seed),
             log_end: 0,
             messages: Vec::new(),
             calls: FastMap::default(),
@@ -293,6 +306,9 @@
         if self.safeguards.has_damaged_records {
             self.damage_records();
         }
+        if self.safeguards.has_restored_store {
+            self.lose_records();
+        }
         if self.hosts.iter().filter(|host| host.believes_to_lead).count() > 1 {
             self.fault_counts.steps_with_several_leaders += 1;
         }
@@ -340,15 +356,21 @@
         self.start_calls(index);
     }
 
+    pub(super) fn reaches_store(&self, index: usize) -> bool {
+        self.hosts[index].reaches_store && !self.copies.is_away(self.now)
+    }
+
     fn read_store(&mut self, index: usize) {
+        let reaches_store = self.reaches_store(index);
         let host = &mut self.hosts[index];
-        if !host.reaches_store || self.now < host.read_at + 100 {
+        if !reaches_store || self.now < host.read_at + 100 {
             if !self.safeguards.needs_proof {
                 host.renewals.prove(HostTime(self.now));
             }
             return;
         }
         host.read_at = self.now;
+        host.read_to = self.copies.position();
         let is_readable = self.damage.read(&mut host.damage, self.log_end, self.now);
         if let Some(table) = self.log.last()
             && is_readable
@@ -474,6 +496,7 @@
         region,
         leader: None,
         version_read: 0,
+        read_to: Position::default(),
         damage: damage::Seen::default(),
         read_at: 0,
         reaches_store: true,
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -119,10 +119,14 @@
         let now = HostTime(self.now);
         let newest = self.log.last().map_or(0, |last| last.version);
         let is_damaged = self.damage.is_newest_damaged(self.log_end);
+        let is_answered = self.reaches_store(from) && self.safeguards.refreshes_proof;
+        let end = self.safeguards.has_restored_store.then(|| self.copies.position());
         let host = &mut self.hosts[from];
-        let is_answered = host.reaches_store && self.safeguards.refreshes_proof;
         if is_answered && !host.renewals.may_connect(holder, now) {
-            let knows_newest = host.renewals.table().map_or(0, |known| known.version) == newest;
+            let knows_newest = match end {
+                Some(end) => host.read_to == end,
+                None => host.renewals.table().map_or(0, |known| known.version) == newest,
+            };
             host.renewals.on_read(now, knows_newest && !is_damaged);
         }
     }
@@ -223,21 +227,25 @@
     /// Writes a table, which the store records if the host knows the newest one.
     pub(super) fn write(&mut self, from: usize, table: Table) {
         let now = HostTime(self.now);
+        let reaches_store = self.reaches_store(from);
         let host = &mut self.hosts[from];
         let newest = self.log.last().map_or(0, |last| last.version);
-        let knows_newest = if self.damage.is_newest_damaged(self.log_end) {
+        let knows_newest = if self.safeguards.has_restored_store {
+            host.read_to == self.copies.position()
+        } else if self.damage.is_newest_damaged(self.log_end) {
             host.damage.has_read(self.damage.end())
         } else {
             host.renewals.table().map_or(0, |known| known.version) == newest
         };
         let is_confirmed = host.renewals.confirm_write(&table) || !self.safeguards.confirms_writes;
-        let is_recorded =
-            host.reaches_store && knows_newest && is_confirmed && table.check().is_ok();
+        let is_recorded = reaches_store && knows_newest && is_confirmed && table.check().is_ok();
         if is_recorded {
             self.log_end = self.damage.end_after(self.log_end) + 1;
             host.damage.on_written();
             self.fault_counts.moves += table.spans.iter().filter(|s| !s.is_granted).count() as u64;
             self.log.push(table.clone());
+            self.copies.on_recorded(self.now);
+            host.read_to = self.copies.position();
             host.renewals.adopt(table.clone());
             host.renewals.prove(now);
         }
@@ -276,6 +284,9 @@
                 let end = if upstream.born() == accepted_by && upstream.started_at <= arrives_at {
                     let has_fencing = self.safeguards.has_fencing;
                     let end = upstream.grant(&grant, arrives_at, carried_out_at, has_fencing)?;
+                    if self.safeguards.has_restored_store && answered && end == CallEnd::Done {
+                        self.check_tokens(index, &grant)?;
+                    }
                     GrantOutcome::Answered(end)
                 } else {
                     GrantOutcome::Broken
