--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -139,14 +139,7 @@
             return None;
         }
         // Another host opens a new connection, which a later incarnation may have accepted.
-        let may_detour = match purpose {
-            Purpose::Renewal => {
-                let owners = self.owners.borrow();
-                let renewals = owners.renewals.get(service);
-                renewals.is_some_and(|renewals| renewals.has_recent_answer(&grant.holder, started))
-            }
-            Purpose::Move => self.may_connect(service, &grant.holder, started),
-        };
+        let may_detour = self.may_connect(service, &grant.holder, started);
         let req = (self.protocol.build_grant)(grant, self.timing.hold);
         if is_direct {
             let failure = match caller.call(&req, self.timing.call_timeout).await {
@@ -434,6 +427,11 @@
                 if let Some(leader) = self.owners.borrow_mut().leaders.get_mut(&service) {
                     leader.on_granted(&grant, end, clock::now());
                 }
+                if end == CallEnd::Fenced
+                    && let Some(renewals) = self.owners.borrow_mut().renewals.get_mut(&service)
+                {
+                    renewals.on_fenced(&grant, clock::now());
+                }
                 if end == CallEnd::Done {
                     if let Some(renewals) = self.owners.borrow_mut().renewals.get_mut(&service) {
                         renewals.on_granted(&grant);
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -15,7 +15,8 @@
 
 /// Time without an answer after which a renewal that fails suspends a holder: it may have crashed unnoticed and a later
 /// incarnation may listen at its address. A holder that has never answered is suspended by its first renewal that
-/// fails. Proof of this age no longer tells whether a new connection reaches the same incarnation.
+/// fails. One whose suspension has ended has as much time for an answer. Proof of this age no longer tells whether a new
+/// connection reaches the same incarnation.
 const MAX_ANSWER_AGE: Millis = Millis(1_500);
 
 /// A call that grants a holder a span for one grant lifetime.
@@ -112,7 +113,10 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct HolderState {
+    /// When its last answer arrived; zero if it has not answered since its connection broke.
     answered_at: HostTime,
+    /// When its last suspension ended; zero before the first one. An entry of the registry ends it, which is no answer.
+    resumed_at: HostTime,
     failures: u32,
     suspended_at: Option<HostTime>,
 }
@@ -136,6 +140,8 @@
     /// Spans that this host granted as leader. While they are not recorded as granted, it renews them even if it no
     /// longer leads: no other host knows of them while the store is unavailable.
     granted: FastSet<(u16, u16, FencingToken)>,
+    /// When each grant was last refused because the holder has seen a larger token, so that a newer table may exist.
+    fenced_at: FastMap<(u16, u16, FencingToken), HostTime>,
     /// When each grant that may still be in force was last sent, including grants of earlier tables.
     sent: FastMap<(Holder, u16, u16, FencingToken), HostTime>,
 }
@@ -155,6 +161,7 @@
             holders: FastMap::default(),
             renewed_at: FastMap::default(),
             granted: FastSet::default(),
+            fenced_at: FastMap::default(),
             sent: FastMap::default(),
         }
     }
@@ -170,11 +177,13 @@
             return;
         }
         // Most hosts renew nothing.
-        if !self.renewed_at.is_empty() || !self.granted.is_empty() {
+        let is_idle = self.renewed_at.is_empty() && self.granted.is_empty();
+        if !is_idle || !self.fenced_at.is_empty() {
             let recorded: FastSet<(u16, u16, FencingToken)> =
                 table.spans.iter().map(|span| (span.first, span.last, span.fence)).collect();
             self.renewed_at.retain(|span, _| recorded.contains(span));
             self.granted.retain(|span| recorded.contains(span));
+            self.fenced_at.retain(|span, _| recorded.contains(span));
         }
         self.table = Some(table);
     }
@@ -272,7 +281,9 @@
         self.notice_stop(now);
         let Some(table) = &self.table else { return false };
         let span = table.span(grant.first).filter(|span| span.matches(grant));
+        let id = (grant.first, grant.last, grant.fence);
         let may_send = self.has_proof(now)
+            && self.fenced_at.get(&id).is_none_or(|refused_at| self.proof_at > *refused_at)
             && (conn == Connection::Open || self.may_connect(&grant.holder, now))
             && span.is_some_and(|span| match purpose {
                 Purpose::Renewal => self.is_keeper(table) && self.renews(table, span),
@@ -280,7 +291,7 @@
             });
         if may_send {
             self.record_sent(grant, now);
-            self.renewed_at.insert((grant.first, grant.last, grant.fence), now);
+            self.renewed_at.insert(id, now);
         }
         may_send
     }
@@ -304,6 +315,12 @@
         self.granted.insert((grant.first, grant.last, grant.fence));
     }
 
+    /// Records that the holder refused a grant because it has seen a larger token. Proof from before does not count for the
+    /// grant any more: the next incarnation of the holder would take it.
+    pub fn on_fenced(&mut self, grant: &Grant, now: HostTime) {
+        self.fenced_at.insert((grant.first, grant.last, grant.fence), now);
+    }
+
     /// Returns the spans that this host granted as leader and that its table does not record as granted yet.
     pub fn unrecorded_grants(&self) -> impl Iterator<Item = (u16, u16, FencingToken)> {
         let spans = self.table.iter().flat_map(|table| &table.spans);
@@ -326,15 +343,21 @@
                 state.failures = 0;
                 state.answered_at = now;
             }
-            CallEnd::Fenced => state.answered_at = now,
-            CallEnd::Gone => state.suspended_at = Some(now),
+            CallEnd::Fenced => {
+                state.answered_at = now;
+                self.on_fenced(grant, now);
+            }
+            CallEnd::Gone => {
+                state.answered_at = HostTime(0);
+                state.suspended_at = Some(now);
+            }
             // The last answer proves that the same incarnation still runs only if it is recent.
             CallEnd::Refused if now.since(state.answered_at) <= MAX_ANSWER_AGE => {
                 state.answered_at = now;
             }
             CallEnd::Refused | CallEnd::Unknown => {
                 state.failures += 1;
-                if now.since(state.answered_at) > MAX_ANSWER_AGE {
+                if now.since(state.answered_at.max(state.resumed_at)) > MAX_ANSWER_AGE {
                     state.suspended_at.get_or_insert(now);
                 }
                 if state.failures <= UNREACHABLE_FAILURES {
@@ -345,16 +368,19 @@
     }
 
     /// Stops renewals to an incarnation whose connection broke: a later incarnation may listen at the address and must
-    /// not get the grants of the earlier one.
+    /// not get the grants of the earlier one. Answers from before no longer count.
     pub fn suspend(&mut self, holder: &Holder, now: HostTime) {
-        self.holders.entry(holder.clone()).or_default().suspended_at.get_or_insert(now);
+        let state = self.holders.entry(holder.clone()).or_default();
+        state.answered_at = HostTime(0);
+        state.suspended_at.get_or_insert(now);
     }
 
-    /// Resumes renewals to an incarnation that the registry has confirmed since its suspension.
+    /// Resumes renewals to an incarnation that the registry has confirmed since its suspension. Its entry may have been
+    /// written before the suspension, so a new connection to it still needs recent proof.
     pub fn resume(&mut self, holder: &Holder, now: HostTime) {
         if let Some(state) = self.holders.get_mut(holder) {
             state.suspended_at = None;
-            state.answered_at = now;
+            state.resumed_at = now;
         }
     }
 
--- a/crates/spans/tests/other_hosts_grants.rs
+++ b/crates/spans/tests/other_hosts_grants.rs
@@ -216,3 +216,150 @@
     renewals.prove(now);
     assert!(renewals.confirm_send(&grant, Purpose::Move, Connection::New, now));
 }
+
+/// The registry showed an entry that was written before the connection broke; keys that had moved on were renewed at the
+/// next incarnation.
+#[test]
+fn a_holder_that_the_registry_confirms_has_not_answered() {
+    let started = HostTime(START.0 - 1_000);
+    let mut renewals = Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, started);
+    let owner = holder("a", 1);
+    renewals.adopt(table(3, &owner, 3, None));
+    renewals.prove(START);
+    let grant = renewals.due_renewals(START).remove(0);
+    renewals.on_renewal_end(&grant, CallEnd::Done, START);
+    let mut now = START;
+    while now < START + Millis(5_000) {
+        now = now + TICK;
+        renewals.due_renewals(now);
+    }
+    renewals.suspend(&owner, now);
+    renewals.resume(&owner, now);
+    assert!(renewals.has_proof(now));
+    assert!(!renewals.has_recent_answer(&owner, now));
+    assert!(!renewals.may_connect(&owner, now));
+    assert!(!renewals.confirm_send(&grant, Purpose::Renewal, Connection::New, now));
+    // A refusal does not tell which incarnation gave it.
+    renewals.on_renewal_end(&grant, CallEnd::Refused, now);
+    assert!(!renewals.has_recent_answer(&owner, now));
+    assert!(renewals.confirm_send(&grant, Purpose::Renewal, Connection::Open, now));
+    renewals.on_renewal_end(&grant, CallEnd::Done, now);
+    assert!(renewals.confirm_send(&grant, Purpose::Renewal, Connection::New, now));
+}
+
+/// A resumed holder has time for an answer: without the store, nothing would end a second suspension.
+#[test]
+fn a_resumed_holder_is_renewed_while_the_store_is_away_where_that_is_safe() {
+    let started = HostTime(START.0 - 1_000);
+    let mut renewals = Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, started);
+    let owner = holder("a", 1);
+    renewals.adopt(table(3, &owner, 3, None));
+    renewals.prove(START);
+    let grant = renewals.due_renewals(START).remove(0);
+    renewals.suspend(&owner, START);
+    let resumed_at = START + Millis(1_000);
+    renewals.due_renewals(resumed_at);
+    renewals.resume(&owner, resumed_at);
+    assert!(
+        renewals.confirm_send(&grant, Purpose::Renewal, Connection::New, resumed_at),
+        "by recent proof"
+    );
+    let failed_at = resumed_at + Millis(400);
+    renewals.on_renewal_end(&grant, CallEnd::Unknown, failed_at);
+    assert_eq!(renewals.suspended_at(&owner), None);
+    let repeated = renewals.due_renewals(failed_at + TICK);
+    assert_eq!(repeated, std::slice::from_ref(&grant));
+    let answered_at = failed_at + TICK + TICK;
+    renewals.on_renewal_end(&grant, CallEnd::Done, answered_at);
+    // The answers keep it renewed as long as there is proof at all.
+    let mut now = answered_at;
+    while now < START + TIMING.proof_lifetime {
+        for due in renewals.due_renewals(now) {
+            assert!(renewals.confirm_send(&due, Purpose::Renewal, Connection::New, now), "{now}");
+            renewals.on_renewal_end(&due, CallEnd::Done, now);
+        }
+        now = now + TICK;
+    }
+    assert!(renewals.has_recent_answer(&owner, now));
+    let failed_at = now + OLD_PROOF + TICK;
+    renewals.on_renewal_end(&grant, CallEnd::Unknown, failed_at);
+    assert!(renewals.suspended_at(&owner).is_some(), "after a silence");
+}
+
+/// An answer just before the connection broke let a grant go over a new one, to whatever listened by then.
+#[test]
+fn an_answer_from_before_a_connection_broke_does_not_count() {
+    let started = HostTime(START.0 - 1_000);
+    let mut renewals = Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, started);
+    let owner = holder("a", 1);
+    renewals.adopt(table(3, &owner, 3, None));
+    renewals.prove(START);
+    let grant = renewals.due_renewals(START).remove(0);
+    let now = START + OLD_PROOF + TICK;
+    renewals.on_renewal_end(&grant, CallEnd::Done, now);
+    assert!(renewals.may_connect(&owner, now));
+    renewals.suspend(&owner, now + TICK);
+    renewals.resume(&owner, now + TICK);
+    assert!(!renewals.may_connect(&owner, now + TICK));
+    renewals.on_renewal_end(&grant, CallEnd::Done, now + TICK);
+    renewals.on_renewal_end(&grant, CallEnd::Gone, now + TICK);
+    renewals.resume(&owner, now + TICK);
+    assert!(!renewals.may_connect(&owner, now + TICK), "another one answered");
+}
+
+/// A holder that has seen a larger token was sent the grant again by proof from before, also at its next incarnation.
+#[test]
+fn a_grant_that_was_refused_for_a_larger_token_waits_for_newer_proof() {
+    let started = HostTime(START.0 - 1_000);
+    let mut renewals = Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, started);
+    let owner = holder("a", 1);
+    let mut shared = table(3, &owner, 3, None);
+    shared.spans = vec![
+        Span { last: 9, ..shared.spans[0].clone() },
+        Span { first: 10, ..shared.spans[0].clone() },
+    ];
+    renewals.adopt(shared);
+    renewals.prove(START);
+    let due = renewals.due_renewals(START);
+    let [fenced, other] = due.as_slice() else { panic!("{due:?}") };
+    let now = START + TIMING.renewal_interval();
+    renewals.due_renewals(now);
+    renewals.on_renewal_end(fenced, CallEnd::Fenced, now);
+    // Other keys of the holder are still its own, so it answers.
+    renewals.on_renewal_end(other, CallEnd::Done, now);
+    for conn in [Connection::New, Connection::Open] {
+        assert!(renewals.confirm_send(other, Purpose::Renewal, conn, now));
+        assert!(!renewals.confirm_send(fenced, Purpose::Renewal, conn, now), "{conn:?}");
+    }
+    renewals.prove(now);
+    assert!(!renewals.confirm_send(fenced, Purpose::Renewal, Connection::New, now));
+    renewals.prove(now + TICK);
+    assert!(renewals.confirm_send(fenced, Purpose::Renewal, Connection::New, now + TICK));
+}
+
+/// A late copy of an answer passes for the one to a grant that the owner refused, so that the keys are recorded as granted.
+#[test]
+fn a_grant_that_was_recorded_by_mistake_is_renewed_within_an_interval() {
+    let started = HostTime(START.0 - 1_000);
+    let owner = holder("a", 1);
+    let pending = table(3, &owner, 3, Some((&holder("b", 1), 2)));
+    let mut recorded = table(4, &owner, 3, None);
+    recorded.next_fence = pending.next_fence;
+    let fence = FencingToken(3);
+    let grant = Grant { first: 0, last: u16::MAX, holder: owner, fence, handover: None };
+    for (host, sends_grant) in [("h", true), ("k", false)] {
+        let region = "r".parse().unwrap();
+        let mut renewals = Renewals::new(host.parse().unwrap(), region, TIMING, started);
+        renewals.adopt(pending.clone());
+        renewals.prove(START);
+        if sends_grant {
+            assert!(renewals.confirm_send(&grant, Purpose::Move, Connection::New, START));
+            renewals.on_granted(&grant);
+        }
+        renewals.adopt(recorded.clone());
+        let is_renewed = |now: &HostTime| renewals.due_renewals(*now) == [grant.clone()];
+        let interval = if sends_grant { TIMING.renewal_interval() } else { Millis(0) };
+        let mut ticks = (0..100).map(|tick| START + Millis(TICK.0 * tick));
+        assert_eq!(ticks.find(is_renewed), Some(START + interval));
+    }
+}
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -119,10 +119,14 @@
         let now = HostTime(self.now);
         let newest = self.log.last().map_or(0, |last| last.version);
         let is_damaged = self.damage.is_newest_damaged(self.log_end);
+        let is_answered = self.reaches_store(from) && self.safeguards.refreshes_proof;
+        let end = self.safeguards.has_restored_store.then(|| self.copies.position());
         let host = &mut self.hosts[from];
-        let is_answered = host.reaches_store && self.safeguards.refreshes_proof;
         if is_answered && !host.renewals.may_connect(holder, now) {
-            let knows_newest = host.renewals.table().map_or(0, |known| known.version) == newest;
+            let knows_newest = match end {
+                Some(end) => host.read_to == end,
+                None => host.renewals.table().map_or(0, |known| known.version) == newest,
+            };
             host.renewals.on_read(now, knows_newest && !is_damaged);
         }
     }
@@ -141,7 +145,7 @@
         let answered = self.rng.f64() >= self.late_share;
         let delay = if answered { 0 } else { self.rng.u64(2_000..12_000) };
         let may_detour =
-            by_leader || self.hosts[from].renewals.has_recent_answer(&grant.holder, HostTime(now));
+            by_leader || self.hosts[from].renewals.may_connect(&grant.holder, HostTime(now));
         let index = self.index_of(&grant.holder);
         let is_direct = self.hosts[from].reachable_upstreams[index];
         let is_reached = is_direct || (may_detour && self.is_reached_over_other_host(from, index));
@@ -209,6 +213,9 @@
             if end == CallEnd::Done {
                 host.renewals.on_granted(grant);
             }
+            if end == CallEnd::Fenced {
+                host.renewals.on_fenced(grant, now);
+            }
             if let Some(leader) = &mut host.leader {
                 leader.on_granted(grant, end, now);
             }
@@ -220,21 +227,25 @@
     /// Writes a table, which the store records if the host knows the newest one.
     pub(super) fn write(&mut self, from: usize, table: Table) {
         let now = HostTime(self.now);
+        let reaches_store = self.reaches_store(from);
         let host = &mut self.hosts[from];
         let newest = self.log.last().map_or(0, |last| last.version);
-        let knows_newest = if self.damage.is_newest_damaged(self.log_end) {
+        let knows_newest = if self.safeguards.has_restored_store {
+            host.read_to == self.copies.position()
+        } else if self.damage.is_newest_damaged(self.log_end) {
             host.damage.has_read(self.damage.end())
         } else {
             host.renewals.table().map_or(0, |known| known.version) == newest
         };
         let is_confirmed = host.renewals.confirm_write(&table) || !self.safeguards.confirms_writes;
-        let is_recorded =
-            host.reaches_store && knows_newest && is_confirmed && table.check().is_ok();
+        let is_recorded = reaches_store && knows_newest && is_confirmed && table.check().is_ok();
         if is_recorded {
             self.log_end = self.damage.end_after(self.log_end) + 1;
             host.damage.on_written();
             self.fault_counts.moves += table.spans.iter().filter(|s| !s.is_granted).count() as u64;
             self.log.push(table.clone());
+            self.copies.on_recorded(self.now);
+            host.read_to = self.copies.position();
             host.renewals.adopt(table.clone());
             host.renewals.prove(now);
         }
@@ -273,6 +284,9 @@
                 let end = if upstream.born() == accepted_by && upstream.started_at <= arrives_at {
                     let has_fencing = self.safeguards.has_fencing;
                     let end = upstream.grant(&grant, arrives_at, carried_out_at, has_fencing)?;
+                    if self.safeguards.has_restored_store && answered && end == CallEnd::Done {
+                        self.check_tokens(index, &grant)?;
+                    }
                     GrantOutcome::Answered(end)
                 } else {
                     GrantOutcome::Broken
@@ -333,7 +347,7 @@
         Ok(())
     }
 
-    fn index_of(&self, holder: &Holder) -> usize {
+    pub(super) fn index_of(&self, holder: &Holder) -> usize {
         self.upstreams.iter().position(|u| u.holder().id == holder.id).unwrap_or_default()
     }
 
