Ask the process at a holder's address for its id after a refused release

What callers see: keys of an upstream that has ended, and whose address another one has, are served by nobody until its grants have expired, 3.7 s after the last renewal. A refusal without a name ends no wait.

Evidence: three cases of `keys_of_a_process_whose_address_another_one_has_are_ granted_at_once` fail on: `owners: former grant has ended` says `expired`, about 19 s later as a host that may have renewed never answers. Of the cases on refusals that prove nothing, the one with two names failed too: the first name ended the wait.

Change: after a refusal without a name the host sends one health check, over the connection of the refusal if that stays open, otherwise over a new one, or over another host without a path of its own. The id of another process ends the holder's grants. The holder's own id, no id, several, a malformed one, or no answer end nothing. The process that accepted the release's connection, or the one that listens at the address later, can't be another one while the holder runs there.

--- a/crates/edge/src/changes.rs
+++ b/crates/edge/src/changes.rs
@@ -144,6 +144,7 @@
     vec![
         ("divided by key", info.is_sharded.to_string()),
         ("connections", info.connection_limit.to_string()),
+        ("health path", info.health_path.to_string()),
     ]
 }
 
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -97,6 +97,8 @@
     pub body: Vec<u8>,
     /// Whether it repeats the id of the request.
     pub is_matched: bool,
+    /// Host over which it came, `None` if it came directly.
+    pub via: Option<SocketAddr>,
 }
 
 /// Time limits of a call whose answer may be large.
@@ -344,7 +346,7 @@
         }
     }
     let reusable = head.keeps_alive;
-    Ok((Reply { head, body, is_matched: false }, reusable))
+    Ok((Reply { head, body, is_matched: false, via: None }, reusable))
 }
 
 async fn fill(
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod election;
 pub mod encoded;
 mod fresh_proof;
+mod identity;
 pub mod key_maps;
 pub mod known_records;
 mod lateness;
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -1,5 +1,6 @@
 //! Renewal of grants and, on the leader, the actions that change owners of keys.
 
+use super::identity::Path;
 use super::{Control, FleetState, HostRecord, store_sync};
 use crate::client::{ControlClient, Failure, Outgoing, Reply};
 use crate::clock;
@@ -152,8 +153,7 @@
             let failure = match caller.call(&req, self.timing.call_timeout).await {
                 Ok(reply) => {
                     paths.on_success(addr);
-                    self.record_answer(&grant.holder, &reply);
-                    return Some((self.protocol.parse_grant_reply)(&reply));
+                    return Some(self.read_grant_reply(grant, &reply));
                 }
                 Err(failure) => failure,
             };
@@ -171,10 +171,7 @@
         }
         let remaining = self.timing.call_timeout.saturating_sub(clock::now().since(started));
         let end = match self.call_over_detour(addr, &req, remaining).await {
-            Ok(Ok(reply)) => {
-                self.record_answer(&grant.holder, &reply);
-                (self.protocol.parse_grant_reply)(&reply)
-            }
+            Ok(Ok(reply)) => self.read_grant_reply(grant, &reply),
             Ok(Err(failure)) => {
                 self.on_call_failure(service, &grant.holder, &failure);
                 CallEnd::Unknown
@@ -189,6 +186,16 @@
         Some(end)
     }
 
+    fn read_grant_reply(&self, grant: &Grant, reply: &Reply) -> CallEnd {
+        self.record_answer(&grant.holder, reply);
+        let end = (self.protocol.parse_grant_reply)(reply);
+        if end != CallEnd::Done {
+            let (headers, names) = (&reply.head.headers, &self.protocol.names);
+            log::info!(upstream:% = grant.holder.id, first = grant.first, last = grant.last, fence:% = grant.fence, end:? = end, path:% = Path(reply), status = reply.head.status, instance = headers.get_str(names.instance).unwrap_or_default(), not_run = headers.get(names.not_run).is_some(); "owners: grant refused");
+        }
+        end
+    }
+
     /// Returns whether a grant may still be sent, and records it as sent if so.
     fn confirm_send(
         &self,
@@ -207,7 +214,7 @@
     }
 
     /// Records what the answer to a grant or release asks of this host.
-    fn record_answer(&self, holder: &Holder, reply: &Reply) {
+    pub(super) fn record_answer(&self, holder: &Holder, reply: &Reply) {
         let notices = (self.protocol.parse_notices)(reply, &holder.id);
         self.record_notices(&holder.id, holder.born, notices);
     }
@@ -258,7 +265,7 @@
     }
 
     /// Makes a call to an upstream over another host.
-    async fn call_over_detour(
+    pub(super) async fn call_over_detour(
         &self,
         upstream: SocketAddr,
         req: &Outgoing,
@@ -518,51 +525,54 @@
         self.request_release(&host, release).await
     }
 
-    /// Sends a release over a separate connection, as the answer comes only when the work on the keys has ended.
+    /// Sends a release over a separate connection, as the answer comes only when the work on the keys has ended. If it is
+    /// refused, asks the process at the address for its id.
     pub(super) async fn send_release(&self, release: &Release) -> Result<GrantEnd, NotEnded> {
-        let addr = release.holder.addr;
+        let holder = &release.holder;
+        let sent_at = clock::now();
         let req = (self.protocol.build_release)(release);
-        let is_direct = self.status.paths().lock().is_direct(addr);
-        let done: Result<Reply, Failure> = if is_direct {
-            ControlClient::new(addr).call(&req, RELEASE_TIMEOUT).await
-        } else {
-            let not_sent = |e: DetourError| Err(Failure::NotSent(e.into()));
-            self.call_over_detour(addr, &req, RELEASE_TIMEOUT).await.unwrap_or_else(not_sent)
-        };
-        match done {
-            Ok(reply) => {
-                self.record_answer(&release.holder, &reply);
-                self.judge_release(release, is_direct, &reply)
+        let is_direct = self.status.paths().lock().is_direct(holder.addr);
+        let mut client = is_direct.then(|| ControlClient::new(holder.addr));
+        let done: Result<Reply, Failure> = match &mut client {
+            Some(client) => client.call(&req, RELEASE_TIMEOUT).await,
+            None => {
+                let not_sent = |e: DetourError| Err(Failure::NotSent(e.into()));
+                let call = self.call_over_detour(holder.addr, &req, RELEASE_TIMEOUT);
+                call.await.unwrap_or_else(not_sent)
             }
+        };
+        let reply = match done {
+            Ok(reply) => reply,
             Err(failure) => {
-                log::info!(upstream:% = release.holder.id, direct = is_direct, error:% = failure; "owners: release failed");
-                Err(NotEnded::Unknown)
+                log::info!(upstream:% = holder.id, direct = is_direct, error:% = failure; "owners: release failed");
+                return Err(NotEnded::Unknown);
+            }
+        };
+        self.record_answer(holder, &reply);
+        match (self.protocol.parse_release_reply)(&reply) {
+            ReleaseReply::Released { handover } => {
+                log::debug!(upstream:% = holder.id, path:% = Path(&reply); "owners: release confirmed");
+                Ok(GrantEnd::released(handover))
             }
-        }
-    }
-
-    /// Returns what the answer to a release shows of the holder's grants.
-    fn judge_release(
-        &self,
-        release: &Release,
-        is_direct: bool,
-        reply: &Reply,
-    ) -> Result<GrantEnd, NotEnded> {
-        let holder = &release.holder;
-        let end = match (self.protocol.parse_release_reply)(reply) {
-            ReleaseReply::Released { handover } => Ok(GrantEnd::released(handover)),
             ReleaseReply::RefusedBy(found) => {
+                self.log_refusal(release, &reply);
                 GrantEnd::replaced(holder, &found).ok_or(NotEnded::Refused)
             }
-            ReleaseReply::Refused => Err(NotEnded::Refused),
-            ReleaseReply::Unknown => Err(NotEnded::Unknown),
-        };
-        let headers = &reply.head.headers;
-        let names = &self.protocol.names;
-        if !matches!(&end, Ok(end) if end.is_release()) {
-            log::info!(upstream:% = holder.id, direct = is_direct, status = reply.head.status, instance = headers.get_str(names.instance).unwrap_or_default(), not_run = headers.get(names.not_run).is_some(), body = String::from_utf8_lossy(&reply.body).as_ref(); "owners: release refused");
+            ReleaseReply::Refused => {
+                self.log_refusal(release, &reply);
+                let remaining = RELEASE_TIMEOUT.saturating_sub(clock::now().since(sent_at));
+                Box::pin(self.identify(holder, client, remaining)).await
+            }
+            ReleaseReply::Unknown => {
+                self.log_refusal(release, &reply);
+                Err(NotEnded::Unknown)
+            }
         }
-        end
+    }
+
+    fn log_refusal(&self, release: &Release, reply: &Reply) {
+        let (headers, names) = (&reply.head.headers, &self.protocol.names);
+        log::info!(upstream:% = release.holder.id, path:% = Path(reply), status = reply.head.status, instance = headers.get_str(names.instance).unwrap_or_default(), not_run = headers.get(names.not_run).is_some(), body = String::from_utf8_lossy(&reply.body).as_ref(); "owners: release refused");
     }
 
     async fn process_samples(self: Rc<Self>, samples: Receiver<Sample>) {
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -161,7 +161,8 @@
             let (Some(intermediary), true) = (picked, now < give_up_at) else { break };
             match self.call_over(intermediary, upstream, (req, is_once), give_up_at).await {
                 Ok(DetourEnd::Answered { status, headers, body, is_matched }) => {
-                    return Ok(Ok(reply(status, headers, body, is_matched)));
+                    let reply = reply(status, headers, body, is_matched);
+                    return Ok(Ok(Reply { via: Some(intermediary), ..reply }));
                 }
                 Ok(DetourEnd::Broken) => {
                     return Ok(Err(Failure::Broken(ErrorKind::ConnectionReset.into())));
@@ -463,7 +464,7 @@
         framing: Framing::Length(body.len() as u64),
         keeps_alive: true,
     };
-    Reply { head, body, is_matched }
+    Reply { head, body, is_matched, via: None }
 }
 
 impl From<DetourError> for io::Error {
--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -7,6 +7,7 @@
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::measures::RequestRate;
 use skylarkdock_units::times::Millis;
+use std::net::SocketAddr;
 
 /// Names of header fields.
 #[derive(Debug, Clone, Copy)]
@@ -44,6 +45,10 @@
     pub parse_grant_reply: fn(&Reply) -> CallEnd,
     /// Parses the answer to a release.
     pub parse_release_reply: fn(&Reply) -> ReleaseReply,
+    /// Builds the request to which the process at an address answers with its id, sent to this path.
+    pub build_identity_request: fn(SocketAddr, &str) -> Outgoing,
+    /// Parses the id of the process that gave an answer. Returns nothing if the answer has none, or several.
+    pub parse_identity: fn(&Reply) -> Option<UpstreamId>,
     /// Parses what an answer asks of the host that got it. Returns nothing if the answer names another upstream than
     /// the one called.
     pub parse_notices: fn(&Reply, &UpstreamId) -> Notices,
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -19,6 +19,8 @@
     pub is_sharded: bool,
     /// Number of connections that one upstream accepts from all hosts together.
     pub connection_limit: u32,
+    /// Path at which its upstreams answer with their ids.
+    pub health_path: Box<str>,
 }
 
 /// Configuration published by operators.
--- a/crates/edge/tests/changes.rs
+++ b/crates/edge/tests/changes.rs
@@ -28,6 +28,7 @@
         name: name.parse().unwrap(),
         is_sharded: false,
         connection_limit: 50,
+        health_path: "/health".into(),
     };
     let services = services.iter().map(info).collect();
     Config { version, routes: Routes::new(routes), services, limits: Limits::default() }
--- a/crates/edge/tests/detour.rs
+++ b/crates/edge/tests/detour.rs
@@ -43,6 +43,8 @@
         build_release: |_| request("/release", b""),
         parse_grant_reply: |_| CallEnd::Unknown,
         parse_release_reply: |_| ReleaseReply::Unknown,
+        build_identity_request: |_, path| request(path, b""),
+        parse_identity: |_| None,
         parse_notices,
     }
 }
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -54,6 +54,8 @@
     build_release: |_| Outgoing::new("POST", "/release", &Headers::default(), &[]),
     parse_grant_reply: |_| CallEnd::Unknown,
     parse_release_reply: |_| ReleaseReply::Unknown,
+    build_identity_request: |_, path| Outgoing::new("GET", path, &Headers::default(), &[]),
+    parse_identity: |_| None,
     parse_notices: |reply, _| Notices {
         rest: None,
         is_leaving: reply.head.headers.get("x-leaving").is_some(),
@@ -202,6 +204,7 @@
         name: name.parse().unwrap(),
         is_sharded,
         connection_limit: 10,
+        health_path: "/health".into(),
     });
     let limits = Limits::default();
     Arc::new(Config { version, routes: Routes::new(routes), services: services.into(), limits })
