Take only a handed-over state for the confirmation of a release

What callers could see: two upstreams serve the same keys.

Cause: any success in answer to a release counted as the holder's, whoever gave it: a server of another kind at the address, or a process in between, that answers each call with 200.

A server that answers any call and names itself i-9: the former grant has ended as `released`.

Change: only a success with a state that is handed over confirms a release. Without one, the process at the address is asked for its id, as after a refusal.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -552,7 +552,7 @@
         match (self.protocol.parse_release_reply)(&reply) {
             ReleaseReply::Released { handover } => {
                 log::debug!(upstream:% = holder.id, path:% = Path(&reply); "owners: release confirmed");
-                Ok(GrantEnd::released(handover))
+                Ok(GrantEnd::released(Some(handover)))
             }
             ReleaseReply::RefusedBy(found) => {
                 self.log_refusal(release, &reply);
--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -59,12 +59,12 @@
 pub enum ReleaseReply {
     /// The keys are released, and no work on them runs any more.
     Released {
-        /// State that the holder hands over, if any.
-        handover: Option<String>,
+        /// State that the holder hands over.
+        handover: String,
     },
-    /// The process with this id refused the call.
+    /// The process with this id refused the call, or did not answer as a holder that releases keys does.
     RefusedBy(UpstreamId),
-    /// A process that did not say which one it is refused the call.
+    /// The same, by a process that did not say which one it is.
     Refused,
     /// Anything else. The call may have been carried out.
     Unknown,
