--- a/crates/edge/src/upstreams.rs
+++ b/crates/edge/src/upstreams.rs
@@ -7,6 +7,7 @@
 use skylarkdock_units::ids::UpstreamId;
 use skylarkdock_units::measures::RequestRate;
 use skylarkdock_units::times::Millis;
+use std::net::SocketAddr;
 
 /// Names of header fields.
 #[derive(Debug, Clone, Copy)]
@@ -44,6 +45,10 @@
     pub parse_grant_reply: fn(&Reply) -> CallEnd,
     /// Parses the answer to a release.
     pub parse_release_reply: fn(&Reply) -> ReleaseReply,
+    /// Builds the request to which the process at an address answers with its id, sent to this path.
+    pub build_identity_request: fn(SocketAddr, &str) -> Outgoing,
+    /// Parses the id of the process that gave an answer. Returns nothing if the answer has none, or several.
+    pub parse_identity: fn(&Reply) -> Option<UpstreamId>,
     /// Parses what an answer asks of the host that got it. Returns nothing if the answer names another upstream than
     /// the one called.
     pub parse_notices: fn(&Reply, &UpstreamId) -> Notices,
@@ -54,12 +59,12 @@
 pub enum ReleaseReply {
     /// The keys are released, and no work on them runs any more.
     Released {
-        /// State that the holder hands over, if any.
-        handover: Option<String>,
+        /// State that the holder hands over.
+        handover: String,
     },
-    /// The process with this id refused the call.
+    /// The process with this id refused the call, or did not answer as a holder that releases keys does.
     RefusedBy(UpstreamId),
-    /// A process that did not say which one it is refused the call.
+    /// The same, by a process that did not say which one it is.
     Refused,
     /// Anything else. The call may have been carried out.
     Unknown,
