Look for a caller's close before its requests are started

Callers saw nothing, as they had left; upstreams got requests up to 1.4 s after that. Accepting fails from 12.48 s on, with 3,720 open connections of callers of which 38 have a request. New connections wait to be accepted, with their requests in the socket's buffer, for longer than their callers do.

A connection now reads all that has arrived, up to its limit of unparsed bytes or to the close, before it starts or polls a request, and once per poll. So the look at the caller is in the same step as the first byte, for whatever the request waited. It no longer stops reading at 32 requests under way either, where a close was not seen at all; the limit of unparsed bytes bounds what is kept. A caller that has more than that unread before its close is still not seen.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -191,8 +191,14 @@
 
 impl Connection {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut is_drained = false;
         loop {
-            let mut progressed = self.poll_read(cx)?;
+            let mut progressed = false;
+            // A caller that closed while its bytes or this task waited must be seen to have left before anything is sent
+            // for it.
+            if !is_drained {
+                (progressed, is_drained) = self.poll_read(cx)?;
+            }
             if self.is_eof && (!self.pending.is_empty() || self.output.is_empty()) {
                 // The caller has disconnected. Dropping its requests cancels them at the upstreams.
                 return Poll::Ready(Ok(()));
@@ -220,37 +226,38 @@
         }
     }
 
-    fn poll_read(&mut self, cx: &mut Context<'_>) -> io::Result<bool> {
+    /// Reads what has arrived. Returns whether that was anything, and whether it was all, up to the end if the caller has
+    /// closed the connection.
+    fn poll_read(&mut self, cx: &mut Context<'_>) -> io::Result<(bool, bool)> {
         // A head that exceeds its limit must be seen to do so.
         let max_head = usize::try_from(self.limits.head.0).unwrap_or(usize::MAX);
         let max_unparsed = MAX_UNPARSED.max(max_head.saturating_add(1));
-        if self.is_eof || self.input.len() >= max_unparsed || self.pending.len() >= MAX_PIPELINED {
-            return Ok(false);
-        }
+        let mut received = 0;
         let mut chunk = [0; READ_SIZE];
-        loop {
+        while !self.is_eof && received.max(self.input.len()) < max_unparsed {
             match self.stream.get_ref().read(&mut chunk) {
                 Ok(0) => {
                     self.is_eof = true;
-                    return Ok(true);
+                    return Ok((true, true));
                 }
                 Ok(count) => {
+                    received += count;
                     if !self.is_input_closed {
                         self.input.extend_from_slice(&chunk[..count]);
                     }
-                    return Ok(true);
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     match self.stream.poll_readable(cx) {
                         Poll::Ready(Ok(())) => {}
                         Poll::Ready(Err(e)) => return Err(e),
-                        Poll::Pending => return Ok(false),
+                        Poll::Pending => return Ok((received > 0, true)),
                     }
                 }
                 Err(e) => return Err(e),
             }
         }
+        Ok((received > 0, false))
     }
 
     /// Parses the input and starts the requests that are complete.
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -4,6 +4,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
+use futures_lite::FutureExt;
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
 use rstest::rstest;
 use skylarkdock_edge::answer::{Answer, OwnStatus};
@@ -12,6 +13,7 @@
 use skylarkdock_units::measures::ByteSize;
 use std::cell::Cell;
 use std::future::Future;
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -113,6 +115,62 @@
     });
 }
 
+/// Sends bytes on a connection that is not accepted meanwhile, and closes it.
+fn send_and_leave(addr: SocketAddr, text: &str) {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+}
+
+/// Connections wait to be accepted for longer than their callers do when a host has no descriptors left, and the requests
+/// of callers that had closed them were sent to upstreams.
+#[rstest]
+#[case::one(1, 0)]
+#[case::pipelined(3, 0)]
+#[case::with_a_large_body(1, 40_000)]
+fn a_request_is_not_started_if_its_caller_left_before_it_was_read(
+    #[case] requests: usize,
+    #[case] body: usize,
+) {
+    with_server(|server| async move {
+        let one = format!("POST /0 HTTP/1.1\r\nContent-Length: {body}\r\n\r\n{}", "x".repeat(body));
+        for _ in 0..8 {
+            send_and_leave(server.addr, &one.repeat(requests));
+        }
+        let stream = connect(server.addr).await;
+        send(&stream, &get(0)).await;
+        read(&stream, 1).await;
+        while server.shared.open.get() > 1 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        assert_eq!(server.started.get(), 1, "only the caller that waits is served");
+    });
+}
+
+/// A caller with as many requests under way as one connection may have was not seen to leave.
+#[test]
+fn requests_are_cancelled_when_a_caller_with_the_most_pipelined_requests_disconnects() {
+    with_server(|server| async move {
+        let stream = connect(server.addr).await;
+        send(&stream, &get(5_000_000).repeat(33)).await;
+        while server.started.get() < 32 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        drop(stream);
+        let left = async {
+            while server.cancelled.get() < 32 {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+            true
+        };
+        let gave_up = async {
+            Timer::after(Duration::from_secs(5)).await;
+            false
+        };
+        assert!(left.or(gave_up).await, "the caller was not seen to leave");
+        assert_eq!(server.started.get(), 32);
+    });
+}
+
 /// A host that is shutting down must not keep reading requests from a busy connection, because they would be cut off
 /// when the process ends.
 #[test]
