Send no request to an upstream after its deadline

An upstream could get a request whose deadline had passed, with 1 ms left, and the caller got 504, which promises nothing, for a request that need not have run. The checks before a send looked at notices and crashes, and not at the time. A request that has a place, and whose task then gets no processor time, was sent by the decision of before.

The check that stands directly before the first byte looks at the deadline, too, on open and on new connections and before a detour. Such an attempt is not run (`expired`), so the caller gets 503.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -42,6 +42,8 @@
     Withheld(Withheld),
     /// Nothing was sent, as the request probably crashes upstreams.
     Crashing(Refusal),
+    /// Nothing was sent, as the deadline passed before.
+    Expired,
 }
 
 impl NotRun {
@@ -54,6 +56,7 @@
             Self::Withheld(Withheld::Resting(_)) => "resting",
             Self::Withheld(Withheld::Leaving) => "leaving",
             Self::Crashing(_) => "crashes_upstreams",
+            Self::Expired => "expired",
         }
     }
 }
@@ -131,6 +134,8 @@
     Withheld(Withheld),
     /// The request probably crashes upstreams.
     Crashing(Refusal),
+    /// The deadline has passed.
+    Expired,
 }
 
 impl From<io::Error> for Unsent {
@@ -187,6 +192,7 @@
             }
             Err(Unsent::Withheld(withheld)) => AttemptResult::NotRun(NotRun::Withheld(withheld)),
             Err(Unsent::Crashing(refusal)) => AttemptResult::NotRun(NotRun::Crashing(refusal)),
+            Err(Unsent::Expired) => AttemptResult::NotRun(NotRun::Expired),
         };
         guard.ended = match &attempt_result {
             AttemptResult::Answered(reply) if reply.head.status >= 500 => AttemptOutcome::Failed,
@@ -194,7 +200,7 @@
             AttemptResult::NotRun(NotRun::Unreachable) => AttemptOutcome::Unreachable,
             AttemptResult::NotRun(NotRun::Shed) => AttemptOutcome::Shed,
             AttemptResult::NotRun(NotRun::Misdirected) => AttemptOutcome::Misdirected,
-            AttemptResult::NotRun(NotRun::Withheld(_) | NotRun::Crashing(_)) => {
+            AttemptResult::NotRun(NotRun::Withheld(_) | NotRun::Crashing(_) | NotRun::Expired) => {
                 AttemptOutcome::Cancelled
             }
             AttemptResult::Unknown(ended) => *ended,
@@ -242,8 +248,13 @@
         checked
     }
 
-    /// Checks just before a request is sent whether what was learnt since the upstream was chosen rules it out.
-    fn check_send(&self, target: Target<'_>, fingerprint: Fingerprint) -> Result<(), Unsent> {
+    /// Checks directly before the first byte of a request whether its time is over, or what was learnt since the upstream
+    /// was chosen rules it out. Nothing may be awaited in between.
+    fn check_send(&self, target: Target<'_>, attempt: &Attempt<'_>) -> Result<(), Unsent> {
+        if clock::now() >= attempt.deadline {
+            return Err(Unsent::Expired);
+        }
+        let fingerprint = attempt.fingerprint;
         if let Some(refusal) = self.crash_refusal(fingerprint) {
             return Err(Unsent::Crashing(refusal));
         }
@@ -304,7 +315,6 @@
         if self.status.paths().lock().is_direct(addr) {
             match self.exchange_direct(target, attempt, &build).await {
                 Ok(result) => return Ok(result),
-                Err(unsent @ (Unsent::Withheld(_) | Unsent::Crashing(_))) => return Err(unsent),
                 Err(Unsent::NoPath(e)) => {
                     log::debug!("traffic: can't connect to {addr}: {e}");
                     self.pool.borrow_mut().close_all(addr);
@@ -312,9 +322,10 @@
                     self.status.paths().on_failure(addr, &e);
                     direct = Some(e);
                 }
+                Err(unsent) => return Err(unsent),
             }
         }
-        self.check_send(target, attempt.fingerprint)?;
+        self.check_send(target, attempt)?;
         let remaining = deadline.since(clock::now());
         let req = build(remaining);
         Ok(self.exchange_over_detour(addr, &req, attempt.is_once, remaining, direct).await?)
@@ -327,7 +338,7 @@
         build: &impl Fn(Millis) -> Outgoing,
     ) -> Result<Result<Reply, Failure>, Unsent> {
         let addr = target.addr;
-        self.check_send(target, attempt.fingerprint)?;
+        self.check_send(target, attempt)?;
         let deadline = attempt.deadline;
         let pooled = self.pool.borrow_mut().take(addr, attempt.is_once);
         self.update_idle_connection(attempt, addr);
@@ -345,7 +356,7 @@
         }
         let remaining = deadline.since(clock::now());
         let conn = Conn::open(addr, CONNECT_TIMEOUT.min(remaining)).await?;
-        if let Err(unsent) = self.check_send(target, attempt.fingerprint) {
+        if let Err(unsent) = self.check_send(target, attempt) {
             self.keep_connection(attempt, addr, conn);
             return Err(unsent);
         }
--- a/crates/edge/tests/silent_upstream.rs
+++ b/crates/edge/tests/silent_upstream.rs
@@ -21,6 +21,8 @@
 struct Upstream {
     addr: SocketAddr,
     has_room: Arc<AtomicBool>,
+    /// Whether it answers later, once this is false.
+    is_held: Arc<AtomicBool>,
     connections: Arc<AtomicUsize>,
     requests: Arc<AtomicUsize>,
 }
@@ -30,8 +32,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let has_room = Arc::new(AtomicBool::new(has_room));
-        let upstream =
-            Self { addr, has_room, connections: Arc::default(), requests: Arc::default() };
+        let upstream = Self {
+            addr,
+            has_room,
+            is_held: Arc::default(),
+            connections: Arc::default(),
+            requests: Arc::default(),
+        };
         let serving = upstream.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
@@ -55,6 +62,9 @@
                 buf.drain(..len);
                 self.requests.fetch_add(1, Ordering::SeqCst);
                 is_silent |= !self.has_room.load(Ordering::SeqCst);
+                while self.is_held.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(1));
+                }
                 if !is_silent {
                     let id = head.headers.get_str("Id").unwrap();
                     let fields = format!("Id: {id}\r\nSignature: s\r\nContent-Length: 0\r\n\r\n");
@@ -120,6 +130,36 @@
     });
 }
 
+/// A host that got no processor time from the choice of an upstream on sent the request after its deadline, with 1 ms left.
+#[test]
+fn a_request_that_waited_for_a_place_is_not_sent_after_its_deadline() {
+    support::with_host(LONG, |host| async move {
+        let upstream = Upstream::start(true);
+        upstream.is_held.store(true, Ordering::SeqCst);
+        let config = support::config(1, &[("/order/", &[("orders", 1)])]);
+        host.apply(support::state(&config, &[("orders", upstream.addr)])).await;
+        let running: Vec<_> = ["a", "b", "c", "d"].map(|id| get(id, 20_000)).into();
+        let mut running: Vec<_> = running.iter().map(|text| Box::pin(host.answer(text))).collect();
+        while upstream.requests() < running.len() {
+            for answer in &mut running {
+                assert!(future::poll_once(answer).await.is_none(), "answered while held");
+            }
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        let waiting = get("e", 1_000);
+        let mut waiting = Box::pin(host.answer(&waiting));
+        assert!(future::poll_once(&mut waiting).await.is_none(), "it waits for a place");
+        upstream.is_held.store(false, Ordering::SeqCst);
+        for answer in running {
+            assert_eq!(answer.await.status, 200);
+        }
+        // It has a place, and the task that waits for it has not run since.
+        thread::sleep(Duration::from_millis(1_050));
+        assert_eq!(waiting.await.status, 503);
+        assert_eq!(upstream.requests(), 4, "all but the late one are sent");
+    });
+}
+
 /// Requests without an answer take their places only as long as their callers wait: four of them fill the upstream, and the
 /// next one is sent as soon as they have ended.
 #[test]
