Play calls that upstreams refuse before they look at them

The simulation of ownership had no upstream that refuses a release and goes on holding its keys, so the fuzz could not show a wait for a holder that ended by such an answer.

The settings have a file of their own.

Red at seed 1 to 400 if a bare refusal ends the wait, and if the holder's own name does. Such a test on the code before the change can't be built: the type is part of the fix.

--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -4,11 +4,13 @@
 mod simulation;
 
 use rstest::rstest;
-use simulation::{FaultCounts, Safeguards, Simulation, TIMING};
+use simulation::{FaultCounts, Safeguards, Simulation, TIMING, Troubles};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::times::Millis;
 
 const DEFAULT_CASES: u64 = 8;
+/// Cases with each kind of trouble, and as many with frequent faults.
+const TROUBLE_CASES: u64 = 3;
 /// Cases with damaged records of tables.
 const DAMAGED_RECORD_CASES: u64 = 16;
 /// Cases with entries of other writers.
@@ -55,21 +57,8 @@
     let first = variable("SKYLARKDOCK_FUZZ_SEED", 1);
     let mut sum = FaultCounts::default();
     for seed in first..first + cases {
-        match run(seed, Safeguards::default()) {
-            Ok(fault_counts) => {
-                sum.late_grants += fault_counts.late_grants;
-                sum.lost_grants += fault_counts.lost_grants;
-                sum.store_cuts += fault_counts.store_cuts;
-                sum.host_restarts += fault_counts.host_restarts;
-                sum.upstream_crashes += fault_counts.upstream_crashes;
-                sum.steps_with_several_leaders += fault_counts.steps_with_several_leaders;
-                sum.moves += fault_counts.moves;
-                sum.lost_releases += fault_counts.lost_releases;
-                sum.cut_offs += fault_counts.cut_offs;
-                sum.detours += fault_counts.detours;
-            }
-            Err(violation) => panic!("seed {seed}: {violation}"),
-        }
+        sum += run(seed, Safeguards::default())
+            .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
     }
     println!("{cases} cases: {sum:?}");
     let all = [
@@ -85,6 +74,40 @@
     assert!(all.iter().all(|count| *count > 0), "some fault was never injected: {sum:?}");
 }
 
+/// Plays cases with troubles, half of them with frequent faults, and checks that each of the counted ones occurred.
+fn run_troubles(troubles: Troubles, cases: u64, counted: impl Fn(&FaultCounts) -> Vec<u64>) {
+    let cases = variable("SKYLARKDOCK_FUZZ_CASES", cases);
+    let first = variable("SKYLARKDOCK_FUZZ_SEED", 1);
+    let mut sum = FaultCounts::default();
+    for seed in first..first + cases {
+        let safeguards = Safeguards { troubles, ..Safeguards::default() };
+        sum += run(seed, safeguards).unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+        let frequent = Safeguards { has_frequent_faults: true, ..safeguards };
+        let simulation = run_faults(seed, frequent)
+            .unwrap_or_else(|violation| panic!("seed {seed}, frequent faults: {violation}"));
+        sum += simulation.fault_counts;
+    }
+    println!("{cases} cases: {sum:?}");
+    assert!(counted(&sum).iter().all(|count| *count > 0), "{sum:?}");
+}
+
+#[rstest]
+#[case::refused_calls(
+    Troubles { refusals: true },
+    |sum: &FaultCounts| vec![sum.refused_releases, sum.refused_grants]
+)]
+fn no_two_upstreams_hold_a_key_with(
+    #[case] troubles: Troubles,
+    #[case] counted: fn(&FaultCounts) -> Vec<u64>,
+) {
+    run_troubles(troubles, TROUBLE_CASES, counted);
+}
+
+#[test]
+fn no_two_upstreams_hold_a_key_with_all_troubles() {
+    run_troubles(Troubles::all(), DEFAULT_CASES, |sum| vec![sum.refused_releases]);
+}
+
 /// A grant that had waited for another call was sent although its keys had another owner by then.
 #[rstest]
 fn a_grant_that_waited_is_checked_again(#[values(73, 120)] seed: u64) {
@@ -178,8 +201,16 @@
 #[case::grants_are_sent_after_a_wait_without_another_look(100, Safeguards { confirms_sends: false, ..Safeguards::default() })]
 #[case::tables_are_written_over_damaged_records(1, Safeguards { has_damaged_records: true, searches_former_tables: false, ..Safeguards::default() })]
 #[case::tables_are_written_after_a_wait_without_another_look(1_700, Safeguards { confirms_writes: false, ..Safeguards::default() })]
+#[case::bare_refusals_end_waits(1, Safeguards { doubts_bare_refusals: false, troubles: Troubles::all(), ..Safeguards::default() })]
+#[case::the_holders_own_name_ends_waits(1, Safeguards { compares_names: false, troubles: Troubles::all(), ..Safeguards::default() })]
 fn the_simulation_detects_a_missing_safeguard(#[case] first: u64, #[case] safeguards: Safeguards) {
-    let found = (first..first + 400)
-        .any(|seed| run(seed, safeguards).is_err_and(|violation| violation.contains("is held by")));
-    assert!(found, "no seed finds a key with two holders although a safeguard is disabled");
+    let is_found = |seed: &u64| {
+        run(*seed, safeguards).is_err_and(|violation| violation.contains("is held by"))
+    };
+    let found = (first..first + 400).find(is_found);
+    println!("found with seed {found:?}");
+    assert!(
+        found.is_some(),
+        "no seed finds a key with two holders although a safeguard is disabled"
+    );
 }
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -2,19 +2,21 @@
 
 mod damage;
 mod network;
+mod refusals;
+mod settings;
 mod upstream;
 
 use damage::Damage;
 use network::{GrantCalls, Message};
+pub use settings::{FaultCounts, Safeguards, TIMING, Troubles};
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::Renewals;
 use skylarkdock_spans::table::{Holder, Keeper, Table};
-use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{HostId, Region, ServiceName, Zone};
 use skylarkdock_units::measures::HostSize;
-use skylarkdock_units::times::{HostTime, Millis};
+use skylarkdock_units::times::HostTime;
 pub use upstream::Upstream;
 
 pub const HOSTS: usize = 4;
@@ -23,60 +25,8 @@
 /// Age of the proof that a read gives if reads wait for records: twice the longest wait.
 const LATE_PROOF_MS: u64 = 3_000;
 const ENTRY_EXPIRY_MS: u64 = 2_600;
-
-/// Timing of the hosts, and the safeguards that a test can disable.
-#[derive(Debug, Clone, Copy)]
-pub struct Safeguards {
-    /// Timing that leaders assume.
-    pub leader_timing: Timing,
-    /// Timing that keepers follow.
-    pub keeper_timing: Timing,
-    /// Whether upstreams refuse grants with stale fencing tokens.
-    pub has_fencing: bool,
-    /// Whether a host without recent proof stops sending grants.
-    pub needs_proof: bool,
-    /// Whether a grant that has waited is sent only if it is still due.
-    pub confirms_sends: bool,
-    /// Whether a table that has waited is written only if no other one was recorded meanwhile.
-    pub confirms_writes: bool,
-    /// Whether hosts stop or lose the store and upstreams crash several times as often, and hosts renew before they read
-    /// the store. Not a safeguard, but some are needed only then.
-    pub has_frequent_faults: bool,
-    /// Whether upstreams start anew at other addresses, and other writers replace entries of running upstreams by ones
-    /// with a later start. Not a safeguard either.
-    pub has_foreign_entries: bool,
-    /// Whether a leader looks for the version before a record that can't be read, and such a record is no proof.
-    pub searches_former_tables: bool,
-    /// Whether hosts ask the store for fresh proof before they open a connection to a holder.
-    pub refreshes_proof: bool,
-    /// Whether reads of the store wait for records, so that hosts have proof of seconds ago while nothing changes. Not a
-    /// safeguard either.
-    pub has_late_proof: bool,
-    /// Whether another writer damages the record of the table. Not a safeguard either.
-    pub has_damaged_records: bool,
-}
-
-pub const TIMING: Timing =
-    Timing { hold: Millis(3_000), call_timeout: Millis(400), proof_lifetime: Millis(14_000) };
-
-impl Default for Safeguards {
-    fn default() -> Self {
-        Self {
-            leader_timing: TIMING,
-            keeper_timing: TIMING,
-            has_fencing: true,
-            needs_proof: true,
-            confirms_sends: true,
-            confirms_writes: true,
-            has_frequent_faults: false,
-            has_foreign_entries: false,
-            searches_former_tables: true,
-            refreshes_proof: true,
-            has_late_proof: false,
-            has_damaged_records: false,
-        }
-    }
-}
+/// Distinguishes the random numbers of troubles from those of the other faults.
+const TROUBLE_SEED: u64 = 1 << 40;
 
 struct Host {
     id: HostId,
@@ -94,37 +44,12 @@
     reachable_upstreams: Vec<bool>,
 }
 
-/// How often each fault was injected or took effect.
-#[derive(Debug, Default, Clone, Copy)]
-pub struct FaultCounts {
-    pub late_grants: u64,
-    pub lost_grants: u64,
-    pub store_cuts: u64,
-    pub host_restarts: u64,
-    pub upstream_crashes: u64,
-    pub steps_with_several_leaders: u64,
-    pub moves: u64,
-    pub lost_releases: u64,
-    /// Hosts that lost their paths to all upstreams.
-    pub cut_offs: u64,
-    /// Grants and renewals that went over another host.
-    pub detours: u64,
-    /// Grants that were decided on, and not sent when their turn came.
-    pub withheld_grants: u64,
-    /// Grants on a connection that a later incarnation than their holder accepted.
-    pub later_incarnations: u64,
-    /// Entries of running upstreams that another writer replaced.
-    pub foreign_entries: u64,
-    /// Records of the table that another writer damaged, and searches that found nothing.
-    pub damaged_records: u64,
-    pub lost_tables: u64,
-}
-
 pub struct Simulation {
     safeguards: Safeguards,
     /// Number of hosts in each availability zone.
     zone_size: usize,
     rng: fastrand::Rng,
+    trouble_rng: fastrand::Rng,
     pub now: u64,
     hosts: Vec<Host>,
     pub upstreams: Vec<Upstream>,
@@ -160,6 +85,7 @@
             safeguards,
             zone_size,
             rng,
+            trouble_rng: fastrand::Rng::with_seed(seed ^ TROUBLE_SEED),
             now: 1_000,
             hosts,
             upstreams,
@@ -190,6 +116,7 @@
         self.hosts[0].believes_to_lead = true;
         for upstream in &mut self.upstreams {
             upstream.reaches_store = true;
+            upstream.refuses_until = 0;
         }
     }
 
@@ -284,6 +211,9 @@
         if self.safeguards.has_damaged_records {
             self.damage_records();
         }
+        if self.safeguards.troubles.refusals {
+            self.start_refusals();
+        }
         if self.hosts.iter().filter(|host| host.believes_to_lead).count() > 1 {
             self.fault_counts.steps_with_several_leaders += 1;
         }
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -268,9 +268,13 @@
                 accepted_by,
                 index,
             } => {
+                let refusal = if answered { self.refuse_grant(index) } else { None };
                 let upstream = &mut self.upstreams[index];
                 // A call in flight at a crash is lost with the connection.
-                let end = if upstream.born() == accepted_by && upstream.started_at <= arrives_at {
+                let is_there = upstream.born() == accepted_by && upstream.started_at <= arrives_at;
+                let end = if let Some(refusal) = refusal.filter(|_| is_there) {
+                    GrantOutcome::Answered(refusal)
+                } else if is_there {
                     let has_fencing = self.safeguards.has_fencing;
                     let end = upstream.grant(&grant, arrives_at, carried_out_at, has_fencing)?;
                     GrantOutcome::Answered(end)
@@ -284,8 +288,12 @@
                 }
             }
             Message::Release { from, release, arrives_at, answered } => {
-                let end = match self.reachable_upstream(from, &release.holder) {
-                    Some(index) if self.upstreams[index].started_at <= arrives_at => {
+                let reached = self.reachable_upstream(from, &release.holder);
+                let reached = reached.filter(|i| self.upstreams[*i].started_at <= arrives_at);
+                let refusal = reached.and_then(|index| self.refuse_release(index, &release.holder));
+                let end = match reached {
+                    Some(_) if let Some(refusal) = refusal => refusal,
+                    Some(index) => {
                         self.upstreams[index].release(&release);
                         if answered {
                             Ok(GrantEnd::released(Some("h".to_owned())))
--- /dev/null
+++ b/crates/spans/tests/simulation/settings.rs
@@ -0,0 +1,133 @@
+//! Settings of a simulation, and counts of the faults that it injected.
+
+use skylarkdock_spans::timing::Timing;
+use skylarkdock_units::times::Millis;
+use std::ops::AddAssign;
+
+/// Timing of the hosts, and the safeguards that a test can disable.
+#[derive(Debug, Clone, Copy)]
+pub struct Safeguards {
+    /// Timing that leaders assume.
+    pub leader_timing: Timing,
+    /// Timing that keepers follow.
+    pub keeper_timing: Timing,
+    /// Whether upstreams refuse grants with stale fencing tokens.
+    pub has_fencing: bool,
+    /// Whether a host without recent proof stops sending grants.
+    pub needs_proof: bool,
+    /// Whether a grant that has waited is sent only if it is still due.
+    pub confirms_sends: bool,
+    /// Whether a table that has waited is written only if no other one was recorded meanwhile.
+    pub confirms_writes: bool,
+    /// Whether hosts stop or lose the store and upstreams crash several times as often, and hosts renew before they read
+    /// the store. Not a safeguard, but some are needed only then.
+    pub has_frequent_faults: bool,
+    /// Whether upstreams start anew at other addresses, and other writers replace entries of running upstreams by ones
+    /// with a later start. Not a safeguard either.
+    pub has_foreign_entries: bool,
+    /// Whether a leader looks for the version before a record that can't be read, and such a record is no proof.
+    pub searches_former_tables: bool,
+    /// Whether hosts ask the store for fresh proof before they open a connection to a holder.
+    pub refreshes_proof: bool,
+    /// Whether reads of the store wait for records, so that hosts have proof of seconds ago while nothing changes. Not a
+    /// safeguard either.
+    pub has_late_proof: bool,
+    /// Whether another writer damages the record of the table. Not a safeguard either.
+    pub has_damaged_records: bool,
+    /// Whether a refusal that names no process ends no wait for a holder.
+    pub doubts_bare_refusals: bool,
+    /// Whether a refusal ends the wait for a holder only if it names another process.
+    pub compares_names: bool,
+    /// Further troubles, which are no safeguards.
+    pub troubles: Troubles,
+}
+
+/// Troubles that are drawn from random numbers of their own, so that the other faults do not depend on them.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Troubles {
+    /// Whether upstreams refuse calls before they look at them, some with a bare status and some by their own name.
+    pub refusals: bool,
+}
+
+impl Troubles {
+    /// Returns the settings with all troubles at once.
+    pub const fn all() -> Self {
+        Self { refusals: true }
+    }
+}
+
+pub const TIMING: Timing =
+    Timing { hold: Millis(3_000), call_timeout: Millis(400), proof_lifetime: Millis(14_000) };
+
+impl Default for Safeguards {
+    fn default() -> Self {
+        Self {
+            leader_timing: TIMING,
+            keeper_timing: TIMING,
+            has_fencing: true,
+            needs_proof: true,
+            confirms_sends: true,
+            confirms_writes: true,
+            has_frequent_faults: false,
+            has_foreign_entries: false,
+            searches_former_tables: true,
+            refreshes_proof: true,
+            has_late_proof: false,
+            has_damaged_records: false,
+            doubts_bare_refusals: true,
+            compares_names: true,
+            troubles: Troubles::default(),
+        }
+    }
+}
+
+/// How often each fault was injected or took effect.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct FaultCounts {
+    pub late_grants: u64,
+    pub lost_grants: u64,
+    pub store_cuts: u64,
+    pub host_restarts: u64,
+    pub upstream_crashes: u64,
+    pub steps_with_several_leaders: u64,
+    pub moves: u64,
+    pub lost_releases: u64,
+    /// Hosts that lost their paths to all upstreams.
+    pub cut_offs: u64,
+    /// Grants and renewals that went over another host.
+    pub detours: u64,
+    /// Grants that were decided on, and not sent when their turn came.
+    pub withheld_grants: u64,
+    /// Grants on a connection that a later incarnation than their holder accepted.
+    pub later_incarnations: u64,
+    /// Entries of running upstreams that another writer replaced.
+    pub foreign_entries: u64,
+    /// Records of the table that another writer damaged, and searches that found nothing.
+    pub damaged_records: u64,
+    pub lost_tables: u64,
+    /// Releases that a running holder refused before it looked at them, and grants and renewals.
+    pub refused_releases: u64,
+    pub refused_grants: u64,
+}
+
+impl AddAssign for FaultCounts {
+    fn add_assign(&mut self, other: Self) {
+        self.late_grants += other.late_grants;
+        self.lost_grants += other.lost_grants;
+        self.store_cuts += other.store_cuts;
+        self.host_restarts += other.host_restarts;
+        self.upstream_crashes += other.upstream_crashes;
+        self.steps_with_several_leaders += other.steps_with_several_leaders;
+        self.moves += other.moves;
+        self.lost_releases += other.lost_releases;
+        self.cut_offs += other.cut_offs;
+        self.detours += other.detours;
+        self.withheld_grants += other.withheld_grants;
+        self.later_incarnations += other.later_incarnations;
+        self.foreign_entries += other.foreign_entries;
+        self.damaged_records += other.damaged_records;
+        self.lost_tables += other.lost_tables;
+        self.refused_releases += other.refused_releases;
+        self.refused_grants += other.refused_grants;
+    }
+}
--- a/crates/spans/tests/simulation/upstream.rs
+++ b/crates/spans/tests/simulation/upstream.rs
@@ -24,6 +24,8 @@
     port: u16,
     /// Entry that another writer put in place of this upstream's, and until when it stands.
     foreign: Option<(Holder, u64)>,
+    /// When it stops turning most calls away before it looks at them.
+    pub refuses_until: u64,
 }
 
 /// Ports between the addresses of two incarnations of an upstream.
@@ -43,6 +45,7 @@
             clock_drift_percent: rng.u64(0..=2),
             port: 9_000 + u16::try_from(index).unwrap_or_default(),
             foreign: None,
+            refuses_until: 0,
         }
     }
 
