Test that an intermediary's own answers do not pass for an upstream's

A host of an earlier version, or a server that has the address of a host by now, may answer a call over it with 200, 400, 404, 405 or 421 in its own name, also with the name of a process. None of these passed for the answer of the upstream: the test is green on the code before, too.

--- a/crates/edge/tests/detour.rs
+++ b/crates/edge/tests/detour.rs
@@ -310,6 +310,31 @@
     assert_eq!(reply.head.headers.get_str("x-released"), Some("1"), "{:?}", reply.head);
 }
 
+/// A server that has the address of an intermediary would answer in the place of the upstream.
+#[rstest]
+#[case::no_call("400 Bad Request", "")]
+#[case::earlier_version("404 Not Found", "")]
+#[case::no_method("405 Method Not Allowed", "Allow: GET")]
+#[case::for_another("421 Misdirected Request", "X-Instance: i-9")]
+#[case::any_call("200 OK", "X-Instance: i-9")]
+fn an_answer_of_the_intermediary_itself_does_not_pass_for_the_upstreams(
+    #[case] status: &'static str,
+    #[case] fields: &'static str,
+    #[values("", "no such call", "{\"Ok\":null}")] body: &'static str,
+) {
+    let server = serve(move |_, _| {
+        let fields = if fields.is_empty() { String::new() } else { format!("{fields}\r\n") };
+        let len = body.len();
+        format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {len}\r\n\r\n{body}").into_bytes()
+    });
+    let (client, paths) = (DetourClient::default(), SharedPaths::default());
+    let release = Outgoing::new("POST", "/release", &Headers::default(), b"{}");
+    let intermediaries = [near(server)];
+    let call = client.call(&paths, &intermediaries, closed_port(), (&release, true), TIMEOUT);
+    let end = block_on(call);
+    assert!(!matches!(end, Ok(Ok(_))), "{end:?}");
+}
+
 /// Starts an upstream all of whose answers have this status and additional header line.
 fn upstream_with_notice(count: &Arc<AtomicUsize>, status: u16, notice: String) -> SocketAddr {
     let count = Arc::clone(count);
