Log which host sent a release

A leader that can't reach a holder has another keeper send the release. The lines on what the release showed did not say which host that was, so its log, which has the path and the answer, could not be found.

--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -451,17 +451,19 @@
             }
             Action::Release(release) => {
                 let mut end = self.send_release(&release).await;
+                let mut sender = self.settings.host.clone();
                 if end == Err(NotEnded::Unknown)
-                    && let Some(result) = self.release_through_peer(&service, &release).await
+                    && let Some((host, result)) =
+                        self.release_through_peer(&service, &release).await
                 {
-                    end = result;
+                    (sender, end) = (host, result);
                 }
                 match &end {
                     Ok(by) => {
-                        log::info!(service:% = service, first = release.first, last = release.last, upstream:% = release.holder.id, fence:% = release.fence, by:% = by; "owners: released");
+                        log::info!(service:% = service, first = release.first, last = release.last, upstream:% = release.holder.id, fence:% = release.fence, by:% = by, sender:% = sender; "owners: released");
                     }
                     Err(reason) => {
-                        log::info!(service:% = service, first = release.first, last = release.last, upstream:% = release.holder.id, fence:% = release.fence, reason:% = reason; "owners: not released");
+                        log::info!(service:% = service, first = release.first, last = release.last, upstream:% = release.holder.id, fence:% = release.fence, reason:% = reason, sender:% = sender; "owners: not released");
                     }
                 }
                 if let Some(leader) = self.owners.borrow_mut().leaders.get_mut(&service) {
@@ -508,12 +510,13 @@
         }
     }
 
-    /// Requests that a random other keeper sends a release to a holder that this host can't reach.
+    /// Requests that a random other keeper sends a release to a holder that this host can't reach. Returns that keeper and
+    /// the result.
     async fn release_through_peer(
         &self,
         service: &ServiceName,
         release: &Release,
-    ) -> Option<Result<GrantEnd, NotEnded>> {
+    ) -> Option<(HostId, Result<GrantEnd, NotEnded>)> {
         let host = {
             let owners = self.owners.borrow();
             let table = owners.renewals.get(service)?.table()?;
@@ -522,7 +525,8 @@
                 table.keepers.iter().filter(|keeper| keeper.host != *own).collect();
             others.get(fastrand::usize(..others.len().max(1)))?.host.clone()
         };
-        self.request_release(&host, release).await
+        let result = self.request_release(&host, release).await?;
+        Some((host, result))
     }
 
     /// Sends a release over a separate connection, as the answer comes only when the work on the keys has ended. If it is
