Play late entries, and proof that hosts take from each other

In the simulation of ownership all hosts saw the registry at once and read the store themselves, so renewals never resumed by an entry from before their suspension, and no proof was passed on.

Change: with one trouble a host sees entries 0.8 to 3 s late, each host by another time that changes, and renewals resume by an entry that is read after their suspension, whenever it was written. With the other, hosts take table and proof from another host, which holds the request and answers late; the age is that of freshness::proof::passed_on. Pairs of hosts lose the store and the leader for 1 to 25 s, but not each other. Releases have a file of their own.

The daemon takes proof of tables from the store alone; this is more.

--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -100,6 +100,14 @@
     Troubles { reused_addresses: true, ..Troubles::default() },
     |sum: &FaultCounts| vec![sum.reused_addresses, sum.replaced_holders]
 )]
+#[case::late_entries(
+    Troubles { late_entries: true, ..Troubles::default() },
+    |sum: &FaultCounts| vec![sum.stale_resumptions]
+)]
+#[case::proof_from_other_hosts(
+    Troubles { followers: true, ..Troubles::default() },
+    |sum: &FaultCounts| vec![sum.told_proofs]
+)]
 fn no_two_upstreams_hold_a_key_with(
     #[case] troubles: Troubles,
     #[case] counted: fn(&FaultCounts) -> Vec<u64>,
@@ -110,7 +118,14 @@
 #[test]
 fn no_two_upstreams_hold_a_key_with_all_troubles() {
     run_troubles(Troubles::all(), DEFAULT_CASES, |sum| {
-        vec![sum.refused_releases, sum.refused_grants, sum.reused_addresses, sum.replaced_holders]
+        vec![
+            sum.refused_releases,
+            sum.refused_grants,
+            sum.reused_addresses,
+            sum.replaced_holders,
+            sum.stale_resumptions,
+            sum.told_proofs,
+        ]
     });
 }
 
@@ -209,6 +224,7 @@
 #[case::tables_are_written_after_a_wait_without_another_look(1_900, Safeguards { confirms_writes: false, ..Safeguards::default() })]
 #[case::bare_refusals_end_waits(1, Safeguards { doubts_bare_refusals: false, troubles: Troubles::all(), ..Safeguards::default() })]
 #[case::calls_do_not_name_their_process(1, Safeguards { names_processes: false, troubles: Troubles::all(), ..Safeguards::default() })]
+#[case::connections_are_opened_by_old_proof(1_790, Safeguards { checks_connections: false, has_frequent_faults: true, ..Safeguards::default() })]
 #[case::the_holders_own_name_ends_waits(1, Safeguards { compares_names: false, troubles: Troubles::all(), ..Safeguards::default() })]
 fn the_simulation_detects_a_missing_safeguard(#[case] first: u64, #[case] safeguards: Safeguards) {
     let is_found = |seed: &u64| {
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -1,10 +1,12 @@
 //! Simulation of a store, hosts and upstreams in virtual time, with injected faults and a check for two holders of a key.
 
 mod damage;
+mod followers;
 mod network;
 mod processes;
 mod refusals;
 mod registry;
+mod releases;
 mod settings;
 mod upstream;
 
@@ -47,6 +49,15 @@
     reachable_upstreams: Vec<bool>,
     /// Time for which the host knows the registry.
     registry_at: u64,
+    started_at: u64,
+    /// Host whose table and proof this one takes instead of reading the store.
+    follows: Option<usize>,
+    /// When the host reaches the store and the leader again.
+    isolated_until: u64,
+    /// Time for which the host knows that no table was newer; zero without proof.
+    proven_at: u64,
+    /// How late the host sees entries.
+    registry_delay: u64,
     /// Sequence number that a suspended holder's entry had.
     suspended_at_seq: FastMap<Holder, u64>,
 }
@@ -123,6 +134,8 @@
             host.reaches_store = true;
             host.reachable_upstreams = vec![true; UPSTREAMS];
             host.believes_to_lead = false;
+            host.follows = None;
+            host.isolated_until = 0;
         }
         self.hosts[0].believes_to_lead = true;
         for upstream in &mut self.upstreams {
@@ -231,6 +244,9 @@
         if self.safeguards.troubles.refusals {
             self.start_refusals();
         }
+        if self.safeguards.troubles.followers {
+            self.change_followers();
+        }
         if self.hosts.iter().filter(|host| host.believes_to_lead).count() > 1 {
             self.fault_counts.steps_with_several_leaders += 1;
         }
@@ -276,8 +292,13 @@
     }
 
     fn read_store(&mut self, index: usize) {
+        if let Some(source) = self.hosts[index].follows {
+            self.ask_followed(index, source);
+            return self.read_registry(index);
+        }
+        let reaches_store = self.reaches_store(index);
         let host = &mut self.hosts[index];
-        if !host.reaches_store || self.now < host.read_at + 100 {
+        if !reaches_store || self.now < host.read_at + 100 {
             if !self.safeguards.needs_proof {
                 host.renewals.prove(HostTime(self.now));
             }
@@ -297,9 +318,14 @@
         }
         let proves = is_readable || !self.safeguards.searches_former_tables;
         let proof_age = if self.safeguards.has_late_proof { LATE_PROOF_MS } else { 0 };
-        host.renewals.on_read(HostTime(self.now.saturating_sub(proof_age)), proves);
-        host.registry_at = self.now;
-        self.resume_holders(index);
+        let proof_at = self.now.saturating_sub(proof_age);
+        host.renewals.on_read(HostTime(proof_at), proves);
+        host.proven_at = host.proven_at.max(proof_at);
+        self.read_registry(index);
+    }
+
+    fn reaches_store(&self, index: usize) -> bool {
+        self.hosts[index].reaches_store && self.now >= self.hosts[index].isolated_until
     }
 
     fn inputs(&mut self, index: usize) -> Inputs {
@@ -333,7 +359,9 @@
                 let Some(table) = self.hosts[index].renewals.table().cloned() else { return };
                 let other = (0..HOSTS).find(|other| host_id(*other) == host).unwrap_or_default();
                 let host = &mut self.hosts[other];
-                let is_running = self.now >= host.frozen_until && self.now >= host.down_until;
+                let is_running = self.now >= host.frozen_until
+                    && self.now >= host.down_until
+                    && (other == index || self.now >= host.isolated_until);
                 if is_running && self.rng.u32(..4) > 0 {
                     host.renewals.adopt(table);
                     let ack = host.renewals.ack(now);
@@ -399,6 +427,11 @@
         believes_to_lead: index == 0,
         reachable_upstreams: vec![true; UPSTREAMS],
         registry_at: 0,
+        started_at,
+        follows: None,
+        isolated_until: 0,
+        proven_at: 0,
+        registry_delay: 0,
         suspended_at_seq: FastMap::default(),
     }
 }
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -1,6 +1,7 @@
 //! Calls between hosts and upstreams, which may be delayed, lost or carried out without an answer.
 
 use super::Simulation;
+use super::followers::Told;
 use super::processes::Process;
 use skylarkdock_spans::end::{GrantEnd, NotEnded};
 use skylarkdock_spans::renewal::{Ack, CallEnd, Connection, Grant, Purpose, Release};
@@ -68,6 +69,16 @@
         from: usize,
         table: Table,
     },
+    Ask {
+        from: usize,
+        to: usize,
+        asked_at: u64,
+        waited: u64,
+    },
+    Tell {
+        to: usize,
+        told: Told,
+    },
 }
 
 impl Simulation {
@@ -107,7 +118,8 @@
         let is_connected = calls.is_some_and(|calls| calls.connected_to.is_some());
         let index = self.index_of(&grant.holder);
         let is_direct = self.hosts[from].reachable_upstreams[index];
-        let conn = if is_connected && is_direct { Connection::Open } else { Connection::New };
+        let is_open = is_connected && is_direct || !self.safeguards.checks_connections;
+        let conn = if is_open { Connection::Open } else { Connection::New };
         if conn == Connection::New {
             self.refresh_proof(from, &grant.holder);
         }
@@ -120,8 +132,9 @@
         let now = HostTime(self.now);
         let newest = self.log.last().map_or(0, |last| last.version);
         let is_damaged = self.damage.is_newest_damaged(self.log_end);
+        let reaches_store = self.reaches_store(from);
         let host = &mut self.hosts[from];
-        let is_answered = host.reaches_store && self.safeguards.refreshes_proof;
+        let is_answered = reaches_store && self.safeguards.refreshes_proof;
         if is_answered && !host.renewals.may_connect(holder, now) {
             let knows_newest = host.renewals.table().map_or(0, |known| known.version) == newest;
             host.renewals.on_read(now, knows_newest && !is_damaged);
@@ -255,6 +268,7 @@
     /// Writes a table, which the store records if the host knows the newest one.
     pub(super) fn write(&mut self, from: usize, table: Table) {
         let now = HostTime(self.now);
+        let reaches_store = self.reaches_store(from);
         let host = &mut self.hosts[from];
         let newest = self.log.last().map_or(0, |last| last.version);
         let knows_newest = if self.damage.is_newest_damaged(self.log_end) {
@@ -263,8 +277,7 @@
             host.renewals.table().map_or(0, |known| known.version) == newest
         };
         let is_confirmed = host.renewals.confirm_write(&table) || !self.safeguards.confirms_writes;
-        let is_recorded =
-            host.reaches_store && knows_newest && is_confirmed && table.check().is_ok();
+        let is_recorded = reaches_store && knows_newest && is_confirmed && table.check().is_ok();
         if is_recorded {
             self.log_end = self.damage.end_after(self.log_end) + 1;
             host.damage.on_written();
@@ -323,34 +336,7 @@
                 }
             }
             Message::Release { from, release, arrives_at, answered } => {
-                let reached = self.reachable_upstream(from, &release.holder);
-                let reached = reached.filter(|i| self.upstreams[*i].started_at <= arrives_at);
-                let refusal = reached.and_then(|index| self.refuse_release(index, &release.holder));
-                let is_reached =
-                    self.hosts[from].reachable_upstreams[self.index_of(&release.holder)];
-                let other = self.other_process(&release.holder).filter(|_| is_reached);
-                let end = match reached {
-                    _ if let Some(other) = other => {
-                        self.fault_counts.replaced_holders += 1;
-                        let name = self.name_in_refusal(other);
-                        self.judge_refusal(&release.holder, name.as_ref())
-                    }
-                    Some(_) if let Some(refusal) = refusal => refusal,
-                    Some(index) => {
-                        self.upstreams[index].release(&release);
-                        if answered {
-                            Ok(GrantEnd::released(Some("h".to_owned())))
-                        } else {
-                            Err(NotEnded::Unknown)
-                        }
-                    }
-                    _ => {
-                        self.fault_counts.lost_releases += 1;
-                        Err(NotEnded::Unknown)
-                    }
-                };
-                let at = self.now + 100;
-                self.messages.push((at, Message::ReleaseResult { to: from, release, end }));
+                self.on_release(from, release, arrives_at, answered);
             }
             Message::GrantResult { to, by_leader, grant, end } => {
                 if let Some(calls) = self.calls.get_mut(&(to, grant.holder.clone())) {
@@ -375,6 +361,8 @@
                     self.write(from, table);
                 }
             }
+            Message::Ask { from, to, asked_at, waited } => self.tell(from, to, asked_at, waited),
+            Message::Tell { to, told } => self.on_told(to, told),
             Message::Ack { to, ack } => {
                 if let Some(leader) = &mut self.hosts[to].leader {
                     leader.on_ack(ack, HostTime(self.now));
@@ -396,13 +384,4 @@
             other != from && is_running && host.reachable_upstreams[index]
         })
     }
-
-    /// Returns the index of the upstream at a holder's address if a host reaches it, of whatever incarnation.
-    fn reachable_upstream(&self, from: usize, holder: &Holder) -> Option<usize> {
-        let index = self.index_of(holder);
-        let is_reached = self.hosts[from].reachable_upstreams[index];
-        let upstream = &self.upstreams[index];
-        let is_there = upstream.is_up(self.now) && upstream.holder().addr == holder.addr;
-        (is_reached && is_there).then_some(index)
-    }
 }
--- a/crates/spans/tests/simulation/registry.rs
+++ b/crates/spans/tests/simulation/registry.rs
@@ -8,6 +8,12 @@
 /// Time between two writes of an upstream's entry.
 const HEARTBEAT_MS: u64 = 850;
 
+/// How late a host sees entries at least and at most, in milliseconds.
+const MIN_DELAY_MS: u64 = 800;
+const MAX_DELAY_MS: u64 = 3_000;
+/// One read in so many changes how late a host sees entries.
+const READS_PER_DELAY: u32 = 40;
+
 /// An entry, as an upstream wrote it.
 #[derive(Debug, Clone)]
 pub(super) struct Entry {
@@ -55,6 +61,18 @@
         }
     }
 
+    /// Reads the registry as it was a while ago, and resumes renewals by it. How long ago changes now and then.
+    pub(super) fn read_registry(&mut self, index: usize) {
+        let is_late = self.safeguards.troubles.late_entries;
+        if is_late && self.trouble_rng.u32(..READS_PER_DELAY) == 0 {
+            self.hosts[index].registry_delay = self.trouble_rng.u64(MIN_DELAY_MS..=MAX_DELAY_MS);
+        }
+        let host = &mut self.hosts[index];
+        let seen_at = self.now.saturating_sub(host.registry_delay);
+        host.registry_at = host.registry_at.max(seen_at);
+        self.resume_holders(index);
+    }
+
     /// Returns the incarnations of upstreams that a host sees in the registry.
     pub(super) fn candidates(&self, host: usize) -> Vec<Candidate> {
         let listed = (0..UPSTREAMS).filter_map(|index| self.listed_holder(host, index));
@@ -74,17 +92,18 @@
     }
 
     /// Resumes a host's renewals to suspended holders whose entries it has seen written again.
-    pub(super) fn resume_holders(&mut self, index: usize) {
+    fn resume_holders(&mut self, index: usize) {
         if !self.safeguards.troubles.has_registry() {
             return self.resume_running_holders(index);
         }
-        for (holder, _) in self.hosts[index].renewals.suspended() {
+        for (holder, since) in self.hosts[index].renewals.suspended() {
             let owner = self.index_of(&holder);
             let host = &mut self.hosts[index];
             let entry = self.registry.entry(owner, host.registry_at);
             let Some(entry) = entry.filter(|entry| entry.holder == holder) else { continue };
             let last = *host.suspended_at_seq.entry(holder.clone()).or_insert(entry.seq);
             if entry.seq > last {
+                self.fault_counts.stale_resumptions += u64::from(entry.written_at < since.0);
                 host.suspended_at_seq.remove(&holder);
                 host.renewals.resume(&holder, HostTime(self.now));
             }
--- a/crates/spans/tests/simulation/settings.rs
+++ b/crates/spans/tests/simulation/settings.rs
@@ -40,6 +40,10 @@
     pub compares_names: bool,
     /// Whether calls name the process that they are meant for, so that another one refuses them.
     pub names_processes: bool,
+    /// Whether hosts open connections to holders only by recent proof or a recent answer.
+    pub checks_connections: bool,
+    /// Whether proof that a host takes from another one gets older on its way.
+    pub ages_proof: bool,
     /// Further troubles, which are no safeguards.
     pub troubles: Troubles,
 }
@@ -52,17 +56,21 @@
     /// Whether other processes listen at addresses that upstreams have left, also while the registry still shows the
     /// former ones.
     pub reused_addresses: bool,
+    /// Whether hosts see entries late, each by another time.
+    pub late_entries: bool,
+    /// Whether hosts take proof of the newest table from others instead of the store.
+    pub followers: bool,
 }
 
 impl Troubles {
     /// Returns whether hosts see the entries that upstreams wrote rather than the upstreams that run.
     pub const fn has_registry(&self) -> bool {
-        self.reused_addresses
+        self.reused_addresses || self.late_entries
     }
 
     /// Returns the settings with all troubles at once.
     pub const fn all() -> Self {
-        Self { refusals: true, reused_addresses: true }
+        Self { refusals: true, reused_addresses: true, late_entries: true, followers: true }
     }
 }
 
@@ -87,6 +95,8 @@
             doubts_bare_refusals: true,
             compares_names: true,
             names_processes: true,
+            checks_connections: true,
+            ages_proof: true,
             troubles: Troubles::default(),
         }
     }
@@ -123,6 +133,10 @@
     pub reused_addresses: u64,
     /// Calls that reached another process than the one that they were meant for.
     pub replaced_holders: u64,
+    /// Renewals that were resumed by an entry written before their suspension.
+    pub stale_resumptions: u64,
+    /// Answers by which hosts took proof from others.
+    pub told_proofs: u64,
 }
 
 impl AddAssign for FaultCounts {
@@ -146,5 +160,7 @@
         self.refused_grants += other.refused_grants;
         self.reused_addresses += other.reused_addresses;
         self.replaced_holders += other.replaced_holders;
+        self.stale_resumptions += other.stale_resumptions;
+        self.told_proofs += other.told_proofs;
     }
 }
