Play releases over other hosts, and work that runs when a release comes

In the simulation of ownership each release went to its holder directly, and the holder answered at once. So no case showed that a wait must not end with a call that got no answer while work went on, and nothing checked the second half of the rule: no upstream holds a key on which another is at work within that one's grant.

Change: with one trouble, a release without an answer goes over another host, of whose answers a third are lost. With the other, upstreams work on held keys for up to 4 s, answer a release when that work has ended, and a quarter of these answers are lost, so that releases come again while work runs. The check covers work.

--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -108,6 +108,14 @@
     Troubles { followers: true, ..Troubles::default() },
     |sum: &FaultCounts| vec![sum.told_proofs]
 )]
+#[case::releases_over_other_hosts(
+    Troubles { peer_releases: true, ..Troubles::default() },
+    |sum: &FaultCounts| vec![sum.peer_releases, sum.lost_peer_answers]
+)]
+#[case::work_that_runs_when_a_release_comes(
+    Troubles { running_work: true, ..Troubles::default() },
+    |sum: &FaultCounts| vec![sum.waiting_releases, sum.repeated_releases]
+)]
 fn no_two_upstreams_hold_a_key_with(
     #[case] troubles: Troubles,
     #[case] counted: fn(&FaultCounts) -> Vec<u64>,
@@ -125,6 +133,8 @@
             sum.replaced_holders,
             sum.stale_resumptions,
             sum.told_proofs,
+            sum.lost_peer_answers,
+            sum.repeated_releases,
         ]
     });
 }
@@ -225,6 +235,16 @@
 #[case::bare_refusals_end_waits(1, Safeguards { doubts_bare_refusals: false, troubles: Troubles::all(), ..Safeguards::default() })]
 #[case::calls_do_not_name_their_process(1, Safeguards { names_processes: false, troubles: Troubles::all(), ..Safeguards::default() })]
 #[case::connections_are_opened_by_old_proof(1_790, Safeguards { checks_connections: false, has_frequent_faults: true, ..Safeguards::default() })]
+#[case::proof_from_other_hosts_does_not_age(1, Safeguards {
+    ages_proof: false,
+    has_frequent_faults: true,
+    leader_timing: Timing { proof_lifetime: Millis(1_000), ..TIMING },
+    keeper_timing: Timing { proof_lifetime: Millis(1_000), ..TIMING },
+    troubles: Troubles { followers: true, ..Troubles::default() },
+    ..Safeguards::default()
+})]
+#[case::lost_answers_of_other_hosts_end_waits(1, Safeguards { needs_peer_answers: false, troubles: Troubles { peer_releases: true, ..Troubles::default() }, ..Safeguards::default() })]
+#[case::releases_without_an_answer_end_waits(1, Safeguards { needs_release_answers: false, troubles: Troubles { running_work: true, ..Troubles::default() }, ..Safeguards::default() })]
 #[case::the_holders_own_name_ends_waits(1, Safeguards { compares_names: false, troubles: Troubles::all(), ..Safeguards::default() })]
 fn the_simulation_detects_a_missing_safeguard(#[case] first: u64, #[case] safeguards: Safeguards) {
     let is_found = |seed: &u64| {
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -14,6 +14,7 @@
 use network::{GrantCalls, Message};
 use processes::LeftPorts;
 use registry::Registry;
+use releases::ReleaseCall;
 pub use settings::{FaultCounts, Safeguards, TIMING, Troubles};
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::renewal::Renewals;
@@ -153,6 +154,10 @@
         if self.safeguards.troubles.has_registry() {
             self.write_entries();
         }
+        // Later on, moves that wait for work would leave no time at which all keys are held.
+        if self.safeguards.troubles.running_work && self.injects_faults {
+            self.start_work();
+        }
         self.deliver()?;
         for index in 0..HOSTS {
             let host = &self.hosts[index];
@@ -372,10 +377,15 @@
             Action::Release(release) => {
                 let arrives_at = self.now + self.rng.u64(1..40);
                 let answered = self.rng.f64() >= self.late_share;
-                self.messages.push((
+                let call = ReleaseCall {
+                    leader: index,
+                    sender: index,
+                    release,
+                    sent_at: self.now,
                     arrives_at,
-                    Message::Release { from: index, release, arrives_at, answered },
-                ));
+                    answered,
+                };
+                self.messages.push((arrives_at, Message::Release(call)));
             }
             Action::Grant(grant) => {
                 self.send_grant(index, true, grant);
@@ -383,10 +393,23 @@
         }
     }
 
+    /// Fails if a key has two holders, or one while another upstream works on it.
     fn check(&self) -> Result<(), String> {
         for key in sample_keys() {
             let holders: Vec<&Upstream> =
                 self.upstreams.iter().filter(|upstream| upstream.holds(key, self.now)).collect();
+            for upstream in &self.upstreams {
+                let other = holders.iter().find(|holder| holder.port() != upstream.port());
+                if let Some(other) = other
+                    && upstream.works_on(key, self.now)
+                {
+                    let (at, ids) = (self.now, (other.holder().id, upstream.holder().id));
+                    return Err(format!(
+                        "at {at} key {key} is held by {} while {} works on it",
+                        ids.0, ids.1
+                    ));
+                }
+            }
             if holders.len() > 1 {
                 let names: Vec<String> = holders
                     .iter()
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -3,8 +3,9 @@
 use super::Simulation;
 use super::followers::Told;
 use super::processes::Process;
+use super::releases::ReleaseCall;
 use skylarkdock_spans::end::{GrantEnd, NotEnded};
-use skylarkdock_spans::renewal::{Ack, CallEnd, Connection, Grant, Purpose, Release};
+use skylarkdock_spans::renewal::{Ack, CallEnd, Connection, Grant, Purpose};
 use skylarkdock_spans::table::{Holder, Table};
 use skylarkdock_units::times::HostTime;
 use std::collections::VecDeque;
@@ -44,12 +45,7 @@
         accepted_by: u64,
         index: usize,
     },
-    Release {
-        from: usize,
-        release: Release,
-        arrives_at: u64,
-        answered: bool,
-    },
+    Release(ReleaseCall),
     GrantResult {
         to: usize,
         by_leader: bool,
@@ -57,9 +53,10 @@
         end: GrantOutcome,
     },
     ReleaseResult {
-        to: usize,
-        release: Release,
+        call: ReleaseCall,
         end: Result<GrantEnd, NotEnded>,
+        /// Upstream that carries it out, and its incarnation.
+        accepted: Option<(usize, u64)>,
     },
     Ack {
         to: usize,
@@ -335,9 +332,7 @@
                     self.messages.push((at, result));
                 }
             }
-            Message::Release { from, release, arrives_at, answered } => {
-                self.on_release(from, release, arrives_at, answered);
-            }
+            Message::Release(call) => self.on_release(call),
             Message::GrantResult { to, by_leader, grant, end } => {
                 if let Some(calls) = self.calls.get_mut(&(to, grant.holder.clone())) {
                     calls.is_busy = false;
@@ -347,10 +342,8 @@
                 }
                 self.on_grant_end(to, by_leader, &grant, end);
             }
-            Message::ReleaseResult { to, release, end } => {
-                if let Some(leader) = &mut self.hosts[to].leader {
-                    leader.on_released(&release, end, HostTime(self.now));
-                }
+            Message::ReleaseResult { call, end, accepted } => {
+                self.on_release_result(call, end, accepted);
             }
             Message::Write { from, table } if self.now < self.hosts[from].frozen_until => {
                 let at = self.hosts[from].frozen_until;
--- a/crates/spans/tests/simulation/settings.rs
+++ b/crates/spans/tests/simulation/settings.rs
@@ -44,6 +44,10 @@
     pub checks_connections: bool,
     /// Whether proof that a host takes from another one gets older on its way.
     pub ages_proof: bool,
+    /// Whether a release of another host, whose answer is lost, ends no wait.
+    pub needs_peer_answers: bool,
+    /// Whether a release without an answer ends no wait.
+    pub needs_release_answers: bool,
     /// Further troubles, which are no safeguards.
     pub troubles: Troubles,
 }
@@ -60,6 +64,10 @@
     pub late_entries: bool,
     /// Whether hosts take proof of the newest table from others instead of the store.
     pub followers: bool,
+    /// Whether hosts send releases for others that had no answer, and their answers get lost.
+    pub peer_releases: bool,
+    /// Whether upstreams work on keys for some seconds, and answer a release only when that work has ended.
+    pub running_work: bool,
 }
 
 impl Troubles {
@@ -70,7 +78,14 @@
 
     /// Returns the settings with all troubles at once.
     pub const fn all() -> Self {
-        Self { refusals: true, reused_addresses: true, late_entries: true, followers: true }
+        Self {
+            refusals: true,
+            reused_addresses: true,
+            late_entries: true,
+            followers: true,
+            peer_releases: true,
+            running_work: true,
+        }
     }
 }
 
@@ -97,6 +112,8 @@
             names_processes: true,
             checks_connections: true,
             ages_proof: true,
+            needs_peer_answers: true,
+            needs_release_answers: true,
             troubles: Troubles::default(),
         }
     }
@@ -137,6 +154,12 @@
     pub stale_resumptions: u64,
     /// Answers by which hosts took proof from others.
     pub told_proofs: u64,
+    /// Releases that were sent over another host, and of these the ones whose answer was lost.
+    pub peer_releases: u64,
+    pub lost_peer_answers: u64,
+    /// Releases that waited for work, and of these the ones that were sent again meanwhile.
+    pub waiting_releases: u64,
+    pub repeated_releases: u64,
 }
 
 impl AddAssign for FaultCounts {
@@ -162,5 +185,9 @@
         self.replaced_holders += other.replaced_holders;
         self.stale_resumptions += other.stale_resumptions;
         self.told_proofs += other.told_proofs;
+        self.peer_releases += other.peer_releases;
+        self.lost_peer_answers += other.lost_peer_answers;
+        self.waiting_releases += other.waiting_releases;
+        self.repeated_releases += other.repeated_releases;
     }
 }
--- a/crates/spans/tests/simulation/upstream.rs
+++ b/crates/spans/tests/simulation/upstream.rs
@@ -11,6 +11,15 @@
     until: u64,
 }
 
+/// Work on a key, which ends with the grant of the key at the latest.
+#[derive(Debug, Clone, Copy)]
+struct Work {
+    key: u16,
+    until: u64,
+    /// End of the grant that was in force as the key was released; zero before that.
+    released_until: u64,
+}
+
 pub struct Upstream {
     index: usize,
     born: u64,
@@ -26,6 +35,7 @@
     foreign: Option<(Holder, u64)>,
     /// When it stops turning most calls away before it looks at them.
     pub refuses_until: u64,
+    works: Vec<Work>,
 }
 
 /// Ports between the addresses of two incarnations of an upstream.
@@ -46,6 +56,7 @@
             port: 9_000 + u16::try_from(index).unwrap_or_default(),
             foreign: None,
             refuses_until: 0,
+            works: Vec::new(),
         }
     }
 
@@ -73,6 +84,7 @@
         self.started_at = now + down_ms;
         self.down_until = now + down_ms;
         self.held.clear();
+        self.works.clear();
         self.seen_fences.clear();
     }
 
@@ -139,7 +151,45 @@
         Ok(CallEnd::Done)
     }
 
+    /// Begins to work on a key if it is held.
+    pub fn work(&mut self, key: u16, now: u64, until: u64) {
+        let held_until = self.held_until(key);
+        self.works.retain(|work| now < work.until && now < work.released_until.max(held_until));
+        if self.holds(key, now) {
+            self.works.push(Work { key, until, released_until: 0 });
+        }
+    }
+
+    /// Returns whether work on a key runs, within the time of its grant.
+    pub fn works_on(&self, key: u16, now: u64) -> bool {
+        let held_until = self.held_until(key);
+        let is_running = |work: &Work| {
+            work.key == key && now < work.until && now < work.released_until.max(held_until)
+        };
+        self.is_up(now) && self.works.iter().any(is_running)
+    }
+
+    /// Returns when the work on the keys of a release has ended.
+    pub fn idle_at(&self, release: &Release, now: u64) -> u64 {
+        let works = self.works.iter().filter(|w| release.first <= w.key && w.key <= release.last);
+        works.map(|work| work.until.min(work.released_until)).max().unwrap_or(now).max(now)
+    }
+
+    /// Returns whether work on keys that were released before still runs.
+    pub fn is_releasing(&self, release: &Release, now: u64) -> bool {
+        let mut works = self.works.iter();
+        let is_of = |work: &Work| release.first <= work.key && work.key <= release.last;
+        works.any(|work| is_of(work) && now < work.until.min(work.released_until))
+    }
+
+    fn held_until(&self, key: u16) -> u64 {
+        let held = self.held.iter().filter(|held| held.first <= key && key <= held.last);
+        held.map(|held| held.until).max().unwrap_or(0)
+    }
+
     pub fn release(&mut self, release: &Release) {
+        let works = std::mem::take(&mut self.works);
+        self.works = works.into_iter().map(|work| self.with_release(work, release)).collect();
         let mut remaining = Vec::new();
         for held in self.held.drain(..) {
             if held.last < release.first || held.first > release.last {
@@ -157,6 +207,13 @@
         self.seen_fences.push((release.first, release.last, release.fence));
     }
 
+    /// Returns work on a key whose grant is no longer renewed if it is released.
+    fn with_release(&self, work: Work, release: &Release) -> Work {
+        let is_released = release.first <= work.key && work.key <= release.last;
+        let held_until = if is_released { self.held_until(work.key) } else { 0 };
+        Work { released_until: work.released_until.max(held_until), ..work }
+    }
+
     pub fn holds(&self, key: u16, now: u64) -> bool {
         self.is_up(now)
             && self
