Let all modes of the ownership fuzz read the number of cases and the first seed

The modes with frequent faults and with entries of other writers always played the same seeds. Without the variables they still do.

--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -148,7 +148,9 @@
 /// Hosts stop or lose the store and upstreams crash several times as often.
 #[test]
 fn no_two_upstreams_hold_a_key_when_faults_are_frequent() {
-    for seed in 1..=DEFAULT_CASES {
+    let cases = variable("SKYLARKDOCK_FUZZ_CASES", DEFAULT_CASES);
+    let first = variable("SKYLARKDOCK_FUZZ_SEED", 1);
+    for seed in first..first + cases {
         run_faults(seed, Safeguards { has_frequent_faults: true, ..Safeguards::default() })
             .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
     }
@@ -158,7 +160,9 @@
 /// start. A leader must not take that for the end of the incarnation before.
 #[test]
 fn no_two_upstreams_hold_a_key_when_other_writers_replace_entries() {
-    for seed in 1..=FOREIGN_ENTRY_CASES {
+    let cases = variable("SKYLARKDOCK_FUZZ_CASES", FOREIGN_ENTRY_CASES);
+    let first = variable("SKYLARKDOCK_FUZZ_SEED", 1);
+    for seed in first..first + cases {
         let safeguards = Safeguards { has_foreign_entries: true, ..Safeguards::default() };
         let simulation = run_faults(seed, safeguards)
             .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
