--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -97,9 +97,29 @@
 
 #[rstest]
 #[case::refused_calls(
-    Troubles { refusals: true },
+    Troubles { refusals: true, ..Troubles::default() },
     |sum: &FaultCounts| vec![sum.refused_releases, sum.refused_grants]
 )]
+#[case::processes_at_addresses_of_others(
+    Troubles { reused_addresses: true, ..Troubles::default() },
+    |sum: &FaultCounts| vec![sum.reused_addresses, sum.replaced_holders]
+)]
+#[case::late_entries(
+    Troubles { late_entries: true, ..Troubles::default() },
+    |sum: &FaultCounts| vec![sum.stale_resumptions]
+)]
+#[case::proof_from_other_hosts(
+    Troubles { followers: true, ..Troubles::default() },
+    |sum: &FaultCounts| vec![sum.told_proofs]
+)]
+#[case::releases_over_other_hosts(
+    Troubles { peer_releases: true, ..Troubles::default() },
+    |sum: &FaultCounts| vec![sum.peer_releases, sum.lost_peer_answers]
+)]
+#[case::work_that_runs_when_a_release_comes(
+    Troubles { running_work: true, ..Troubles::default() },
+    |sum: &FaultCounts| vec![sum.waiting_releases, sum.repeated_releases]
+)]
 fn no_two_upstreams_hold_a_key_with(
     #[case] troubles: Troubles,
     #[case] counted: fn(&FaultCounts) -> Vec<u64>,
@@ -109,7 +129,18 @@
 
 #[test]
 fn no_two_upstreams_hold_a_key_with_all_troubles() {
-    run_troubles(Troubles::all(), DEFAULT_CASES, |sum| vec![sum.refused_releases]);
+    run_troubles(Troubles::all(), DEFAULT_CASES, |sum| {
+        vec![
+            sum.refused_releases,
+            sum.refused_grants,
+            sum.reused_addresses,
+            sum.replaced_holders,
+            sum.stale_resumptions,
+            sum.told_proofs,
+            sum.lost_peer_answers,
+            sum.repeated_releases,
+        ]
+    });
 }
 
 /// A grant that had waited for another call was sent although its keys had another owner by then.
@@ -121,7 +152,9 @@
 /// Hosts stop or lose the store and upstreams crash several times as often.
 #[test]
 fn no_two_upstreams_hold_a_key_when_faults_are_frequent() {
-    for seed in 1..=DEFAULT_CASES {
+    let cases = variable("SKYLARKDOCK_FUZZ_CASES", DEFAULT_CASES);
+    let first = variable("SKYLARKDOCK_FUZZ_SEED", 1);
+    for seed in first..first + cases {
         run_faults(seed, Safeguards { has_frequent_faults: true, ..Safeguards::default() })
             .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
     }
@@ -131,7 +164,9 @@
 /// start. A leader must not take that for the end of the incarnation before.
 #[test]
 fn no_two_upstreams_hold_a_key_when_other_writers_replace_entries() {
-    for seed in 1..=FOREIGN_ENTRY_CASES {
+    let cases = variable("SKYLARKDOCK_FUZZ_CASES", FOREIGN_ENTRY_CASES);
+    let first = variable("SKYLARKDOCK_FUZZ_SEED", 1);
+    for seed in first..first + cases {
         let safeguards = Safeguards { has_foreign_entries: true, ..Safeguards::default() };
         let simulation = run_faults(seed, safeguards)
             .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
@@ -244,16 +279,28 @@
 #[rstest]
 #[case::grants_outlive_the_leaders_wait(1, Safeguards { leader_timing: Timing { hold: Millis(500), ..TIMING }, ..Safeguards::default() })]
 #[case::stale_fencing_tokens_are_accepted(1, Safeguards { has_fencing: false, ..Safeguards::default() })]
-#[case::keepers_renew_without_recent_proof(100, Safeguards {
+#[case::keepers_renew_without_recent_proof(160, Safeguards {
     needs_proof: false,
     leader_timing: Timing { proof_lifetime: Millis(100), ..TIMING },
     keeper_timing: Timing { proof_lifetime: Millis(600_000), ..TIMING },
     ..Safeguards::default()
 })]
-#[case::grants_are_sent_after_a_wait_without_another_look(100, Safeguards { confirms_sends: false, ..Safeguards::default() })]
+#[case::grants_are_sent_after_a_wait_without_another_look(400, Safeguards { confirms_sends: false, ..Safeguards::default() })]
 #[case::tables_are_written_over_damaged_records(1, Safeguards { has_damaged_records: true, searches_former_tables: false, ..Safeguards::default() })]
-#[case::tables_are_written_after_a_wait_without_another_look(1_700, Safeguards { confirms_writes: false, ..Safeguards::default() })]
+#[case::tables_are_written_after_a_wait_without_another_look(1_900, Safeguards { confirms_writes: false, ..Safeguards::default() })]
 #[case::bare_refusals_end_waits(1, Safeguards { doubts_bare_refusals: false, troubles: Troubles::all(), ..Safeguards::default() })]
+#[case::calls_do_not_name_their_process(1, Safeguards { names_processes: false, troubles: Troubles::all(), ..Safeguards::default() })]
+#[case::connections_are_opened_by_old_proof(1_790, Safeguards { checks_connections: false, has_frequent_faults: true, ..Safeguards::default() })]
+#[case::proof_from_other_hosts_does_not_age(1, Safeguards {
+    ages_proof: false,
+    has_frequent_faults: true,
+    leader_timing: Timing { proof_lifetime: Millis(1_000), ..TIMING },
+    keeper_timing: Timing { proof_lifetime: Millis(1_000), ..TIMING },
+    troubles: Troubles { followers: true, ..Troubles::default() },
+    ..Safeguards::default()
+})]
+#[case::lost_answers_of_other_hosts_end_waits(1, Safeguards { needs_peer_answers: false, troubles: Troubles { peer_releases: true, ..Troubles::default() }, ..Safeguards::default() })]
+#[case::releases_without_an_answer_end_waits(1, Safeguards { needs_release_answers: false, troubles: Troubles { running_work: true, ..Troubles::default() }, ..Safeguards::default() })]
 #[case::the_holders_own_name_ends_waits(1, Safeguards { compares_names: false, troubles: Troubles::all(), ..Safeguards::default() })]
 fn the_simulation_detects_a_missing_safeguard(#[case] first: u64, #[case] safeguards: Safeguards) {
     let is_found = |seed: &u64| {
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -1,9 +1,13 @@
 //! Simulation of a store, hosts and upstreams in virtual time, with injected faults and a check for two holders of a key.
 
 mod damage;
+mod followers;
 mod late_registry;
 mod network;
+mod processes;
 mod refusals;
+mod registry;
+mod releases;
 mod restored;
 mod settings;
 mod upstream;
@@ -11,10 +15,12 @@
 use damage::Damage;
 use late_registry::LateRegistry;
 use network::{GrantCalls, Message};
+use processes::LeftPorts;
+use registry::Registry;
+use releases::ReleaseCall;
 use restored::{Copies, Position};
 pub use settings::{FaultCounts, Safeguards, TIMING, Troubles};
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
-use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::Renewals;
 use skylarkdock_spans::table::{Holder, Keeper, Table};
 use skylarkdock_units::collections::FastMap;
@@ -48,6 +54,19 @@
     down_until: u64,
     believes_to_lead: bool,
     reachable_upstreams: Vec<bool>,
+    /// Time for which the host knows the registry.
+    registry_at: u64,
+    started_at: u64,
+    /// Host whose table and proof this one takes instead of reading the store.
+    follows: Option<usize>,
+    /// When the host reaches the store and the leader again.
+    isolated_until: u64,
+    /// Time for which the host knows that no table was newer; zero without proof.
+    proven_at: u64,
+    /// How late the host sees entries.
+    registry_delay: u64,
+    /// Sequence number that a suspended holder's entry had.
+    suspended_at_seq: FastMap<Holder, u64>,
 }
 
 pub struct Simulation {
@@ -56,6 +75,8 @@
     zone_size: usize,
     rng: fastrand::Rng,
     trouble_rng: fastrand::Rng,
+    left_ports: LeftPorts,
+    registry: Registry,
     pub now: u64,
     hosts: Vec<Host>,
     pub upstreams: Vec<Upstream>,
@@ -94,6 +115,8 @@
             zone_size,
             rng,
             trouble_rng: fastrand::Rng::with_seed(seed ^ TROUBLE_SEED),
+            left_ports: LeftPorts::default(),
+            registry: Registry::new(),
             now: 1_000,
             hosts,
             upstreams,
@@ -122,6 +145,8 @@
             host.reaches_store = true;
             host.reachable_upstreams = vec![true; UPSTREAMS];
             host.believes_to_lead = false;
+            host.follows = None;
+            host.isolated_until = 0;
         }
         self.hosts[0].believes_to_lead = true;
         for upstream in &mut self.upstreams {
@@ -136,6 +161,13 @@
         if self.injects_faults {
             self.inject_faults();
         }
+        if self.safeguards.troubles.has_registry() {
+            self.write_entries();
+        }
+        // Later on, moves that wait for work would leave no time at which all keys are held.
+        if self.safeguards.troubles.running_work && self.injects_faults {
+            self.start_work();
+        }
         self.deliver()?;
         for index in 0..HOSTS {
             let host = &self.hosts[index];
@@ -199,6 +231,9 @@
             if self.safeguards.has_foreign_entries && self.rng.bool() {
                 self.upstreams[index].change_address();
             }
+            if self.safeguards.troubles.reused_addresses {
+                self.reuse_addresses(index);
+            }
         }
         if self.safeguards.has_foreign_entries && self.rng.u32(..200) == 0 {
             let index = self.rng.usize(..UPSTREAMS);
@@ -227,6 +262,9 @@
         if self.safeguards.troubles.refusals {
             self.start_refusals();
         }
+        if self.safeguards.troubles.followers {
+            self.change_followers();
+        }
         if self.hosts.iter().filter(|host| host.believes_to_lead).count() > 1 {
             self.fault_counts.steps_with_several_leaders += 1;
         }
@@ -275,10 +313,15 @@
     }
 
     pub(super) fn reaches_store(&self, index: usize) -> bool {
-        self.hosts[index].reaches_store && !self.copies.is_away(self.now)
+        let host = &self.hosts[index];
+        host.reaches_store && self.now >= host.isolated_until && !self.copies.is_away(self.now)
     }
 
     fn read_store(&mut self, index: usize) {
+        if let Some(source) = self.hosts[index].follows {
+            self.ask_followed(index, source);
+            return self.read_registry(index);
+        }
         let reaches_store = self.reaches_store(index);
         let host = &mut self.hosts[index];
         if !reaches_store || self.now < host.read_at + 100 {
@@ -302,32 +345,15 @@
         }
         let proves = is_readable || !self.safeguards.searches_former_tables;
         let proof_age = if self.safeguards.has_late_proof { LATE_PROOF_MS } else { 0 };
-        host.renewals.on_read(HostTime(self.now.saturating_sub(proof_age)), proves);
-        // The registry confirms an incarnation one second after its suspension.
-        for (holder, at) in host.renewals.suspended() {
-            let is_confirmed = self.upstreams.iter().any(|upstream| {
-                upstream.listed_holder(self.now) == holder
-                    && upstream.reaches_store
-                    && upstream.is_up(self.now)
-            });
-            if is_confirmed && self.now > at.0 + 1_000 {
-                host.renewals.resume(&holder, HostTime(self.now));
-            }
-        }
+        let proof_at = self.now.saturating_sub(proof_age);
+        host.renewals.on_read(HostTime(proof_at), proves);
+        host.proven_at = host.proven_at.max(proof_at);
+        self.read_registry(index);
     }
 
     fn inputs(&mut self, index: usize) -> Inputs {
         let now = self.now;
-        let listed = |upstream: &&Upstream| {
-            upstream.is_up(now)
-                && (upstream.reaches_store || now < upstream.cut_at + ENTRY_EXPIRY_MS)
-        };
-        let candidates: Vec<Candidate> = self
-            .upstreams
-            .iter()
-            .filter(listed)
-            .map(|upstream| Candidate { holder: upstream.listed_holder(now), capacity: 10.0 })
-            .collect();
+        let candidates = self.candidates(index);
         // The hot key changes every two seconds, so that rebalancing moves keys.
         let hot = (now / 2_000 * 7_919) % 0x1_0000;
         let rates = vec![(u16::try_from(hot).unwrap_or_default(), 25.0)];
@@ -356,7 +382,9 @@
                 let Some(table) = self.hosts[index].renewals.table().cloned() else { return };
                 let other = (0..HOSTS).find(|other| host_id(*other) == host).unwrap_or_default();
                 let host = &mut self.hosts[other];
-                let is_running = self.now >= host.frozen_until && self.now >= host.down_until;
+                let is_running = self.now >= host.frozen_until
+                    && self.now >= host.down_until
+                    && (other == index || self.now >= host.isolated_until);
                 if is_running && self.rng.u32(..4) > 0 {
                     host.renewals.adopt(table);
                     let ack = host.renewals.ack(now);
@@ -367,10 +395,15 @@
             Action::Release(release) => {
                 let arrives_at = self.now + self.rng.u64(1..40);
                 let answered = self.rng.f64() >= self.late_share;
-                self.messages.push((
+                let call = ReleaseCall {
+                    leader: index,
+                    sender: index,
+                    release,
+                    sent_at: self.now,
                     arrives_at,
-                    Message::Release { from: index, release, arrives_at, answered },
-                ));
+                    answered,
+                };
+                self.messages.push((arrives_at, Message::Release(call)));
             }
             Action::Grant(grant) => {
                 self.send_grant(index, true, grant);
@@ -378,10 +411,23 @@
         }
     }
 
+    /// Fails if a key has two holders, or one while another upstream works on it.
     fn check(&self) -> Result<(), String> {
         for key in sample_keys() {
             let holders: Vec<&Upstream> =
                 self.upstreams.iter().filter(|upstream| upstream.holds(key, self.now)).collect();
+            for upstream in &self.upstreams {
+                let other = holders.iter().find(|holder| holder.port() != upstream.port());
+                if let Some(other) = other
+                    && upstream.works_on(key, self.now)
+                {
+                    let (at, ids) = (self.now, (other.holder().id, upstream.holder().id));
+                    return Err(format!(
+                        "at {at} key {key} is held by {} while {} works on it",
+                        ids.0, ids.1
+                    ));
+                }
+            }
             if holders.len() > 1 {
                 let names: Vec<String> = holders
                     .iter()
@@ -422,6 +468,13 @@
         down_until: 0,
         believes_to_lead: index == 0,
         reachable_upstreams: vec![true; UPSTREAMS],
+        registry_at: 0,
+        started_at,
+        follows: None,
+        isolated_until: 0,
+        proven_at: 0,
+        registry_delay: 0,
+        suspended_at_seq: FastMap::default(),
     }
 }
 
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -1,8 +1,11 @@
 //! Calls between hosts and upstreams, which may be delayed, lost or carried out without an answer.
 
 use super::Simulation;
+use super::followers::Told;
+use super::processes::Process;
+use super::releases::ReleaseCall;
 use skylarkdock_spans::end::{GrantEnd, NotEnded};
-use skylarkdock_spans::renewal::{Ack, CallEnd, Connection, Grant, Purpose, Release};
+use skylarkdock_spans::renewal::{Ack, CallEnd, Connection, Grant, Purpose};
 use skylarkdock_spans::table::{Holder, Table};
 use skylarkdock_units::times::HostTime;
 use std::collections::VecDeque;
@@ -42,12 +45,7 @@
         accepted_by: u64,
         index: usize,
     },
-    Release {
-        from: usize,
-        release: Release,
-        arrives_at: u64,
-        answered: bool,
-    },
+    Release(ReleaseCall),
     GrantResult {
         to: usize,
         by_leader: bool,
@@ -55,9 +53,10 @@
         end: GrantOutcome,
     },
     ReleaseResult {
-        to: usize,
-        release: Release,
+        call: ReleaseCall,
         end: Result<GrantEnd, NotEnded>,
+        /// Upstream that carries it out, and its incarnation.
+        accepted: Option<(usize, u64)>,
     },
     Ack {
         to: usize,
@@ -67,6 +66,16 @@
         from: usize,
         table: Table,
     },
+    Ask {
+        from: usize,
+        to: usize,
+        asked_at: u64,
+        waited: u64,
+    },
+    Tell {
+        to: usize,
+        told: Told,
+    },
 }
 
 impl Simulation {
@@ -106,7 +115,8 @@
         let is_connected = calls.is_some_and(|calls| calls.connected_to.is_some());
         let index = self.index_of(&grant.holder);
         let is_direct = self.hosts[from].reachable_upstreams[index];
-        let conn = if is_connected && is_direct { Connection::Open } else { Connection::New };
+        let is_open = is_connected && is_direct || !self.safeguards.checks_connections;
+        let conn = if is_open { Connection::Open } else { Connection::New };
         if conn == Connection::New {
             self.refresh_proof(from, &grant.holder);
         }
@@ -154,6 +164,14 @@
         // Nothing listens at other addresses, or another upstream, which refuses the call.
         let is_up = upstream.is_up(now) && upstream.holder().addr == grant.holder.addr;
         let born = upstream.born();
+        let other = self.other_process(&grant.holder);
+        let is_connected = self
+            .calls
+            .get(&(from, grant.holder.clone()))
+            .is_some_and(|calls| calls.connected_to.is_some());
+        if let Some(other) = other.filter(|_| is_reached && is_direct && !is_connected) {
+            return self.grant_to_other(from, by_leader, grant, other);
+        }
         let key = (from, grant.holder.clone());
         let calls = self.calls.entry(key).or_default();
         let mut end = None;
@@ -199,6 +217,32 @@
         }
     }
 
+    /// Sends a grant over a new connection to another process than the one that it is meant for.
+    fn grant_to_other(&mut self, from: usize, by_leader: bool, grant: Grant, other: Process) {
+        let arrives_at = self.now + 20;
+        match other {
+            Process::Upstream(index) if !self.safeguards.names_processes => {
+                let accepted_by = self.upstreams[index].born();
+                let message = Message::Grant {
+                    from,
+                    by_leader,
+                    grant,
+                    arrives_at,
+                    carried_out_at: arrives_at,
+                    answered: true,
+                    accepted_by,
+                    index,
+                };
+                self.messages.push((arrives_at, message));
+            }
+            Process::Upstream(_) | Process::Stranger => {
+                let end = self.refuse_as_other();
+                let result = Message::GrantResult { to: from, by_leader, grant, end };
+                self.messages.push((arrives_at, result));
+            }
+        }
+    }
+
     fn on_grant_end(&mut self, to: usize, by_leader: bool, grant: &Grant, end: GrantOutcome) {
         let now = HostTime(self.now);
         let host = &mut self.hosts[to];
@@ -301,28 +345,7 @@
                     self.messages.push((at, result));
                 }
             }
-            Message::Release { from, release, arrives_at, answered } => {
-                let reached = self.reachable_upstream(from, &release.holder);
-                let reached = reached.filter(|i| self.upstreams[*i].started_at <= arrives_at);
-                let refusal = reached.and_then(|index| self.refuse_release(index, &release.holder));
-                let end = match reached {
-                    Some(_) if let Some(refusal) = refusal => refusal,
-                    Some(index) => {
-                        self.upstreams[index].release(&release);
-                        if answered {
-                            Ok(GrantEnd::released(Some("h".to_owned())))
-                        } else {
-                            Err(NotEnded::Unknown)
-                        }
-                    }
-                    _ => {
-                        self.fault_counts.lost_releases += 1;
-                        Err(NotEnded::Unknown)
-                    }
-                };
-                let at = self.now + 100;
-                self.messages.push((at, Message::ReleaseResult { to: from, release, end }));
-            }
+            Message::Release(call) => self.on_release(call),
             Message::GrantResult { to, by_leader, grant, end } => {
                 if let Some(calls) = self.calls.get_mut(&(to, grant.holder.clone())) {
                     calls.is_busy = false;
@@ -332,10 +355,8 @@
                 }
                 self.on_grant_end(to, by_leader, &grant, end);
             }
-            Message::ReleaseResult { to, release, end } => {
-                if let Some(leader) = &mut self.hosts[to].leader {
-                    leader.on_released(&release, end, HostTime(self.now));
-                }
+            Message::ReleaseResult { call, end, accepted } => {
+                self.on_release_result(call, end, accepted);
             }
             Message::Write { from, table } if self.now < self.hosts[from].frozen_until => {
                 let at = self.hosts[from].frozen_until;
@@ -346,6 +367,8 @@
                     self.write(from, table);
                 }
             }
+            Message::Ask { from, to, asked_at, waited } => self.tell(from, to, asked_at, waited),
+            Message::Tell { to, told } => self.on_told(to, told),
             Message::Ack { to, ack } => {
                 if let Some(leader) = &mut self.hosts[to].leader {
                     leader.on_ack(ack, HostTime(self.now));
@@ -367,13 +390,4 @@
             other != from && is_running && host.reachable_upstreams[index]
         })
     }
-
-    /// Returns the index of the upstream at a holder's address if a host reaches it, of whatever incarnation.
-    fn reachable_upstream(&self, from: usize, holder: &Holder) -> Option<usize> {
-        let index = self.index_of(holder);
-        let is_reached = self.hosts[from].reachable_upstreams[index];
-        let upstream = &self.upstreams[index];
-        let is_there = upstream.is_up(self.now) && upstream.holder().addr == holder.addr;
-        (is_reached && is_there).then_some(index)
-    }
 }
--- a/crates/spans/tests/simulation/settings.rs
+++ b/crates/spans/tests/simulation/settings.rs
@@ -42,6 +42,16 @@
     pub doubts_bare_refusals: bool,
     /// Whether a refusal ends the wait for a holder only if it names another process.
     pub compares_names: bool,
+    /// Whether calls name the process that they are meant for, so that another one refuses them.
+    pub names_processes: bool,
+    /// Whether hosts open connections to holders only by recent proof or a recent answer.
+    pub checks_connections: bool,
+    /// Whether proof that a host takes from another one gets older on its way.
+    pub ages_proof: bool,
+    /// Whether a release of another host, whose answer is lost, ends no wait.
+    pub needs_peer_answers: bool,
+    /// Whether a release without an answer ends no wait.
+    pub needs_release_answers: bool,
     /// Further troubles, which are no safeguards.
     pub troubles: Troubles,
 }
@@ -51,12 +61,35 @@
 pub struct Troubles {
     /// Whether upstreams refuse calls before they look at them, some with a bare status and some by their own name.
     pub refusals: bool,
+    /// Whether other processes listen at addresses that upstreams have left, also while the registry still shows the
+    /// former ones.
+    pub reused_addresses: bool,
+    /// Whether hosts see entries late, each by another time.
+    pub late_entries: bool,
+    /// Whether hosts take proof of the newest table from others instead of the store.
+    pub followers: bool,
+    /// Whether hosts send releases for others that had no answer, and their answers get lost.
+    pub peer_releases: bool,
+    /// Whether upstreams work on keys for some seconds, and answer a release only when that work has ended.
+    pub running_work: bool,
 }
 
 impl Troubles {
+    /// Returns whether hosts see the entries that upstreams wrote rather than the upstreams that run.
+    pub const fn has_registry(&self) -> bool {
+        self.reused_addresses || self.late_entries
+    }
+
     /// Returns the settings with all troubles at once.
     pub const fn all() -> Self {
-        Self { refusals: true }
+        Self {
+            refusals: true,
+            reused_addresses: true,
+            late_entries: true,
+            followers: true,
+            peer_releases: true,
+            running_work: true,
+        }
     }
 }
 
@@ -82,6 +115,11 @@
             has_restored_store: false,
             doubts_bare_refusals: true,
             compares_names: true,
+            names_processes: true,
+            checks_connections: true,
+            ages_proof: true,
+            needs_peer_answers: true,
+            needs_release_answers: true,
             troubles: Troubles::default(),
         }
     }
@@ -120,6 +158,20 @@
     /// Releases that a running holder refused before it looked at them, and grants and renewals.
     pub refused_releases: u64,
     pub refused_grants: u64,
+    /// Upstreams that started at the former address of another one.
+    pub reused_addresses: u64,
+    /// Calls that reached another process than the one that they were meant for.
+    pub replaced_holders: u64,
+    /// Renewals that were resumed by an entry written before their suspension.
+    pub stale_resumptions: u64,
+    /// Answers by which hosts took proof from others.
+    pub told_proofs: u64,
+    /// Releases that were sent over another host, and of these the ones whose answer was lost.
+    pub peer_releases: u64,
+    pub lost_peer_answers: u64,
+    /// Releases that waited for work, and of these the ones that were sent again meanwhile.
+    pub waiting_releases: u64,
+    pub repeated_releases: u64,
 }
 
 impl AddAssign for FaultCounts {
@@ -145,5 +197,13 @@
         self.losses_in_moves += other.losses_in_moves;
         self.refused_releases += other.refused_releases;
         self.refused_grants += other.refused_grants;
+        self.reused_addresses += other.reused_addresses;
+        self.replaced_holders += other.replaced_holders;
+        self.stale_resumptions += other.stale_resumptions;
+        self.told_proofs += other.told_proofs;
+        self.peer_releases += other.peer_releases;
+        self.lost_peer_answers += other.lost_peer_answers;
+        self.waiting_releases += other.waiting_releases;
+        self.repeated_releases += other.repeated_releases;
     }
 }
--- a/crates/spans/tests/simulation/upstream.rs
+++ b/crates/spans/tests/simulation/upstream.rs
@@ -11,6 +11,15 @@
     until: u64,
 }
 
+/// Work on a key, which ends with the grant of the key at the latest.
+#[derive(Debug, Clone, Copy)]
+struct Work {
+    key: u16,
+    until: u64,
+    /// End of the grant that was in force as the key was released; zero before that.
+    released_until: u64,
+}
+
 pub struct Upstream {
     index: usize,
     born: u64,
@@ -27,6 +36,7 @@
     foreign: Option<(Holder, u64)>,
     /// When it stops turning most calls away before it looks at them.
     pub refuses_until: u64,
+    works: Vec<Work>,
 }
 
 /// Ports between the addresses of two incarnations of an upstream.
@@ -48,6 +58,7 @@
             port: 9_000 + u16::try_from(index).unwrap_or_default(),
             foreign: None,
             refuses_until: 0,
+            works: Vec::new(),
         }
     }
 
@@ -80,6 +91,7 @@
         self.started_at = now + down_ms;
         self.down_until = now + down_ms;
         self.held.clear();
+        self.works.clear();
         self.seen_fences.clear();
     }
 
@@ -88,6 +100,14 @@
         self.port += PORTS_PER_MOVE;
     }
 
+    pub const fn port(&self) -> u16 {
+        self.port
+    }
+
+    pub const fn set_port(&mut self, port: u16) {
+        self.port = port;
+    }
+
     /// Puts an entry with a later start in place of the upstream's, until the upstream writes its own again.
     pub fn overwrite_entry(&mut self, born_increase: u64, is_elsewhere: bool, until: u64) {
         let own = self.holder();
@@ -98,10 +118,13 @@
 
     /// Returns the incarnation that the registry shows.
     pub fn listed_holder(&self, now: u64) -> Holder {
-        match &self.foreign {
-            Some((holder, until)) if now < *until => holder.clone(),
-            _ => self.holder(),
-        }
+        self.foreign_entry(now).unwrap_or_else(|| self.holder())
+    }
+
+    /// Returns the entry of another writer that stands in place of the upstream's.
+    pub fn foreign_entry(&self, now: u64) -> Option<Holder> {
+        let (holder, until) = self.foreign.as_ref()?;
+        (now < *until).then(|| holder.clone())
     }
 
     /// Carries out a grant that arrived at `arrived`, from which time its lifetime counts.
@@ -135,7 +158,45 @@
         Ok(CallEnd::Done)
     }
 
+    /// Begins to work on a key if it is held.
+    pub fn work(&mut self, key: u16, now: u64, until: u64) {
+        let held_until = self.held_until(key);
+        self.works.retain(|work| now < work.until && now < work.released_until.max(held_until));
+        if self.holds(key, now) {
+            self.works.push(Work { key, until, released_until: 0 });
+        }
+    }
+
+    /// Returns whether work on a key runs, within the time of its grant.
+    pub fn works_on(&self, key: u16, now: u64) -> bool {
+        let held_until = self.held_until(key);
+        let is_running = |work: &Work| {
+            work.key == key && now < work.until && now < work.released_until.max(held_until)
+        };
+        self.is_up(now) && self.works.iter().any(is_running)
+    }
+
+    /// Returns when the work on the keys of a release has ended.
+    pub fn idle_at(&self, release: &Release, now: u64) -> u64 {
+        let works = self.works.iter().filter(|w| release.first <= w.key && w.key <= release.last);
+        works.map(|work| work.until.min(work.released_until)).max().unwrap_or(now).max(now)
+    }
+
+    /// Returns whether work on keys that were released before still runs.
+    pub fn is_releasing(&self, release: &Release, now: u64) -> bool {
+        let mut works = self.works.iter();
+        let is_of = |work: &Work| release.first <= work.key && work.key <= release.last;
+        works.any(|work| is_of(work) && now < work.until.min(work.released_until))
+    }
+
+    fn held_until(&self, key: u16) -> u64 {
+        let held = self.held.iter().filter(|held| held.first <= key && key <= held.last);
+        held.map(|held| held.until).max().unwrap_or(0)
+    }
+
     pub fn release(&mut self, release: &Release) {
+        let works = std::mem::take(&mut self.works);
+        self.works = works.into_iter().map(|work| self.with_release(work, release)).collect();
         let mut remaining = Vec::new();
         for held in self.held.drain(..) {
             if held.last < release.first || held.first > release.last {
@@ -153,6 +214,13 @@
         self.seen_fences.push((release.first, release.last, release.fence));
     }
 
+    /// Returns work on a key whose grant is no longer renewed if it is released.
+    fn with_release(&self, work: Work, release: &Release) -> Work {
+        let is_released = release.first <= work.key && work.key <= release.last;
+        let held_until = if is_released { self.held_until(work.key) } else { 0 };
+        Work { released_until: work.released_until.max(held_until), ..work }
+    }
+
     pub fn holds(&self, key: u16, now: u64) -> bool {
         self.is_up(now)
             && self
