Follow tables that the store lost when it came back from an older copy

What callers could see: keys that no host serves for good, and upstreams that accept keys with a fencing token that another one had.

Cause: after the store came back from an older copy, a leader that had not known the lost tables went on from the older one. It used their versions and tokens again: upstreams that had seen them refused the grants, or two of them accepted the same token, and hosts that knew a lost table of a larger version took no newer one. A read of the older table was proof of whatever table a host knew, and an acknowledgement of a lost version passed for one of a later table.

Change: a table names the copy of the store that it was recorded in. A read of a later copy proves nothing of it, so keepers go on by their last proof until the leader has recorded the next version in that copy. Before that, the leader asks all other hosts what they remember. If every one answers and has run since the latest proof of any of them, the newest version is the last one, and its grants go on. If not, all keys are granted anew, with larger tokens, once all grants must have expired.

What remains: while one host does not answer, or has started since, keys may have no owner from the end of the last proof to the end of that wait, and the leader records no change meanwhile. A host of an earlier version never answers and gives no such table. A fleet in which all hosts start anew after its very first table was lost counts from 1 again.

--- a/crates/edge/benches/changes.rs
+++ b/crates/edge/benches/changes.rs
@@ -77,6 +77,7 @@
         leader: "h".parse().unwrap(),
         keepers: Vec::new(),
         retired: Vec::new(),
+        copy: None,
         next_fence: FencingToken(2),
         spans: (0..SPANS).map(span).collect(),
     }
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -10,6 +10,7 @@
 pub mod key_maps;
 pub mod known_records;
 mod lateness;
+mod lost_tables;
 mod owners;
 mod peers;
 mod registration;
@@ -186,6 +187,8 @@
     known_records: known_records::KnownRecords,
     /// Ownership tables of which the newest record can't be read.
     unreadable_tables: table_search::UnreadableTables,
+    /// What other hosts told of tables that the store may have lost.
+    recalled_tables: lost_tables::RecalledTables,
     /// When each host last sent this one a sample.
     last_sample_at: FastMap<HostId, HostTime>,
     /// Hosts that said in their last sample that they reach no upstream.
@@ -210,6 +213,7 @@
             fleet_end: 0,
             known_records: known_records::KnownRecords::default(),
             unreadable_tables: table_search::UnreadableTables::default(),
+            recalled_tables: lost_tables::RecalledTables::default(),
             last_sample_at: FastMap::default(),
             cut_off: FastSet::default(),
             rests: FastMap::default(),
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -1,6 +1,6 @@
 //! Renewal of grants and, on the leader, the actions that change owners of keys.
 
-use super::{Control, FleetState, HostRecord, store_sync};
+use super::{Control, FleetState, HostRecord, lost_tables, store_sync};
 use crate::client::{ControlClient, Failure, Outgoing, Reply};
 use crate::clock;
 use crate::detour::DetourError;
@@ -17,6 +17,7 @@
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::{CallEnd, Connection, Grant, Purpose, Release};
 use skylarkdock_spans::resting::is_widely_resting;
+use skylarkdock_spans::restored::Recall;
 use skylarkdock_spans::table::{Holder, Keeper, Table};
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId};
@@ -324,7 +325,8 @@
         }
         for service in services {
             self.search_table(&service);
-            let leader_inputs = self.leader_inputs(&service, now);
+            let recall = self.recall_table(&service);
+            let leader_inputs = Inputs { recall, ..self.leader_inputs(&service, now) };
             let actions = {
                 let mut owners = self.owners.borrow_mut();
                 let table =
@@ -393,6 +395,7 @@
         let key = store_sync::table_key(service);
         let is_record_unreadable = fleet.unreadable_tables.contains(&key);
         let search = fleet.unreadable_tables.search(&key);
+        let copy = Some(lost_tables::copy_of(fleet.fleet_end));
         drop(owners);
         drop(fleet);
         Inputs {
@@ -403,6 +406,8 @@
             is_leaving: self.is_handing_over.get(),
             is_record_unreadable,
             search,
+            copy,
+            recall: Recall::Certain,
         }
     }
 
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -20,6 +20,7 @@
 use skylarkdock_http1::head::Headers;
 use skylarkdock_spans::end::{GrantEnd, NotEnded};
 use skylarkdock_spans::renewal::{Ack, Release};
+use skylarkdock_spans::restored::Memory;
 use skylarkdock_spans::table::Table;
 use skylarkdock_units::ids::{HostId, ServiceName, UpstreamId};
 use skylarkdock_units::times::Millis;
@@ -31,6 +32,7 @@
 const LOAD_PATH: &str = "/load";
 const TABLE_PATH: &str = "/table";
 const KNOWN_TABLE_PATH: &str = "/known-table";
+const MEMORY_PATH: &str = "/remembered-table";
 const RELEASE_PATH: &str = "/release";
 pub(super) const UPDATES_PATH: &str = "/news";
 
@@ -78,6 +80,8 @@
             KNOWN_TABLE_PATH => {
                 serde_json::from_slice(&req.body).map(|service| self.on_table_request(&service))
             }
+            MEMORY_PATH => serde_json::from_slice(&req.body)
+                .map(|service: ServiceName| encode(&self.memory(&service))),
             RELEASE_PATH => match serde_json::from_slice::<Release>(&req.body) {
                 Ok(release) => Ok(encode(&PeerRelease::from(self.send_release(&release).await))),
                 Err(e) => Err(e),
@@ -208,6 +212,28 @@
         }
     }
 
+    /// Requests what another host remembers of the table of a service; `None` also if it is of an earlier version.
+    pub(super) async fn request_memory(
+        &self,
+        addr: SocketAddr,
+        service: &ServiceName,
+    ) -> Option<Memory> {
+        let body = match self.call_peer(addr, MEMORY_PATH, service).await {
+            Ok(body) => body,
+            Err(e) => {
+                log::info!(peer:% = addr, error:% = e; "peers: request for a remembered table failed");
+                return None;
+            }
+        };
+        match serde_json::from_slice(&body) {
+            Ok(memory) => Some(memory),
+            Err(e) => {
+                log::warn!(peer:% = addr, error:% = e; "peers: can't decode a remembered table");
+                None
+            }
+        }
+    }
+
     /// Sends a sample to the leader, over a connection that is kept as long as the leader stays the same.
     pub(super) async fn send_sample(&self, sample: Sample) {
         let leader = {
--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -3,7 +3,7 @@
 
 use super::config_page::ConfigPage;
 use super::registry::{Registry, RegistryChange, RegistryPage};
-use super::{Control, FleetState, HOST_PREFIX, HostRecord};
+use super::{Control, FleetState, HOST_PREFIX, HostRecord, lost_tables};
 use crate::clock;
 use crate::store::{Page, Record, StoreError, Topic};
 use async_io::Timer;
@@ -452,7 +452,7 @@
             let fleet = self.fleet.borrow();
             for (service, renewals) in &mut self.owners.borrow_mut().renewals {
                 let is_readable = !fleet.unreadable_tables.contains(&table_key(service));
-                renewals.on_read(asked_at, is_readable);
+                renewals.on_read(asked_at, lost_tables::copy_of(page.next), is_readable);
             }
         }
         if changed {
--- a/crates/edge/tests/listing.rs
+++ b/crates/edge/tests/listing.rs
@@ -101,6 +101,7 @@
         leader: "h".parse().unwrap(),
         keepers: Vec::new(),
         retired: Vec::new(),
+        copy: None,
         next_fence: FencingToken(100),
         spans: spans.collect(),
     }
--- a/crates/edge/tests/table_reader.rs
+++ b/crates/edge/tests/table_reader.rs
@@ -25,6 +25,7 @@
         leader: "h".parse().unwrap(),
         keepers: Vec::new(),
         retired: Vec::new(),
+        copy: None,
         next_fence: FencingToken(1_000),
         spans,
     }
--- a/crates/freshness/src/copies.rs
+++ b/crates/freshness/src/copies.rs
@@ -21,6 +21,11 @@
     pub const fn of(number: u64) -> Self {
         Self((number & ((1 << (u64::BITS - INDEX_BITS)) - 1)) as u32)
     }
+
+    /// Returns the number without its type.
+    pub const fn get(self) -> u32 {
+        self.0
+    }
 }
 
 impl fmt::Display for CopyNumber {
@@ -61,6 +66,8 @@
     copy: Option<CopyNumber>,
     /// When this host first knew it.
     known_at: HostTime,
+    /// Whether this host knew an earlier copy.
+    is_restored: bool,
 }
 
 impl KnownCopy {
@@ -77,9 +84,20 @@
         }
         let before = self.copy.replace(copy);
         self.known_at = now;
+        self.is_restored = before.is_some();
         before
     }
 
+    /// Returns when this host first knew the copy; zero until anything is known of the store.
+    pub const fn known_at(&self) -> HostTime {
+        self.known_at
+    }
+
+    /// Returns whether the store came back from an older copy since this host first read it.
+    pub const fn is_restored(&self) -> bool {
+        self.is_restored
+    }
+
     /// Returns whether a read that was sent at `asked_at` shows which configuration is the newest one. While operators
     /// write again what the store lost, it does not. A host that starts can't tell when the store came back.
     pub fn shows_newest(&self, asked_at: HostTime) -> bool {
--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -9,6 +9,7 @@
 use crate::lost::Search;
 use crate::plan::{self, Candidate};
 use crate::renewal::{Ack, CallEnd, Grant, LastSent, Release};
+use crate::restored::{self, Recall, StoreCopy};
 use crate::table::{FencingToken, Holder, Keeper, Span, Table};
 use crate::timing::Timing;
 use skylarkdock_units::collections::{FastMap, FastSet};
@@ -76,6 +77,10 @@
     pub is_record_unreadable: bool,
     /// State of the search for the version before such a record.
     pub search: Search,
+    /// The copy of the store that is known.
+    pub copy: Option<StoreCopy>,
+    /// Whether the leader knows the last version of a table that an earlier copy had.
+    pub recall: Recall,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -454,7 +459,10 @@
         let Some(table) = self.table.clone() else {
             return self.first_table(inputs, &candidates, now);
         };
-        let mut next = table.clone();
+        let mut next = match inputs.copy.filter(|copy| table.is_of_earlier_copy(*copy)) {
+            Some(copy) => restored::carried_on(&table, copy, inputs.recall, self.timing, now)?,
+            None => table.clone(),
+        };
         self.mark_granted(&mut next);
         let available: FastSet<&Holder> = candidates.iter().map(|c| &c.holder).collect();
         let has_lost_owner = |span: &Span| !available.contains(&span.owner);
@@ -476,7 +484,8 @@
     /// Returns `next` with the version after that of `table`, `None` if the two are equal and the recorded one can be read.
     fn with_next_version(next: Table, table: &Table, inputs: &Inputs) -> Option<Table> {
         let is_due = next != *table || inputs.is_record_unreadable;
-        is_due.then(|| Table { version: table.version + 1, ..next })
+        let copy = inputs.copy.or(next.copy);
+        is_due.then(|| Table { version: next.version + 1, copy, ..next })
     }
 
     fn first_table(
@@ -500,11 +509,12 @@
         let (version, fence) = if inputs.is_record_unreadable {
             inputs.search.unused_numbers(self.timing, now)?
         } else {
-            (1, FencingToken(1))
+            inputs.recall.first_numbers(inputs.copy, self.timing, now)?
         };
         let mut table = Table {
             service: self.service.clone(),
             version,
+            copy: inputs.copy,
             leader: self.own_host.clone(),
             keepers: Vec::new(),
             retired: Vec::new(),
--- a/crates/spans/src/lib.rs
+++ b/crates/spans/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod plan;
 pub mod renewal;
 pub mod resting;
+pub mod restored;
 pub mod table;
 pub mod timing;
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -3,6 +3,7 @@
 //! A keeper renews the grants recorded in the newest table that it knows. It stops `proof_lifetime` after its last
 //! proof that no newer table exists, so a leader that can't reach it knows when its renewals have ended.
 
+use crate::restored::{Memory, StoreCopy};
 use crate::table::{FencingToken, Holder, Span, Table};
 use crate::timing::Timing;
 use serde::{Deserialize, Serialize};
@@ -196,14 +197,25 @@
         }
     }
 
-    /// Handles a read of the store that was sent at `at`. If the newest record of the table can't be read, it may be a newer
-    /// table, so the read proves nothing.
-    pub fn on_read(&mut self, at: HostTime, is_readable: bool) {
-        if is_readable {
+    /// Handles a read of a copy of the store that was sent at `at`. If the newest record of the table can't be read, it may be
+    /// a newer table, and if the known one was recorded in an earlier copy, a newer one may be lost. Then the read proves
+    /// nothing.
+    pub fn on_read(&mut self, at: HostTime, copy: StoreCopy, is_readable: bool) {
+        let is_earlier = self.table.as_ref().is_some_and(|table| table.is_of_earlier_copy(copy));
+        if is_readable && !is_earlier {
             self.prove(at);
         }
     }
 
+    /// Returns what this process remembers of the table, for a leader that may not know the last version.
+    pub fn memory(&self, now: HostTime) -> Memory {
+        Memory {
+            table: self.table.clone(),
+            proof_age: (self.proof_at.0 > 0).then(|| now.since(self.proof_at)),
+            running: now.since(self.started_at),
+        }
+    }
+
     /// Returns whether the last proof is recent enough for this host to send grants of its table.
     pub fn has_proof(&self, now: HostTime) -> bool {
         self.proof_at.0 > 0 && now.since(self.proof_at) < self.timing.proof_lifetime
@@ -305,9 +317,13 @@
 
     /// Returns whether a table that was planned earlier may still be written: it must follow the newest one known, if there
     /// is one. The store only checks that this host knows all records, and meanwhile it may have read a table of another
-    /// leader.
+    /// leader. The first version in a copy of the store leaves out some numbers.
     pub fn confirm_write(&self, table: &Table) -> bool {
-        self.table.as_ref().is_none_or(|known| table.version == known.version + 1)
+        self.table.as_ref().is_none_or(|known| {
+            let is_first_in_copy = table.copy.is_some_and(|copy| known.is_of_earlier_copy(copy));
+            table.version == known.version + 1
+                || (is_first_in_copy && table.version > known.version)
+        })
     }
 
     /// Records that the upstream confirmed a grant which this host sent as leader.
--- a/crates/spans/src/table.rs
+++ b/crates/spans/src/table.rs
@@ -1,6 +1,7 @@
 //! The ownership table of a service, as it is stored: each key's owner, and the grants that a change has to end first.
 
 use crate::renewal::Grant;
+use crate::restored::StoreCopy;
 use serde::{Deserialize, Serialize};
 use skylarkdock_units::ids::{HostId, Region, ServiceName, UpstreamId, Zone};
 use skylarkdock_units::measures::HostSize;
@@ -123,6 +124,9 @@
     pub service: ServiceName,
     /// Version of the record, increased by one with each replacement.
     pub version: u64,
+    /// Copy of the store that the version was recorded in; `None` in versions of hosts that did not know of copies.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub copy: Option<StoreCopy>,
     /// Host that wrote this version and carries out its changes.
     pub leader: HostId,
     /// Hosts that renew grants, including the leader.
@@ -135,7 +139,8 @@
     pub spans: Vec<Span>,
 }
 
-/// Largest version and next fencing token of a consistent table. Hosts count from 1, some numbers a second.
+/// Largest version and next fencing token of a consistent table. Hosts count from 1, some numbers a second, and leave some
+/// out for each copy of the store.
 const MAX_NUMBER: u64 = 1 << 53;
 
 /// Inconsistency found by [`Table::check`].
@@ -184,6 +189,11 @@
         self.spans.get(index)
     }
 
+    /// Returns whether the version was recorded in a copy of the store before `copy`.
+    pub fn is_of_earlier_copy(&self, copy: StoreCopy) -> bool {
+        self.copy.is_some_and(|own| own < copy)
+    }
+
     /// Returns whether the table has a span whose owner's grant is not recorded.
     pub fn has_pending_spans(&self) -> bool {
         self.spans.iter().any(|span| !span.is_granted)
--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -172,9 +172,24 @@
         sum.losses += fault_counts.losses;
         sum.lost_records += fault_counts.lost_records;
         sum.losses_in_moves += fault_counts.losses_in_moves;
+        sum.uncertain_recalls += fault_counts.uncertain_recalls;
     }
     println!("{cases} cases: {sum:?}");
     assert!(sum.losses_in_moves > 0);
+    assert!(sum.uncertain_recalls > 0);
+}
+
+/// Checks the simulation itself: a leader that goes on from an older table without asking the others grants keys with tokens
+/// that were used.
+#[test]
+fn the_simulation_detects_tokens_that_are_handed_out_again() {
+    let (has_restored_store, recalls_lost_tables) = (true, false);
+    let safeguards =
+        Safeguards { has_restored_store, recalls_lost_tables, ..Safeguards::default() };
+    let found = (1..400).any(|seed| {
+        run(seed, safeguards).is_err_and(|violation| violation.contains("accepted key"))
+    });
+    assert!(found, "no seed finds a token that is handed out again");
 }
 
 /// Another writer damages records of tables, and hosts that start know no table.
--- a/crates/spans/tests/lost_table.rs
+++ b/crates/spans/tests/lost_table.rs
@@ -7,6 +7,7 @@
 use skylarkdock_spans::lost::{self, LogSearch, LostTable, Search};
 use skylarkdock_spans::plan::{self, Candidate};
 use skylarkdock_spans::renewal::Renewals;
+use skylarkdock_spans::restored::StoreCopy;
 use skylarkdock_spans::table::{FencingToken, Holder, Keeper, Table};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::measures::HostSize;
@@ -50,6 +51,7 @@
         leader: "other".parse().unwrap(),
         keepers: Vec::new(),
         retired: Vec::new(),
+        copy: None,
         next_fence: FencingToken(2),
         spans: plan::initial_spans(&[candidate()], FencingToken(1)),
     }
@@ -101,9 +103,9 @@
 fn a_record_that_cannot_be_read_is_no_proof() {
     let mut renewals = renewals();
     renewals.adopt(table(6));
-    renewals.on_read(START, true);
+    renewals.on_read(START, StoreCopy::default(), true);
     for second in 1..20 {
-        renewals.on_read(START + Millis(second * 1_000), false);
+        renewals.on_read(START + Millis(second * 1_000), StoreCopy::default(), false);
     }
     assert!(!renewals.has_proof(START + TIMING.proof_lifetime));
 }
--- a/crates/spans/tests/other_hosts_grants.rs
+++ b/crates/spans/tests/other_hosts_grants.rs
@@ -52,6 +52,7 @@
         leader: "h".parse().unwrap(),
         keepers: vec![keeper("h", "z"), keeper("k", "y")],
         retired: Vec::new(),
+        copy: None,
         next_fence: FencingToken(fence + 1),
         spans: vec![Span {
             first: 0,
--- a/crates/spans/tests/plan.rs
+++ b/crates/spans/tests/plan.rs
@@ -30,6 +30,7 @@
         leader: "h".parse().unwrap(),
         keepers: Vec::new(),
         retired: Vec::new(),
+        copy: None,
         next_fence: FencingToken(2),
         spans,
     }
--- a/crates/spans/tests/refused_renewals.rs
+++ b/crates/spans/tests/refused_renewals.rs
@@ -41,6 +41,7 @@
         leader: "h".parse().unwrap(),
         keepers: vec![keeper],
         retired: Vec::new(),
+        copy: None,
         next_fence: FencingToken(2),
         spans: vec![span],
     });
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -62,6 +62,8 @@
     pub has_late_registry: bool,
     /// Whether the store comes back from older copies of itself. Not a safeguard either.
     pub has_restored_store: bool,
+    /// Whether a leader asks the other hosts for the versions of the table that the store may have lost.
+    pub recalls_lost_tables: bool,
 }
 
 pub const TIMING: Timing =
@@ -84,6 +86,7 @@
             has_damaged_records: false,
             has_late_registry: false,
             has_restored_store: false,
+            recalls_lost_tables: true,
         }
     }
 }
@@ -97,6 +100,11 @@
     version_read: u64,
     /// End of the log when this host read it last.
     read_to: Position,
+    /// When it first read the copy of the store.
+    copy_known_at: u64,
+    /// Whether it read an earlier copy.
+    is_restored: bool,
+    has_read: bool,
     damage: damage::Seen,
     read_at: u64,
     reaches_store: bool,
@@ -136,6 +144,8 @@
     pub losses: u64,
     pub lost_records: u64,
     pub losses_in_moves: u64,
+    /// Steps in which a leader did not know whether it knew the last version that the store had.
+    pub uncertain_recalls: u64,
 }
 
 pub struct Simulation {
@@ -343,7 +353,9 @@
     fn lead(&mut self, index: usize) {
         let now = HostTime(self.now);
         let search = self.search_former_table(index);
-        let inputs = Inputs { search, ..self.inputs(index) };
+        let recall = self.recall_lost_tables(index);
+        let copy = Some(self.hosts[index].copy());
+        let inputs = Inputs { search, recall, copy, ..self.inputs(index) };
         let host = &mut self.hosts[index];
         let table = host.renewals.table().cloned();
         let leader = host.leader.get_or_insert_with(|| {
@@ -370,7 +382,7 @@
             return;
         }
         host.read_at = self.now;
-        host.read_to = self.copies.position();
+        host.record_position(self.copies.position(), self.now);
         let is_readable = self.damage.read(&mut host.damage, self.log_end, self.now);
         if let Some(table) = self.log.last()
             && is_readable
@@ -384,7 +396,8 @@
         }
         let proves = is_readable || !self.safeguards.searches_former_tables;
         let proof_age = if self.safeguards.has_late_proof { LATE_PROOF_MS } else { 0 };
-        host.renewals.on_read(HostTime(self.now.saturating_sub(proof_age)), proves);
+        let copy = host.copy();
+        host.renewals.on_read(HostTime(self.now.saturating_sub(proof_age)), copy, proves);
         // The registry confirms an incarnation one second after its suspension.
         for (holder, at) in host.renewals.suspended() {
             let is_confirmed = self.upstreams.iter().any(|upstream| {
@@ -497,6 +510,9 @@
         leader: None,
         version_read: 0,
         read_to: Position::default(),
+        copy_known_at: started_at,
+        is_restored: false,
+        has_read: false,
         damage: damage::Seen::default(),
         read_at: 0,
         reaches_store: true,
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -127,7 +127,8 @@
                 Some(end) => host.read_to == end,
                 None => host.renewals.table().map_or(0, |known| known.version) == newest,
             };
-            host.renewals.on_read(now, knows_newest && !is_damaged);
+            let copy = host.copy();
+            host.renewals.on_read(now, copy, knows_newest && !is_damaged);
         }
     }
 
--- a/crates/spans/tests/simulation/restored.rs
+++ b/crates/spans/tests/simulation/restored.rs
@@ -1,10 +1,12 @@
 //! A store that is away for a moment and comes back from an older copy, and the check that fencing tokens of a key grow all the
 //! same.
 
-use super::{Simulation, sample_keys};
+use super::{HOSTS, Host, Simulation, sample_keys};
 use skylarkdock_spans::renewal::Grant;
+use skylarkdock_spans::restored::{self, Memory, Recall, StoreCopy};
 use skylarkdock_spans::table::FencingToken;
 use skylarkdock_units::collections::FastMap;
+use skylarkdock_units::times::HostTime;
 
 /// One step in so many begins with the loss.
 const STEPS_PER_LOSS: u32 = 400;
@@ -18,12 +20,12 @@
 const MAX_PAIR_MS: u64 = 4_000;
 
 /// Number of the store's copy, and the number of tables in its log.
-pub(super) type Position = (u64, usize);
+pub(super) type Position = (u32, usize);
 
 /// The copies of the store, with random numbers of their own, so that the other faults do not depend on them.
 pub(super) struct Copies {
     rng: fastrand::Rng,
-    number: u64,
+    number: u32,
     /// When each table of the log was recorded.
     recorded_at: Vec<u64>,
     away_until: u64,
@@ -57,7 +59,58 @@
     }
 }
 
+impl Host {
+    pub(super) const fn copy(&self) -> StoreCopy {
+        StoreCopy(self.read_to.0)
+    }
+
+    pub(super) const fn record_position(&mut self, position: Position, now: u64) {
+        if position.0 != self.read_to.0 {
+            self.copy_known_at = now;
+            self.is_restored = self.has_read;
+        }
+        self.has_read = true;
+        self.read_to = position;
+    }
+}
+
 impl Simulation {
+    /// Asks the other hosts for the versions of the table that a later copy of the store may lack, and adopts the newest.
+    pub(super) fn recall_lost_tables(&mut self, index: usize) -> Recall {
+        let now = self.now;
+        let copy = self.hosts[index].copy();
+        let host = &self.hosts[index];
+        let is_current = match host.renewals.table() {
+            Some(table) => !table.is_of_earlier_copy(copy),
+            None => copy == StoreCopy::default(),
+        };
+        if is_current || !self.safeguards.recalls_lost_tables {
+            return Recall::Certain;
+        }
+        let answers: Vec<bool> = (0..HOSTS).map(|_| self.copies.rng.u32(..4) > 0).collect();
+        let others = (0..HOSTS).filter(|other| *other != index);
+        let others: Vec<Option<Memory>> = others
+            .map(|other| {
+                let host = &self.hosts[other];
+                let is_running = now >= host.frozen_until && now >= host.down_until;
+                let is_told = is_running && answers[other];
+                is_told.then(|| host.renewals.memory(HostTime(now)))
+            })
+            .collect();
+        let host = &mut self.hosts[index];
+        let own = host.renewals.memory(HostTime(now));
+        let restored_at = HostTime(host.copy_known_at);
+        let (recall, newest) = restored::recall(&own, &others, restored_at, host.is_restored);
+        if let Some(table) = newest {
+            host.renewals.adopt(table);
+        }
+        if let (Some(leader), Some(table)) = (&mut host.leader, host.renewals.table()) {
+            leader.on_table(table);
+        }
+        self.fault_counts.uncertain_recalls += u64::from(recall != Recall::Certain);
+        recall
+    }
+
     /// Takes back what was recorded since a copy of the store was made.
     pub(super) fn lose_records(&mut self) {
         let now = self.now;
