--- a/crates/spans/tests/end.rs
+++ b/crates/spans/tests/end.rs
@@ -152,6 +152,7 @@
         let table = Table {
             service: "s".parse().unwrap(),
             version: 7,
+            copy: None,
             leader: "h".parse().unwrap(),
             keepers: vec![keeper.clone()],
             retired: Vec::new(),
--- a/crates/spans/tests/simulation/followers.rs
+++ b/crates/spans/tests/simulation/followers.rs
@@ -93,7 +93,8 @@
                 leader.on_table(&table);
             }
         }
-        host.renewals.on_read(proof_at, true);
+        let copy = host.copy();
+        host.renewals.on_read(proof_at, copy, true);
         host.proven_at = host.proven_at.max(proof_at.0);
     }
 }
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -47,6 +47,11 @@
     version_read: u64,
     /// End of the log when this host read it last.
     read_to: Position,
+    /// When it first read the copy of the store.
+    copy_known_at: u64,
+    /// Whether it read an earlier copy.
+    is_restored: bool,
+    has_read: bool,
     damage: damage::Seen,
     read_at: u64,
     reaches_store: bool,
@@ -299,7 +304,9 @@
     fn lead(&mut self, index: usize) {
         let now = HostTime(self.now);
         let search = self.search_former_table(index);
-        let inputs = Inputs { search, ..self.inputs(index) };
+        let recall = self.recall_lost_tables(index);
+        let copy = Some(self.hosts[index].copy());
+        let inputs = Inputs { search, recall, copy, ..self.inputs(index) };
         let host = &mut self.hosts[index];
         let table = host.renewals.table().cloned();
         let leader = host.leader.get_or_insert_with(|| {
@@ -331,7 +338,7 @@
             return;
         }
         host.read_at = self.now;
-        host.read_to = self.copies.position();
+        host.record_position(self.copies.position(), self.now);
         let is_readable = self.damage.read(&mut host.damage, self.log_end, self.now);
         if let Some(table) = self.log.last()
             && is_readable
@@ -346,7 +353,8 @@
         let proves = is_readable || !self.safeguards.searches_former_tables;
         let proof_age = if self.safeguards.has_late_proof { LATE_PROOF_MS } else { 0 };
         let proof_at = self.now.saturating_sub(proof_age);
-        host.renewals.on_read(HostTime(proof_at), proves);
+        let copy = host.copy();
+        host.renewals.on_read(HostTime(proof_at), copy, proves);
         host.proven_at = host.proven_at.max(proof_at);
         self.read_registry(index);
     }
@@ -461,6 +469,9 @@
         leader: None,
         version_read: 0,
         read_to: Position::default(),
+        copy_known_at: started_at,
+        is_restored: false,
+        has_read: false,
         damage: damage::Seen::default(),
         read_at: 0,
         reaches_store: true,
--- a/crates/spans/tests/simulation/settings.rs
+++ b/crates/spans/tests/simulation/settings.rs
@@ -38,6 +38,8 @@
     pub has_late_registry: bool,
     /// Whether the store comes back from older copies of itself. Not a safeguard either.
     pub has_restored_store: bool,
+    /// Whether a leader asks the other hosts for the versions of the table that the store may have lost.
+    pub recalls_lost_tables: bool,
     /// Whether a refusal that names no process ends no wait for a holder.
     pub doubts_bare_refusals: bool,
     /// Whether a refusal ends the wait for a holder only if it names another process.
@@ -113,6 +115,7 @@
             has_damaged_records: false,
             has_late_registry: false,
             has_restored_store: false,
+            recalls_lost_tables: true,
             doubts_bare_refusals: true,
             compares_names: true,
             names_processes: true,
@@ -155,6 +158,8 @@
     pub losses: u64,
     pub lost_records: u64,
     pub losses_in_moves: u64,
+    /// Steps in which a leader did not know whether it knew the last version that the store had.
+    pub uncertain_recalls: u64,
     /// Releases that a running holder refused before it looked at them, and grants and renewals.
     pub refused_releases: u64,
     pub refused_grants: u64,
@@ -195,6 +200,7 @@
         self.losses += other.losses;
         self.lost_records += other.lost_records;
         self.losses_in_moves += other.losses_in_moves;
+        self.uncertain_recalls += other.uncertain_recalls;
         self.refused_releases += other.refused_releases;
         self.refused_grants += other.refused_grants;
         self.reused_addresses += other.reused_addresses;
