Report a request that a former holder may have run as unknown

What callers could see: a repeatable request that had run is answered "no-holder" with the outcome "not-run".

Cause, by reading: a holder whose upstream ends under a forwarded request repeats it. If it has lost the range by then (the upstream's ranges move), it answers "not-holder" with the outcome "unknown", since an attempt was lost. The entry host takes each 421 for one of a host that had nothing to do with the request, and looks for the holder; when its time for that has passed, it says "not-run".

Change: such an answer counts as a lost attempt of a repeatable request, as a connection that breaks does. The search for the holder goes on as before. Two answers mean nothing of the kind: a request that is refused before it is read (its answer names no request id), and one that runs at most once, whose outcome is unknown to each host without the deduplication memory of the range.

--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -102,6 +102,16 @@
     res.status() == StatusCode::MISDIRECTED_REQUEST && !is_done
 }
 
+/// Returns whether a host that does not hold the range any more may have run a repeatable request before. One that refuses a
+/// request before it is read names no request id, and the outcome of one that runs at most once is unknown on all hosts that
+/// lack the range's deduplication memory.
+fn may_have_run(request: &ProxyRequest, res: &Response<Body>) -> bool {
+    let is_unknown = res.headers().get(headers::OUTCOME).is_some_and(|found| found == "unknown");
+    request.class == Class::Repeatable
+        && is_unknown
+        && res.headers().contains_key(headers::REQUEST_ID)
+}
+
 /// Queries another host whether it holds a range.
 async fn holds(router: &Router, route: &RangeRoute, member: &Member) -> bool {
     let Some(addr) = router.table.load().hosts.get(&member.host).copied() else { return false };
@@ -129,7 +139,12 @@
     };
     let deadline = Instant::now() + request.time_left().duration();
     match router.hosts.send(addr, req, CONNECT_TIMEOUT_MS, deadline).await {
-        Ok(res) if is_not_holder(&res) => ForwardResult::NotHeld,
+        Ok(res) if is_not_holder(&res) => {
+            if may_have_run(request, &res) {
+                request.record_lost_attempt();
+            }
+            ForwardResult::NotHeld
+        }
         Ok(res) if !res.headers().contains_key(headers::OUTCOME) => ForwardResult::Lost,
         Ok(mut res) => {
             route.record_holder(member);
