Refuse quarantined requests while their range has no upstream

What callers saw: a request that crashes upstreams ended a third one before it was refused, in the known red a_request_that_crashes_upstreams_ends_few_and_is_reported_unknown.

Cause: after the second crash a request is quarantined for 4 s, but the daemon asked the quarantine only when the request had a slot at an upstream. A copy that came in the quarantine waited for the next upstream of its range (up to 2 s, each copy anew); with takeovers of seconds it got there when the quarantine was over, and crashed that one. The order is wrong, not the length: the users' entry host asks before it chooses an upstream and while a request waits (refuse_unchosen, until_refused), and needs none.

Change: a caller's repeatable request is refused at each step of the wait as soon as this host knows of its quarantine. As before, only a request with a slot is checked if it runs at most once, as it may be a copy of one that has its answer, or if it was forwarded: an entry host may ask a second host while the first one runs the request, and would take the word of that one ("not-run") for the result.

Weighed: a long first quarantine for requests that were never answered, as dispatch::crash_tracker has. It contradicts a_harmless_request_is_cleared_within_seconds_of_two_losses, and is not needed for this cause.

Seen fail, without real time (the crashes lie an hour ahead): a request with two crashes at a host whose range has no upstream was answered 503 "no-holder" after the wait of 2 s, now 422 "quarantined" at once. A suspect with one crash and a request that runs at most once still wait.

--- a/crates/daemon/src/proxy/crash_tracking.rs
+++ b/crates/daemon/src/proxy/crash_tracking.rs
@@ -14,8 +14,10 @@
 use http_body_util::BodyExt;
 use skylarkdock_httppath::body::{self, Body};
 use skylarkdock_httppath::pool::{NotSent, Pool, ResponseLost, SendError};
+use skylarkdock_outcomes::crash_history::Verdict;
 use skylarkdock_outcomes::fingerprint::Fingerprint;
 use skylarkdock_outcomes::quarantine::Admission;
+use skylarkdock_records::service::Class;
 use skylarkdock_units::ids::{ServiceName, UpstreamId};
 use skylarkdock_units::times::{Millis, WallTime};
 use std::net::SocketAddr;
@@ -117,6 +119,23 @@
     }
 }
 
+/// Returns the refusal of a caller's request that is quarantined. It does not depend on an upstream: a request that waits for
+/// the next one would outlast a short quarantine and crash it too.
+///
+/// Other requests are checked only when they have a slot. One that runs at most once may be a copy of a request that has its
+/// answer, which only the holder of the range knows. A forwarded one may be under way at another host, whose result counts.
+pub fn refuse_quarantined(request: &ProxyRequest, service: &ServiceTable) -> Option<Refusal> {
+    let quarantine = service.shared.quarantine();
+    if request.class == Class::OnceOnly || request.forwarded || quarantine.histories().is_empty() {
+        return None;
+    }
+    let now = clock::wall_time();
+    match quarantine.verdict(request.fingerprint(), now) {
+        Verdict::Quarantined(until) => Some(quarantine_refusal(now, until)),
+        Verdict::Clean | Verdict::Suspect => None,
+    }
+}
+
 /// Returns whether an upstream refuses or closes a connection without a response, which counts as the end of its
 /// process. An upstream that does not respond in time may be slow or unreachable.
 async fn has_ended(pool: &Pool, addr: SocketAddr) -> bool {
--- a/crates/daemon/src/proxy/router.rs
+++ b/crates/daemon/src/proxy/router.rs
@@ -1,6 +1,7 @@
 //! Routes a request to the upstream here or to another host, and retries until it is answered or can't succeed in time.
 
 use crate::clock;
+use crate::proxy::crash_tracking;
 use crate::proxy::dispatch::{self, AttemptResult};
 use crate::proxy::forward;
 use crate::proxy::refusal::{Reason, Refusal};
@@ -134,6 +135,10 @@
         };
         let give_up_at = request.deadline.min(clock::host_time() + MAX_HOLDER_WAIT_MS);
         loop {
+            if let Some(refusal) = crash_tracking::refuse_quarantined(&request, service) {
+                self.report_refusal(&request, &refusal);
+                return request.refuse(refusal);
+            }
             let reason = match self.attempt(&request, service, route).await {
                 AttemptResult::Answer(res) => return request.correct_outcome(res),
                 AttemptResult::Refuse(refusal) => {
