Take no success without a state from another host for a release

Keys could be granted to their next owner while their former one still held them: a leader that can't reach a holder asks another host to send the release.

Only a result with a non-empty state counts now, as for a host's own release. Hosts of this version never send a success without a state, so nothing changes between them.

--- a/crates/edge/src/releases.rs
+++ b/crates/edge/src/releases.rs
@@ -10,7 +10,7 @@
 /// take a bare status for [`CallEnd::Gone`].
 #[derive(Debug, Serialize, Deserialize)]
 pub enum PeerRelease {
-    /// The holder released the keys and handed over this state.
+    /// The holder released the keys and handed over this state. Without one, it is not known who answered.
     Ok(Option<String>),
     /// The release did not show that the holder's grants have ended.
     Err(CallEnd),
@@ -29,8 +29,9 @@
     /// Fails if the result does not show that they have.
     pub fn end(self, holder: &Holder) -> Result<GrantEnd, NotEnded> {
         match self {
-            Self::Ok(handover) => Ok(GrantEnd::released(handover)),
-            Self::Err(CallEnd::Gone) => Err(NotEnded::Refused),
+            Self::Ok(Some(state)) if !state.is_empty() => Ok(GrantEnd::released(Some(state))),
+            // Hosts of earlier versions take any success for a release.
+            Self::Ok(_) | Self::Err(CallEnd::Gone) => Err(NotEnded::Refused),
             Self::Err(_) => Err(NotEnded::Unknown),
             Self::Replaced { by } => GrantEnd::replaced(holder, &by).ok_or(NotEnded::Refused),
         }
