Don't take refusals of a renewal for answers of its holder

A keeper whose renewals are turned away with 503 took each of them for a sign that the holder runs, if the one before was recent. So it went on renewing over new connections by proof of up to 14 s, however long ago the holder itself had answered. A process in front of the upstream, or the next incarnation at its address, can give these refusals; the next incarnation takes a renewal with the former token, as it knows of no release. Two upstreams could then hold a key.

The new test failed on the code before (`assertion failed: !renewals.confirm_send(&grant, Purpose::Renewal, Connection::New, now)`): one confirmed renewal, then refusals alone for 10 s without newer proof.

Refusals are recorded apart from answers. They still keep an overloaded holder from being suspended, so renewals go on at their interval, over the open connection or with recent proof; only the new connection by old proof is gone. Cost, not measured: an overloaded holder that closes its connections loses its keys while the store is away.

--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -115,12 +115,27 @@
 struct HolderState {
     /// When its last answer arrived; zero if it has not answered since its connection broke.
     answered_at: HostTime,
+    /// When a renewal was last turned away within `MAX_ANSWER_AGE` of an answer or of such a refusal. Any process may turn
+    /// calls away, so this is no answer. Zero like `answered_at`.
+    refused_at: HostTime,
     /// When its last suspension ended; zero before the first one. An entry of the registry ends it, which is no answer.
     resumed_at: HostTime,
     failures: u32,
     suspended_at: Option<HostTime>,
 }
 
+impl HolderState {
+    /// Returns when a renewal was last answered or turned away.
+    fn heard_at(&self) -> HostTime {
+        self.answered_at.max(self.refused_at)
+    }
+
+    const fn forget_answers(&mut self) {
+        self.answered_at = HostTime(0);
+        self.refused_at = HostTime(0);
+    }
+}
+
 /// Grant renewals of one service on one host.
 #[derive(Debug)]
 pub struct Renewals {
@@ -348,16 +363,16 @@
                 self.on_fenced(grant, now);
             }
             CallEnd::Gone => {
-                state.answered_at = HostTime(0);
+                state.forget_answers();
                 state.suspended_at = Some(now);
             }
-            // The last answer proves that the same incarnation still runs only if it is recent.
-            CallEnd::Refused if now.since(state.answered_at) <= MAX_ANSWER_AGE => {
-                state.answered_at = now;
+            // An overloaded holder keeps its keys. After a longer silence, another incarnation may have refused.
+            CallEnd::Refused if now.since(state.heard_at()) <= MAX_ANSWER_AGE => {
+                state.refused_at = now;
             }
             CallEnd::Refused | CallEnd::Unknown => {
                 state.failures += 1;
-                if now.since(state.answered_at.max(state.resumed_at)) > MAX_ANSWER_AGE {
+                if now.since(state.heard_at().max(state.resumed_at)) > MAX_ANSWER_AGE {
                     state.suspended_at.get_or_insert(now);
                 }
                 if state.failures <= UNREACHABLE_FAILURES {
@@ -371,7 +386,7 @@
     /// not get the grants of the earlier one. Answers from before no longer count.
     pub fn suspend(&mut self, holder: &Holder, now: HostTime) {
         let state = self.holders.entry(holder.clone()).or_default();
-        state.answered_at = HostTime(0);
+        state.forget_answers();
         state.suspended_at.get_or_insert(now);
     }
 
--- a/crates/spans/tests/refused_renewals.rs
+++ b/crates/spans/tests/refused_renewals.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use skylarkdock_spans::renewal::{CallEnd, Renewals};
+use skylarkdock_spans::renewal::{CallEnd, Connection, Purpose, Renewals};
 use skylarkdock_spans::table::{FencingToken, Holder, Keeper, Span, Table};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::measures::HostSize;
@@ -82,3 +82,27 @@
     renew(&mut renewals, START + SILENCE, TICK, CallEnd::Refused);
     assert_eq!(renewals.suspended().len(), 1);
 }
+
+/// Refusals of a process other than the holder passed for its answers, so that a renewal went over a new connection by old
+/// proof.
+#[test]
+fn refusals_take_the_place_of_no_answer_for_a_new_connection() {
+    let mut renewals = keeper();
+    renew(&mut renewals, START, TICK, CallEnd::Done);
+    let mut now = START + TICK;
+    let mut last = None;
+    while now < START + REFUSED_TIME {
+        for grant in renewals.due_renewals(now) {
+            renewals.on_renewal_end(&grant, CallEnd::Refused, now);
+            last = Some(grant);
+        }
+        now = now + TICK;
+    }
+    let grant = last.unwrap();
+    assert!(renewals.suspended().is_empty());
+    assert!(renewals.has_proof(now));
+    assert!(!renewals.confirm_send(&grant, Purpose::Renewal, Connection::New, now));
+    assert!(renewals.confirm_send(&grant, Purpose::Renewal, Connection::Open, now));
+    renewals.prove(now);
+    assert!(renewals.confirm_send(&grant, Purpose::Renewal, Connection::New, now));
+}
