Wait for grants to expire when an upstream says that it checks none

A daemon takes a 404 to a grant call for an upstream that checks no grants, and so released each range that it was withdrawing from it at once. The 404 bears no name, so any process at the address or on the way can give it: the upstream itself may have taken a grant 100 ms before.

Evidence: read in `GrantManager::set_fencing_unsupported`; the new test failed on the code before (`left: Released right: Withdrawing`).

A withdrawing range now stays so until its grants have expired. For an upstream that never took a grant nothing changes, as only grants extend the expiry.

Left as documented (docs/guide/operators.md): the 404 still ends the checks of the upstream's other ranges for as long as the daemon runs.

--- a/crates/grants/src/manager.rs
+++ b/crates/grants/src/manager.rs
@@ -261,9 +261,11 @@
 
     fn set_fencing_unsupported(&mut self) {
         self.fencing_unsupported = true;
-        self.entries.retain(|_, entry| entry.phase != GrantPhase::Withdrawing);
         for entry in self.entries.values_mut() {
-            entry.phase = GrantPhase::Granted;
+            // The upstream may have taken grants before, which then have to expire.
+            if entry.phase != GrantPhase::Withdrawing {
+                entry.phase = GrantPhase::Granted;
+            }
         }
     }
 
--- a/crates/grants/tests/manager.rs
+++ b/crates/grants/tests/manager.rs
@@ -130,6 +130,21 @@
     assert_eq!(manager.poll(HostTime(2_000)), None);
 }
 
+/// A 404 of any process on the way released a range at once, while the upstream still served it by its last grant.
+#[test]
+fn an_answer_that_grants_are_not_checked_releases_no_range_before_its_expiry() {
+    let mut manager = manager_with_grant();
+    assert!(manager.poll(HostTime(1_150)).is_some());
+    manager.withdraw(RANGE);
+    manager.handle_outcome(HostTime(1_152), CallOutcome::FencingUnsupported);
+    assert_eq!(manager.phase(RANGE, HostTime(1_152)), GrantPhase::Withdrawing);
+    let expiry = HostTime(1_010) + GRANT_DURATION_MS + MAX_CLOCK_DRIFT_MS;
+    assert_eq!(manager.phase(RANGE, expiry), GrantPhase::Withdrawing);
+    assert_eq!(manager.phase(RANGE, expiry + Millis(1)), GrantPhase::Released);
+    assert_eq!(manager.poll(expiry + Millis(1)), None);
+    assert!(manager.is_idle());
+}
+
 #[test]
 fn a_renewal_that_may_still_arrive_delays_a_confirmed_withdrawal() {
     let mut manager = manager_with_grant();
