--- a/crates/edge/src/releases.rs
+++ b/crates/edge/src/releases.rs
@@ -29,9 +29,9 @@
     /// Fails if the result does not show that they have.
     pub fn end(self, holder: &Holder) -> Result<GrantEnd, NotEnded> {
         match self {
-            Self::Ok(Some(handover)) => Ok(GrantEnd::released(Some(handover))),
-            Self::Err(CallEnd::Gone | CallEnd::Refused) => Err(NotEnded::Refused),
-            Self::Ok(None) => Err(NotEnded::Unknown),
+            Self::Ok(Some(state)) if !state.is_empty() => Ok(GrantEnd::released(Some(state))),
+            // Hosts of earlier versions take any success for a release.
+            Self::Ok(_) | Self::Err(CallEnd::Gone | CallEnd::Refused) => Err(NotEnded::Refused),
             Self::Err(_) => Err(NotEnded::Unknown),
             Self::Replaced { by } => GrantEnd::replaced(holder, &by).ok_or(NotEnded::Refused),
         }
