--- a/crates/edge/tests/silent_upstream.rs
+++ b/crates/edge/tests/silent_upstream.rs
@@ -146,15 +146,17 @@
             }
             Timer::after(Duration::from_millis(1)).await;
         }
-        let waiting = get("e", 1_000);
+        let waiting = get("e", 100);
         let mut waiting = Box::pin(host.answer(&waiting));
         assert!(future::poll_once(&mut waiting).await.is_none(), "it waits for a place");
         upstream.is_held.store(false, Ordering::SeqCst);
         for answer in running {
             assert_eq!(answer.await.status, 200);
         }
-        // It has a place, and the task that waits for it has not run since.
-        thread::sleep(Duration::from_millis(1_050));
+        // Places are given at intervals.
+        Timer::after(Duration::from_millis(10)).await;
+        // It has one, and the task that waits for it has not run since.
+        thread::sleep(Duration::from_millis(120));
         assert_eq!(waiting.await.status, 503);
         assert_eq!(upstream.requests(), 4, "all but the late one are sent");
     });
