Tell what a host itself lacks from failures of its peers

A host without descriptors took that for news of others: its log of 2.8 s has 22 times `paths: an upstream can't be reached` with `Too many open files` as the reason, and once `this host seems to reach no upstream`. It then sent requests over other hosts although it reached all upstreams, suspended renewals to holders, did not ask hosts again for 2 s that it had opened no connection to, and told others as an intermediary that an upstream can't be reached, which counts as proof of its end.

Opening a connection fails with a type of its own for no descriptor (EMFILE, ENFILE), no memory (ENOMEM, ENOBUFS) and no local port (EADDRNOTAVAIL), and so does the first write. Each place that reads such an error decides on it: attempts (the request is refused as not run, and no other upstream is tried, as it would need a connection, too), path checks, detours as caller and as intermediary (the wire stays: it answers as one that is cut off itself, which says nothing of the upstream), checks for ends of upstreams, grants (a renewal that could not be sent is as if it had not been due, a holder is not suspended for it, the path stays), releases, calls to hosts and to the store. A move whose grant could not be sent ends unknown as before.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -1,7 +1,7 @@
 //! HTTP client for upstreams, the store and other hosts. A connection carries one request at a time.
 
 use crate::clock;
-use crate::net;
+use crate::net::{self, ConnectError, Shortage};
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
@@ -46,6 +46,9 @@
     /// No byte of the request was sent.
     #[error("request not sent")]
     NotSent(#[source] io::Error),
+    /// No byte of the request was sent, as this host lacked what that needs. It shows nothing of the peer.
+    #[error("request not sent")]
+    Shortage(#[source] Shortage),
     /// The connection broke after some or all of the request was sent.
     #[error("connection broke")]
     Broken(#[source] io::Error),
@@ -59,6 +62,22 @@
     TimedOut,
 }
 
+impl Failure {
+    /// Returns the failure of a request of which no byte left the host.
+    fn not_sent(error: io::Error) -> Self {
+        ConnectError::from(error).into()
+    }
+}
+
+impl From<ConnectError> for Failure {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Shortage(shortage) => Self::Shortage(shortage),
+            ConnectError::Path(error) => Self::NotSent(error),
+        }
+    }
+}
+
 /// Request in wire format.
 #[derive(Debug, Clone)]
 pub struct Outgoing {
@@ -139,7 +158,7 @@
     /// # Errors
     ///
     /// Returns the errors of [`net::connect`].
-    pub async fn open(addr: SocketAddr, timeout: Millis) -> io::Result<Self> {
+    pub async fn open(addr: SocketAddr, timeout: Millis) -> Result<Self, ConnectError> {
         let stream = net::connect(addr, timeout).await?;
         Ok(Self {
             stream,
@@ -176,9 +195,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Failure::NotSent`] only if no byte left the host.
+    /// Returns [`Failure::NotSent`] and [`Failure::Shortage`] only if no byte left the host.
     pub async fn exchange(&mut self, req: &Outgoing) -> Result<(Reply, bool), Failure> {
-        let first = (&self.stream).write(&req.bytes).await.map_err(Failure::NotSent)?;
+        let first = (&self.stream).write(&req.bytes).await.map_err(Failure::not_sent)?;
         let rest = &req.bytes[first..];
         if rest.is_empty() {
             return self.receive(req).await;
@@ -452,9 +471,9 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Failure::NotSent`] if the connection can't be opened in time.
+    /// Fails with [`Failure::NotSent`] or [`Failure::Shortage`] if the connection can't be opened in time.
     pub async fn connect(&mut self, timeout: Millis) -> Result<(), Failure> {
-        self.conn = Some(Conn::open(self.addr, timeout).await.map_err(Failure::NotSent)?);
+        self.conn = Some(Conn::open(self.addr, timeout).await?);
         Ok(())
     }
 
@@ -463,7 +482,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the errors of [`exchange_within`], and [`Failure::NotSent`] if the connection can't be opened in time.
+    /// Returns the errors of [`exchange_within`], and those of [`Self::connect`].
     pub async fn call(&mut self, req: &Outgoing, timeout: Millis) -> Result<Reply, Failure> {
         self.call_patiently(req, Patience::whole(timeout)).await
     }
@@ -488,7 +507,7 @@
             }
             None => Conn::open(self.addr, patience.silence).await.map_err(|e| {
                 self.consecutive_failures += 1;
-                Failure::NotSent(e)
+                Failure::from(e)
             })?,
         };
         let left = give_up_at.since(clock::now());
--- a/crates/edge/src/control/identity.rs
+++ b/crates/edge/src/control/identity.rs
@@ -2,6 +2,7 @@
 
 use super::Control;
 use crate::client::{ControlClient, Failure, Outgoing, Reply};
+use crate::net::ConnectError;
 use metrics::counter;
 use skylarkdock_spans::end::{GrantEnd, NotEnded};
 use skylarkdock_spans::table::Holder;
@@ -44,7 +45,7 @@
             Some(mut client) => call_again(&mut client, &req, timeout).await,
             None => {
                 let call = self.call_over_detour(holder.addr, &req, timeout);
-                call.await.unwrap_or_else(|e| Err(Failure::NotSent(e.into())))
+                call.await.unwrap_or_else(|e| Err(ConnectError::from(e).into()))
             }
         };
         let reply = match done {
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -5,6 +5,7 @@
 use crate::client::{ControlClient, Failure, Outgoing, Reply};
 use crate::clock;
 use crate::detour::DetourError;
+use crate::net::ConnectError;
 use crate::traffic::Sample;
 use crate::upstreams::ReleaseReply;
 use async_channel::Receiver;
@@ -116,7 +117,7 @@
     }
 
     /// Sends a grant once the calls to its holder before it have ended, over another host if this one has no path to the
-    /// upstream. Returns `None` if it may no longer be sent then.
+    /// upstream. Returns `None` if it may no longer be sent then, and for a renewal if this host lacks what that needs.
     async fn send_grant(
         &self,
         service: &ServiceName,
@@ -143,6 +144,11 @@
         // Another host opens a new connection, which a later incarnation may have accepted.
         let may_detour = self.may_connect(service, &grant.holder, started);
         let req = (self.protocol.build_grant)(grant, self.timing.hold);
+        // A renewal that this host had nothing to send on is no news of the holder, so it is as if it had not been due.
+        let unsent = |has_lacked: bool| {
+            (!has_lacked || matches!(purpose, Purpose::Move)).then_some(CallEnd::Unknown)
+        };
+        let mut has_lacked = false;
         if is_direct {
             let failure = match caller.call(&req, self.timing.call_timeout).await {
                 Ok(reply) => {
@@ -154,14 +160,18 @@
             if is_path_failure(&failure) {
                 paths.on_failure(addr, &failure);
             }
-            if !matches!(&failure, Failure::NotSent(e) if e.kind() != ErrorKind::ConnectionReset) {
+            has_lacked = matches!(failure, Failure::Shortage(_));
+            if has_lacked {
+                log::warn!(service:% = service, upstream:% = grant.holder.id, error:? = failure; "owners: grant not sent, for lack of what a connection needs");
+            } else if !matches!(&failure, Failure::NotSent(e) if e.kind() != ErrorKind::ConnectionReset)
+            {
                 self.on_call_failure(service, &grant.holder, &failure);
                 return Some(CallEnd::Unknown);
             }
         }
         drop(caller);
         if !may_detour {
-            return Some(CallEnd::Unknown);
+            return unsent(has_lacked);
         }
         let remaining = self.timing.call_timeout.saturating_sub(clock::now().since(started));
         let end = match self.call_over_detour(addr, &req, remaining).await {
@@ -175,7 +185,8 @@
                 self.on_call_failure(service, &grant.holder, &refused);
                 CallEnd::Unknown
             }
-            Err(DetourError::NoDetour | DetourError::Unreached) => CallEnd::Unknown,
+            Err(DetourError::NoDetour | DetourError::Unreached) => return unsent(has_lacked),
+            Err(DetourError::Shortage(_)) => return unsent(true),
         };
         Some(end)
     }
@@ -279,16 +290,16 @@
             .await
     }
 
-    /// Suspends a holder after a failed call, except a time-out. Its renewals resume when the registry shows that the
-    /// same incarnation still runs.
+    /// Suspends a holder after a failed call, except a time-out or what this host lacked. Its renewals resume when the
+    /// registry shows that the same incarnation still runs.
     fn on_call_failure(&self, service: &ServiceName, holder: &Holder, failure: &Failure) {
-        let timed_out = match failure {
-            Failure::TimedOut => true,
+        let says_nothing = match failure {
+            Failure::TimedOut | Failure::Shortage(_) => true,
             Failure::NotSent(e) => e.kind() == ErrorKind::TimedOut,
             Failure::Broken(_) | Failure::Malformed => false,
         };
         log::debug!(upstream:% = holder.id, error:% = failure; "owners: call to an upstream failed");
-        if timed_out {
+        if says_nothing {
             return;
         }
         log::info!(service:% = service, upstream:% = holder.id, error:% = failure; "owners: renewals suspended");
@@ -543,7 +554,7 @@
         let done: Result<Reply, Failure> = match &mut client {
             Some(client) => client.call(&req, RELEASE_TIMEOUT).await,
             None => {
-                let not_sent = |e: DetourError| Err(Failure::NotSent(e.into()));
+                let not_sent = |e: DetourError| Err(ConnectError::from(e).into());
                 let call = self.call_over_detour(holder.addr, &req, RELEASE_TIMEOUT);
                 call.await.unwrap_or_else(not_sent)
             }
@@ -621,7 +632,7 @@
     match failure {
         Failure::TimedOut => true,
         Failure::NotSent(e) => e.kind() != ErrorKind::ConnectionReset,
-        Failure::Broken(_) | Failure::Malformed => false,
+        Failure::Broken(_) | Failure::Malformed | Failure::Shortage(_) => false,
     }
 }
 
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -11,6 +11,7 @@
 
 use crate::client::{Conn, Failure, Outgoing, Reply, exchange_within};
 use crate::clock;
+use crate::net::{ConnectError, Shortage};
 use crate::notices::SharedNotices;
 use crate::pool::Pool;
 use crate::upstreams::Protocol;
@@ -106,8 +107,8 @@
     Answered { status: u16, headers: Vec<(String, Vec<u8>)>, body: Vec<u8>, is_matched: bool },
     /// The call came too late, or for an earlier process. Nothing was sent.
     Expired,
-    /// The intermediary has no path to the upstream; with `is_cut_off`, it reaches no upstream or is about to exit. Nothing
-    /// was sent.
+    /// The intermediary has no path to the upstream; with `is_cut_off`, it reaches no upstream, lacks what a connection needs
+    /// or is about to exit. Nothing was sent.
     NoPath { is_cut_off: bool, is_refused: bool },
     /// The connection to the upstream broke.
     Broken,
@@ -129,6 +130,9 @@
     /// The upstream refused a connection of another host, too.
     #[error("the upstream refuses connections of other hosts")]
     Refused,
+    /// This host lacks what a connection to another host needs.
+    #[error(transparent)]
+    Shortage(#[from] Shortage),
 }
 
 /// Caller of intermediaries.
@@ -181,6 +185,7 @@
                         return Err(DetourError::Unreached);
                     }
                 }
+                Err(Failure::Shortage(shortage)) => return Err(shortage.into()),
                 Err(Failure::NotSent(e)) => {
                     log::debug!("detour: can't reach {intermediary}: {e}");
                     paths.lock().on_detour_failure(intermediary, None, clock::now());
@@ -247,9 +252,7 @@
         let pooled = self.pool.borrow_mut().take(intermediary, true);
         let conn = match pooled {
             Some(conn) => conn,
-            None => Conn::open(intermediary, CONNECT_TIMEOUT.min(timeout))
-                .await
-                .map_err(Failure::NotSent)?,
+            None => Conn::open(intermediary, CONNECT_TIMEOUT.min(timeout)).await?,
         };
         let mut conn = ResetOnDrop(Some(conn));
         let Some(open) = conn.0.as_mut() else { return Err(Failure::Malformed) };
@@ -377,7 +380,8 @@
             None => {
                 match Conn::open(upstream, CONNECT_TIMEOUT.min(Millis(call.timeout_ms))).await {
                     Ok(conn) => conn,
-                    Err(e) => {
+                    Err(ConnectError::Shortage(shortage)) => return lacking(shortage),
+                    Err(ConnectError::Path(e)) => {
                         paths.on_failure(upstream, &e);
                         return no_path(e.kind() == ErrorKind::ConnectionRefused);
                     }
@@ -424,6 +428,7 @@
                 }
             }
             Err(Failure::NotSent(_)) => no_path(false),
+            Err(Failure::Shortage(shortage)) => lacking(shortage),
             Err(Failure::Broken(_)) => DetourEnd::Broken,
             Err(Failure::Malformed) => DetourEnd::Malformed,
             Err(Failure::TimedOut) => DetourEnd::TimedOut,
@@ -432,17 +437,27 @@
 }
 
 /// Opens a connection to an upstream whose path failed, and records whether that works.
-pub async fn probe(paths: &SharedPaths, upstream: SocketAddr) -> Option<Conn> {
-    match Conn::open(upstream, CONNECT_TIMEOUT).await {
-        Ok(conn) => {
-            paths.on_success(upstream);
-            Some(conn)
-        }
-        Err(e) => {
-            paths.on_failure(upstream, &e);
-            None
+///
+/// # Errors
+///
+/// Returns the errors of [`Conn::open`].
+pub async fn probe(paths: &SharedPaths, upstream: SocketAddr) -> Result<Conn, ConnectError> {
+    let opened = Conn::open(upstream, CONNECT_TIMEOUT).await;
+    match &opened {
+        Ok(_) => paths.on_success(upstream),
+        Err(ConnectError::Path(e)) => paths.on_failure(upstream, e),
+        Err(ConnectError::Shortage(shortage)) => {
+            log::warn!(addr:% = upstream, lack = shortage.as_str(); "paths: a path can't be checked");
         }
     }
+    opened
+}
+
+/// Returns the end of a call that this host can't make. It says nothing about the upstream, so the caller goes on to another
+/// intermediary.
+fn lacking(shortage: Shortage) -> DetourEnd {
+    log::warn!(lack = shortage.as_str(); "detour: a call of another host can't be made");
+    DetourEnd::NoPath { is_cut_off: true, is_refused: false }
 }
 
 /// Connection that is reset when it is dropped, so that no undelivered part of a call that was given up arrives later.
@@ -467,12 +482,13 @@
     Reply { head, body, is_matched, via: None }
 }
 
-impl From<DetourError> for io::Error {
+impl From<DetourError> for ConnectError {
     fn from(error: DetourError) -> Self {
         let kind = match error {
             DetourError::NoDetour | DetourError::Unreached => ErrorKind::NotConnected,
             DetourError::Refused => ErrorKind::ConnectionRefused,
+            DetourError::Shortage(shortage) => return Self::Shortage(shortage),
         };
-        Self::new(kind, error)
+        Self::Path(io::Error::new(kind, error))
     }
 }
--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -2,11 +2,14 @@
 
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
+use metrics::counter;
+use rustix::io::Errno;
 use rustix::net::sockopt;
 use skylarkdock_units::times::Millis;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
+use thiserror::Error;
 
 /// Length of the queue of connections that wait to be accepted.
 const LISTEN_BACKLOG: i32 = 1024;
@@ -19,6 +22,65 @@
 /// its last byte.
 const USER_TIMEOUT_MS: u32 = 2_500;
 
+/// What a host itself lacked for a connection. It says nothing of the peer, and nothing was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Shortage {
+    /// The process, or the whole system, has no descriptor left.
+    #[error("this host has no descriptor left")]
+    Descriptors,
+    /// The system has no memory for a socket or its buffers.
+    #[error("this host has no memory for a connection")]
+    Memory,
+    /// The system has no free port for a connection to the peer.
+    #[error("this host has no local port left")]
+    Ports,
+}
+
+impl Shortage {
+    /// Returns the shortage that an error of the operating system shows, if it is one.
+    pub fn of(error: &io::Error) -> Option<Self> {
+        match Errno::from_io_error(error)? {
+            Errno::MFILE | Errno::NFILE => Some(Self::Descriptors),
+            Errno::NOMEM | Errno::NOBUFS => Some(Self::Memory),
+            Errno::ADDRNOTAVAIL => Some(Self::Ports),
+            _ => None,
+        }
+    }
+
+    /// Returns the value of the `lack` field in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Descriptors => "descriptors",
+            Self::Memory => "memory",
+            Self::Ports => "ports",
+        }
+    }
+}
+
+/// Reason for which a connection could not be opened.
+#[derive(Debug, Error)]
+pub enum ConnectError {
+    /// This host lacked what a connection needs.
+    #[error(transparent)]
+    Shortage(#[from] Shortage),
+    /// The peer refused it, did not answer in time or can't be reached.
+    #[error(transparent)]
+    Path(io::Error),
+}
+
+impl From<io::Error> for ConnectError {
+    fn from(error: io::Error) -> Self {
+        match Shortage::of(&error) {
+            Some(shortage) => {
+                counter!("skylarkdock_shortages_total", "lack" => shortage.as_str(), "for" => "connect")
+                    .increment(1);
+                Self::Shortage(shortage)
+            }
+            None => Self::Path(error),
+        }
+    }
+}
+
 /// Listens on an address.
 ///
 /// # Errors
@@ -36,12 +98,12 @@
 ///
 /// # Errors
 ///
-/// Returns the error of the operating system, or [`io::ErrorKind::TimedOut`].
-pub async fn connect(addr: SocketAddr, timeout: Millis) -> io::Result<Async<TcpStream>> {
+/// Returns the error of the operating system, or [`io::ErrorKind::TimedOut`], unless the host lacks what it needs.
+pub async fn connect(addr: SocketAddr, timeout: Millis) -> Result<Async<TcpStream>, ConnectError> {
     let opened = Async::<TcpStream>::connect(addr);
     let timed_out = async {
         Timer::after(timeout.duration()).await;
-        Err(io::ErrorKind::TimedOut.into())
+        Err(io::Error::from(io::ErrorKind::TimedOut))
     };
     let stream = opened.or(timed_out).await?;
     prepare(&stream)?;
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -4,11 +4,12 @@
 use crate::answer::{self, Answer, OwnStatus};
 use crate::framing::{self, FramingError, LimitedPart, Oversize};
 use crate::listener::{Busy, InFlight, ListenerState};
-use crate::net;
+use crate::net::{self, Shortage};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use futures_lite::io::AsyncReadExt;
+use metrics::counter;
 use skylarkdock_freshness::final_answers::{FinalAnswer, RequestFault};
 use skylarkdock_http1::body::{ChunkError, Decoder, Framing};
 use skylarkdock_http1::head::RequestHead;
@@ -93,7 +94,12 @@
                 ex.spawn(serve_connection(stream, shared, handler)).detach();
             }
             Err(e) => {
-                log::warn!("serve: can't accept a connection: {e}");
+                let shortage = Shortage::of(&e);
+                if let Some(lack) = shortage.map(Shortage::as_str) {
+                    counter!("skylarkdock_shortages_total", "lack" => lack, "for" => "accept")
+                        .increment(1);
+                }
+                log::warn!(lack:? = shortage; "serve: can't accept a connection: {e}");
                 Timer::after(ACCEPT_PAUSE.duration()).await;
             }
         }
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -4,6 +4,7 @@
 use crate::client::{Conn, Failure, Outgoing, Reply};
 use crate::clock;
 use crate::detour::CONNECT_TIMEOUT;
+use crate::net::{ConnectError, Shortage};
 use crate::upstreams::ReplyKind;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -44,6 +45,8 @@
     Crashing(Refusal),
     /// Nothing was sent, as the deadline passed before.
     Expired,
+    /// Nothing was sent, as this host lacked what a connection needs.
+    Shortage(Shortage),
 }
 
 impl NotRun {
@@ -57,6 +60,7 @@
             Self::Withheld(Withheld::Leaving) => "leaving",
             Self::Crashing(_) => "crashes_upstreams",
             Self::Expired => "expired",
+            Self::Shortage(_) => "shortage",
         }
     }
 }
@@ -136,11 +140,16 @@
     Crashing(Refusal),
     /// The deadline has passed.
     Expired,
+    /// This host lacks what a connection needs.
+    Shortage(Shortage),
 }
 
-impl From<io::Error> for Unsent {
-    fn from(error: io::Error) -> Self {
-        Self::NoPath(error)
+impl From<ConnectError> for Unsent {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Shortage(shortage) => Self::Shortage(shortage),
+            ConnectError::Path(error) => Self::NoPath(error),
+        }
     }
 }
 
@@ -193,6 +202,10 @@
             Err(Unsent::Withheld(withheld)) => AttemptResult::NotRun(NotRun::Withheld(withheld)),
             Err(Unsent::Crashing(refusal)) => AttemptResult::NotRun(NotRun::Crashing(refusal)),
             Err(Unsent::Expired) => AttemptResult::NotRun(NotRun::Expired),
+            Err(Unsent::Shortage(shortage)) => {
+                log::warn!(upstream:% = id, lack = shortage.as_str(); "traffic: no connection to an upstream, as this host lacks what it needs");
+                AttemptResult::NotRun(NotRun::Shortage(shortage))
+            }
         };
         guard.ended = match &attempt_result {
             AttemptResult::Answered(reply) if reply.head.status >= 500 => AttemptOutcome::Failed,
@@ -200,9 +213,9 @@
             AttemptResult::NotRun(NotRun::Unreachable) => AttemptOutcome::Unreachable,
             AttemptResult::NotRun(NotRun::Shed) => AttemptOutcome::Shed,
             AttemptResult::NotRun(NotRun::Misdirected) => AttemptOutcome::Misdirected,
-            AttemptResult::NotRun(NotRun::Withheld(_) | NotRun::Crashing(_) | NotRun::Expired) => {
-                AttemptOutcome::Cancelled
-            }
+            AttemptResult::NotRun(
+                NotRun::Withheld(_) | NotRun::Crashing(_) | NotRun::Expired | NotRun::Shortage(_),
+            ) => AttemptOutcome::Cancelled,
             AttemptResult::Unknown(ended) => *ended,
         };
         attempt_result
@@ -415,6 +428,7 @@
                 }
             },
             Err(Failure::NotSent(_)) => AttemptResult::NotRun(NotRun::Unreachable),
+            Err(Failure::Shortage(shortage)) => AttemptResult::NotRun(NotRun::Shortage(shortage)),
             Err(Failure::TimedOut) => AttemptResult::Unknown(AttemptOutcome::TimedOut),
             Err(Failure::Broken(e)) => {
                 log::debug!("traffic: a connection broke before the answer: {e}");
--- a/crates/edge/src/traffic/crash_reports.rs
+++ b/crates/edge/src/traffic/crash_reports.rs
@@ -7,6 +7,7 @@
 use crate::detour::{CONNECT_TIMEOUT, DetourError};
 use crate::listing::ListingUpdate;
 use crate::load_reports::CrashReport;
+use crate::net::ConnectError;
 use async_io::Timer;
 use metrics::{counter, gauge};
 use serde::{Deserialize, Serialize};
@@ -136,7 +137,11 @@
                 self.pool.borrow_mut().put(addr, conn, 1);
                 return false;
             }
-            Err(e) => {
+            Err(ConnectError::Shortage(shortage)) => {
+                log::warn!(upstream:% = id, lack = shortage.as_str(); "crashes: it can't be checked whether an upstream has ended");
+                return false;
+            }
+            Err(ConnectError::Path(e)) => {
                 self.status.paths().on_failure(addr, &e);
                 if e.kind() != ErrorKind::ConnectionRefused {
                     return false;
@@ -157,7 +162,7 @@
             )
             .await;
         match opinion {
-            Ok(_) => false,
+            Ok(_) | Err(DetourError::Shortage(_)) => false,
             Err(DetourError::NoDetour) => intermediaries.is_empty(),
             Err(DetourError::Refused | DetourError::Unreached) => true,
         }
--- a/crates/edge/src/traffic/detours.rs
+++ b/crates/edge/src/traffic/detours.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::detour::{self, DetourError};
 use crate::listing::ListingUpdate;
+use crate::net::ConnectError;
 use crate::view::PeerInfo;
 use async_io::Timer;
 use metrics::{counter, gauge};
@@ -35,7 +36,7 @@
         is_once: bool,
         timeout: Millis,
         direct: Option<io::Error>,
-    ) -> io::Result<Result<Reply, Failure>> {
+    ) -> Result<Result<Reply, Failure>, ConnectError> {
         let intermediaries = self.intermediaries();
         let paths = self.status.paths();
         let forwarded =
@@ -43,14 +44,15 @@
         let result = match &forwarded {
             Ok(Ok(_)) => "answered",
             Ok(Err(_)) => "unknown",
+            Err(DetourError::Shortage(_)) => "shortage",
             Err(_) => "no_path",
         };
         counter!("skylarkdock_detours_total", "result" => result).increment(1);
         match (forwarded, direct) {
             (Ok(result), _) => Ok(result),
-            (Err(_), Some(direct)) if intermediaries.is_empty() => Err(direct),
+            (Err(_), Some(direct)) if intermediaries.is_empty() => Err(ConnectError::Path(direct)),
             // What this host learnt itself says more than that another one does not reach it either.
-            (Err(DetourError::Unreached), Some(direct)) => Err(direct),
+            (Err(DetourError::Unreached), Some(direct)) => Err(ConnectError::Path(direct)),
             (Err(error), _) => Err(error.into()),
         }
     }
@@ -80,8 +82,9 @@
         let (status, pool) = (std::sync::Arc::clone(&self.status), Rc::clone(&self.pool));
         let probe = async move {
             match detour::probe(status.paths(), addr).await {
-                Some(conn) => pool.borrow_mut().put(addr, conn, 1),
-                None => pool.borrow_mut().close_all(addr),
+                Ok(conn) => pool.borrow_mut().put(addr, conn, 1),
+                Err(ConnectError::Path(_)) => pool.borrow_mut().close_all(addr),
+                Err(ConnectError::Shortage(_)) => {}
             }
         };
         self.ex.spawn(probe).detach();
@@ -112,7 +115,7 @@
             for addr in due {
                 let traffic = Rc::clone(&self);
                 let probe = async move {
-                    if let Some(conn) = detour::probe(traffic.status.paths(), addr).await {
+                    if let Ok(conn) = detour::probe(traffic.status.paths(), addr).await {
                         traffic.pool.borrow_mut().put(addr, conn, 1);
                     }
                 };
--- a/crates/edge/src/traffic/request.rs
+++ b/crates/edge/src/traffic/request.rs
@@ -240,7 +240,10 @@
                     {
                         return self.give_up_withheld(req, history, withheld);
                     }
-                    let is_exhausted = history.misdirected >= MAX_MISDIRECTED
+                    // Another upstream would need a connection, too.
+                    let lacks = matches!(reason, NotRun::Shortage(_));
+                    let is_exhausted = lacks
+                        || history.misdirected >= MAX_MISDIRECTED
                         || history.sent > 2 * req.route.attempts;
                     if clock::now() >= req.deadline || is_exhausted {
                         return self.give_up(req, history, reason.as_str());
--- a/crates/hostlog/src/explanation.rs
+++ b/crates/hostlog/src/explanation.rs
@@ -131,6 +131,9 @@
         "misdirected" => {
             "the upstreams reported that they don't own its key; see the ownership changes below"
         }
+        "shortage" => {
+            "the host had no descriptor, memory or port left for a connection to an upstream"
+        }
         "unreachable" => "no connection to an upstream could be opened",
         "host_is_leaving" => "the host was shutting down",
         "crashes_upstreams" => "requests like it crashed upstreams",
