Share a host's descriptors out by purpose

Callers got no connection, or waited unread, at a host with 3,700 idle connections and 38 with a request, and the same host had no descriptor for upstreams, the store and other hosts. Nothing bounded the connections of callers but the limit itself.

A pure function divides the limit: a sixth for control (store, other hosts, grants, readiness checks, metrics, files), a sixth for upstreams, two thirds for callers. The limit is the lower one of the system's and of the settings (`descriptors`, from the machine's limit). At the share of callers, a new connection takes the place of the one that has had no request for longest; if all have requests, it waits in the listener's queue. A request that crosses the close is served and its answer closes the connection. Only the share of callers is enforced; the other purposes are bounded by what they do, and have the rest.

Whether 503 with a Retry-After is better than to wait in the queue was not measured: idle connections were there all the time. With the admission switched off, the test of the idle connection fails.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod arrivals;
 pub mod crash_tracker;
+pub mod descriptors;
 pub mod key_owners;
 pub mod notices;
 pub mod packed_load;
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -19,6 +19,8 @@
 use async_signal::{Signal, Signals};
 use eyre::{WrapErr, eyre};
 use futures_lite::{FutureExt, StreamExt, future};
+use metrics::gauge;
+use skylarkdock_dispatch::descriptors::Shares;
 use skylarkdock_dispatch::shutdown::Shutdown;
 use skylarkdock_units::times::Millis;
 use std::rc::Rc;
@@ -92,6 +94,16 @@
     let mut signals =
         Signals::new([Signal::Term, Signal::Hup]).wrap_err("can't install the signal handler")?;
     let shared = Rc::new(ListenerState::default());
+    let limit = net::descriptor_limit(settings.descriptors);
+    let shares = Shares::of(limit);
+    let Shares { control, upstreams, callers: of_callers } = shares;
+    shared.shares.set(Some(shares));
+    gauge!("skylarkdock_descriptor_limit").set(f64::from(limit.0));
+    for (purpose, share) in
+        [("control", control), ("upstreams", upstreams), ("callers", of_callers)]
+    {
+        gauge!("skylarkdock_descriptor_share", "purpose" => purpose).set(f64::from(share));
+    }
     let traffic = Traffic::start(
         settings.clone(),
         protocol,
@@ -117,7 +129,7 @@
     let ready_shared = Rc::new(ListenerState::default());
     let accept = serve::accept(Rc::clone(&ex), readiness, ready_shared, ready_handler);
     tasks::spawn(&ex, &links.status, "readiness", accept);
-    log::info!(host:% = settings.host, zone:% = settings.zone; "host: started");
+    log::info!(host:% = settings.host, zone:% = settings.zone, descriptors:% = limit, control = control, upstreams = upstreams, callers = of_callers; "host: started");
     let fault = async {
         let task = links.status.wait_for_fault().await;
         Err(eyre!("the task {task} has panicked"))
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -3,10 +3,14 @@
 use crate::framing::{Oversize, SizeJudge};
 use crate::serve::Limits;
 use event_listener::Event;
+use metrics::{counter, gauge};
+use skylarkdock_dispatch::descriptors::{CallerAdmission, Shares};
 use skylarkdock_dispatch::shutdown::Shutdown;
 use skylarkdock_freshness::final_answers::{FinalAnswer, Unproven};
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::task::Waker;
 
 /// Number of requests that ended during a shutdown, by their end.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -40,9 +44,58 @@
     pub limits: Cell<Option<Limits>>,
     /// Version of the configuration that they are from; zero while they are built in.
     pub limits_version: Cell<u64>,
+    /// Shares of the descriptors, on the listener of callers.
+    pub shares: Cell<Option<Shares>>,
+    /// Whether callers have their share, as it was logged.
+    is_full: Cell<bool>,
+    /// Connections without a request.
+    pub(crate) idle: IdleConnections,
     size_judge: OnceCell<SizeJudge>,
 }
 
+/// Connections without a request, by when they became so.
+#[derive(Debug, Default)]
+pub(crate) struct IdleConnections {
+    next: Cell<u64>,
+    by_age: RefCell<BTreeMap<u64, IdleConnection>>,
+}
+
+/// Connection without a request.
+#[derive(Debug)]
+struct IdleConnection {
+    is_unwanted: Rc<Cell<bool>>,
+    waker: Waker,
+}
+
+impl IdleConnections {
+    /// Adds a connection and returns its key. If it is to be closed, `is_unwanted` is set and the connection woken.
+    pub(crate) fn add(&self, is_unwanted: &Rc<Cell<bool>>, waker: &Waker) -> u64 {
+        let key = self.next.get();
+        self.next.set(key + 1);
+        let connection =
+            IdleConnection { is_unwanted: Rc::clone(is_unwanted), waker: waker.clone() };
+        self.by_age.borrow_mut().insert(key, connection);
+        key
+    }
+
+    /// Removes a connection, which may be gone already.
+    pub(crate) fn remove(&self, key: u64) {
+        self.by_age.borrow_mut().remove(&key);
+    }
+
+    fn count(&self) -> u32 {
+        u32::try_from(self.by_age.borrow().len()).unwrap_or(u32::MAX)
+    }
+
+    fn close_longest(&self) {
+        let longest = self.by_age.borrow_mut().pop_first();
+        if let Some((_, IdleConnection { is_unwanted, waker })) = longest {
+            is_unwanted.set(true);
+            waker.wake();
+        }
+    }
+}
+
 impl ListenerState {
     /// Begins the shutdown.
     pub fn start_shutdown(&self, shutdown: Shutdown) {
@@ -62,6 +115,36 @@
         self.size_judge.get().map_or(Err(Unproven::NoConfig), |judge| judge.0(oversize))
     }
 
+    /// Decides on the next connection.
+    pub(crate) fn admission(&self) -> CallerAdmission {
+        let Some(shares) = self.shares.get() else { return CallerAdmission::Accept };
+        shares.admit(u32::try_from(self.open.get()).unwrap_or(u32::MAX), self.idle.count())
+    }
+
+    /// Closes the connection that has had no request for longest.
+    pub(crate) fn close_idle(&self) {
+        counter!("skylarkdock_idle_callers_closed_total").increment(1);
+        self.idle.close_longest();
+    }
+
+    /// Counts a connection as open or closed, and logs when the share of callers becomes full and when it has room again.
+    pub(crate) fn add_open(&self, added: bool) {
+        let open = if added { self.open.get() + 1 } else { self.open.get() - 1 };
+        self.open.set(open);
+        let Some(shares) = self.shares.get() else { return };
+        let open = u32::try_from(open).unwrap_or(u32::MAX);
+        gauge!("skylarkdock_descriptors", "purpose" => "callers").set(f64::from(open));
+        let is_full = shares.is_full(open, self.is_full.get());
+        if self.is_full.replace(is_full) != is_full {
+            let (idle, busy) = (self.idle.count(), self.busy.get());
+            if is_full {
+                log::warn!(open = open, idle = idle, busy = busy, share = shares.callers; "serve: callers have their share of the descriptors");
+            } else {
+                log::info!(open = open, idle = idle, busy = busy, share = shares.callers; "serve: callers' share of the descriptors has room again");
+            }
+        }
+    }
+
     /// Returns the limits for the next request of any connection.
     pub(crate) fn limits(&self) -> Limits {
         self.limits.get().unwrap_or_default()
--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -5,6 +5,8 @@
 use metrics::counter;
 use rustix::io::Errno;
 use rustix::net::sockopt;
+use rustix::process::{self, Resource};
+use skylarkdock_dispatch::descriptors::DescriptorLimit;
 use skylarkdock_units::times::Millis;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -81,6 +83,13 @@
     }
 }
 
+/// Returns how many descriptors this process may have open: what the system allows, or less if `own` is less.
+pub fn descriptor_limit(own: Option<DescriptorLimit>) -> DescriptorLimit {
+    let allowed = process::getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    let allowed = DescriptorLimit(u32::try_from(allowed).unwrap_or(u32::MAX));
+    own.map_or(allowed, |own| own.min(allowed))
+}
+
 /// Listens on an address.
 ///
 /// # Errors
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -7,14 +7,16 @@
 use crate::net::{self, Shortage};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::FutureExt;
 use futures_lite::io::AsyncReadExt;
+use futures_lite::{FutureExt, future};
 use metrics::counter;
+use skylarkdock_dispatch::descriptors::CallerAdmission;
 use skylarkdock_freshness::final_answers::{FinalAnswer, RequestFault};
 use skylarkdock_http1::body::{ChunkError, Decoder, Framing};
 use skylarkdock_http1::head::RequestHead;
 use skylarkdock_units::measures::ByteSize;
 use skylarkdock_units::times::Millis;
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::{Future, poll_fn};
 use std::io::{self, Read, Write};
@@ -83,15 +85,27 @@
     handler: Handler,
 ) {
     loop {
+        if shared.admission() == CallerAdmission::Wait {
+            Timer::after(ACCEPT_PAUSE.duration()).await;
+            continue;
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
                 if let Err(e) = net::prepare(&stream) {
                     log::debug!("serve: can't set the options of a connection: {e}");
                     continue;
                 }
-                let shared = Rc::clone(&shared);
-                let handler = Rc::clone(&handler);
-                ex.spawn(serve_connection(stream, shared, handler)).detach();
+                let has_closed = shared.admission() == CallerAdmission::CloseIdle;
+                if has_closed {
+                    shared.close_idle();
+                }
+                shared.add_open(true);
+                let connection = serve_connection(stream, Rc::clone(&shared), Rc::clone(&handler));
+                ex.spawn(connection).detach();
+                if has_closed {
+                    // The closed one gives back its descriptor before the next is taken.
+                    future::yield_now().await;
+                }
             }
             Err(e) => {
                 let shortage = Shortage::of(&e);
@@ -108,7 +122,6 @@
 
 /// Serves a connection until it is closed.
 async fn serve_connection(stream: Async<TcpStream>, shared: Rc<ListenerState>, handler: Handler) {
-    shared.open.set(shared.open.get() + 1);
     let limits = shared.limits();
     let mut connection = Connection {
         stream,
@@ -127,13 +140,18 @@
         timer: Timer::after(limits.idle_time.duration()),
         waiting_since: Instant::now(),
         busy: None,
+        idle: None,
+        is_unwanted: Rc::default(),
     };
     let end = poll_fn(|cx| {
         let polled = connection.poll(cx);
-        connection.update_busy();
+        connection.update_busy(cx);
         polled
     })
     .await;
+    if let Some((key, _)) = connection.idle.take() {
+        shared.idle.remove(key);
+    }
     match end {
         Err(e) => log::debug!("serve: connection failed: {e}"),
         Ok(()) if connection.is_input_closed && !connection.is_eof => {
@@ -141,7 +159,8 @@
         }
         Ok(()) => {}
     }
-    shared.open.set(shared.open.get() - 1);
+    drop(connection);
+    shared.add_open(false);
 }
 
 /// Closes a connection so that the last answer arrives. Closing it while the caller is still sending would reset the
@@ -193,6 +212,10 @@
     timer: Timer,
     waiting_since: Instant,
     busy: Option<Busy>,
+    /// Key among the connections without a request, and how many it had had before.
+    idle: Option<(u64, u64)>,
+    /// Whether it is closed once it has no request, so that another caller gets its descriptor.
+    is_unwanted: Rc<Cell<bool>>,
 }
 
 impl Connection {
@@ -222,7 +245,7 @@
     }
 
     /// Records whether the connection has a request without a complete answer.
-    fn update_busy(&mut self) {
+    fn update_busy(&mut self, cx: &Context<'_>) {
         // What follows the last answer is not read.
         let is_receiving =
             !self.is_input_closed && (self.partial.is_some() || !self.input.is_empty());
@@ -230,6 +253,16 @@
         if is_busy != self.busy.is_some() {
             self.busy = is_busy.then(|| Busy::new(&self.shared));
         }
+        let is_idle = !is_busy && !self.is_input_closed && !self.is_unwanted.get();
+        // A request may have come and been answered since the last time.
+        let is_known = self.idle.is_some_and(|(_, requests)| is_idle && requests == self.requests);
+        if !is_known && let Some((key, _)) = self.idle.take() {
+            self.shared.idle.remove(key);
+        }
+        if !is_known && is_idle {
+            let key = self.shared.idle.add(&self.is_unwanted, cx.waker());
+            self.idle = Some((key, self.requests));
+        }
     }
 
     /// Reads what has arrived. Returns whether that was anything, and whether it was all, up to the end if the caller has
@@ -402,8 +435,9 @@
             else {
                 break;
             };
-            // During a shutdown, an answer closes the connection only if no other request has been read from it.
-            let closes_for_shutdown = self.shared.is_leaving.get()
+            // During a shutdown, or for another caller, an answer closes the connection only if no other request has been
+            // read from it.
+            let closes_for_shutdown = (self.shared.is_leaving.get() || self.is_unwanted.get())
                 && self.pending.is_empty()
                 && self.partial.is_none()
                 && (self.is_input_closed || self.input.is_empty());
@@ -455,6 +489,9 @@
             return Poll::Pending;
         }
         let is_partial = self.partial.is_some() || !self.input.is_empty();
+        if !is_partial && self.is_unwanted.get() {
+            return Poll::Ready(Ok(()));
+        }
         if !is_partial {
             self.limits = self.shared.limits();
         }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,5 +1,6 @@
 //! Addresses, location, size and time limits with which an entry host is started, and its retry budget.
 
+use skylarkdock_dispatch::descriptors::DescriptorLimit;
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{HostId, Region, Zone};
 use skylarkdock_units::measures::HostSize;
@@ -17,6 +18,8 @@
     pub region: Region,
     /// Its size.
     pub size: HostSize,
+    /// Descriptors that it may have open; the limit of its process if that is lower, or if there is none here.
+    pub descriptors: Option<DescriptorLimit>,
     /// All availability zones and their regions.
     pub zones: FastMap<Zone, Region>,
     /// Listen address for callers.
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -7,6 +7,7 @@
 use futures_lite::FutureExt;
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
 use rstest::rstest;
+use skylarkdock_dispatch::descriptors::Shares;
 use skylarkdock_edge::answer::{Answer, OwnStatus};
 use skylarkdock_edge::listener::ListenerState;
 use skylarkdock_edge::serve::{self, AnswerFuture, Incoming, Limits};
@@ -171,6 +172,74 @@
     });
 }
 
+const SHARES: Shares = Shares { control: 4, upstreams: 4, callers: 4 };
+
+/// Waits until the other end closes the connection. Returns what came before.
+async fn read_to_end(mut stream: &Async<TcpStream>) -> String {
+    let mut text = String::new();
+    // A reset ends it, too.
+    let _ = stream.read_to_string(&mut text).await;
+    text
+}
+
+/// Idle connections kept their descriptors while new callers waited until they gave up.
+#[test]
+fn a_new_caller_gets_the_descriptor_of_the_connection_that_has_been_idle_for_longest() {
+    with_server(|server| async move {
+        server.shared.shares.set(Some(SHARES));
+        let mut streams = Vec::new();
+        for _ in 0..4 {
+            let stream = connect(server.addr).await;
+            send(&stream, &get(0)).await;
+            read(&stream, 1).await;
+            streams.push(stream);
+        }
+        // The first one is used again, so the second one is idle for longest.
+        send(&streams[0], &get(0)).await;
+        read(&streams[0], 1).await;
+        for closed in [1, 2] {
+            let stream = connect(server.addr).await;
+            send(&stream, &get(0)).await;
+            assert!(read(&stream, 1).await.ends_with("/0"));
+            assert_eq!(read_to_end(&streams[closed]).await, "");
+            streams.push(stream);
+        }
+        send(&streams[0], &get(0)).await;
+        assert!(read(&streams[0], 1).await.ends_with("/0"), "it is still open");
+        assert_eq!(server.shared.open.get(), 4);
+    });
+}
+
+/// Requests under way must not be cut off for new callers.
+#[test]
+fn a_new_caller_waits_while_all_connections_of_the_share_have_requests() {
+    with_server(|server| async move {
+        server.shared.shares.set(Some(SHARES));
+        let mut streams = Vec::new();
+        for _ in 0..4 {
+            let stream = connect(server.addr).await;
+            send(&stream, &get(100)).await;
+            streams.push(stream);
+        }
+        while server.started.get() < 4 {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        // One connection may be accepted before it is known that there is none to close for it.
+        let late = [connect(server.addr).await, connect(server.addr).await];
+        for stream in &late {
+            send(stream, &get(0)).await;
+        }
+        for stream in &streams {
+            assert!(read(stream, 1).await.ends_with("/100"));
+        }
+        for stream in &late {
+            assert!(read(stream, 1).await.ends_with("/0"));
+        }
+        assert!(server.shared.open.get() <= 5);
+        assert_eq!(server.cancelled.get(), 0);
+    });
+}
+
 /// A host that is shutting down must not keep reading requests from a busy connection, because they would be cut off
 /// when the process ends.
 #[test]
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -158,6 +158,7 @@
         zone: "z1".parse().unwrap(),
         region: "r1".parse().unwrap(),
         size: HostSize(100),
+        descriptors: None,
         zones: std::iter::once(("z1".parse().unwrap(), "r1".parse().unwrap())).collect(),
         callers: any,
         readiness: any,
