Send a refused release again after a longer pause

Cause: since a refusal without a name ends no wait, it is sent again at the pace of an unanswered release, 150 ms, and the process at the address is asked for its id each time, which takes one of its slots.

Change: 750 ms after a refusal. Its answer rarely changes, as the process that gave it still has the address or still turns calls away, and in at most 3.7 s the grants have expired. Releases without an answer are repeated as before.

--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -33,6 +33,9 @@
 const SPANS_PER_MILLI: u64 = 10;
 /// Pause before a failed grant or release is sent again.
 const RETRY_PAUSE: Millis = Millis(150);
+/// Pause before a refused release is sent again. The process that refused it is asked for its id each time, which takes one of
+/// its slots, and its answer rarely changes.
+const REFUSAL_PAUSE: Millis = Millis(750);
 /// Time between two requests for a keeper's acknowledgement while a move waits for it.
 const ACK_REQUEST_INTERVAL: Millis = Millis(300);
 /// Time between two requests for a keeper's acknowledgement while no move waits for it.
@@ -232,9 +235,13 @@
                 progress.handover = handover.or_else(|| progress.handover.take());
                 progress.releases[index] = ReleaseState::Ended(end);
             }
-            Err(NotEnded::Refused | NotEnded::Unknown) => {
+            Err(reason) => {
+                let pause = match reason {
+                    NotEnded::Refused => REFUSAL_PAUSE,
+                    NotEnded::Unknown => RETRY_PAUSE,
+                };
                 progress.has_failed_release = true;
-                progress.releases[index] = ReleaseState::Idle { not_before: now + RETRY_PAUSE };
+                progress.releases[index] = ReleaseState::Idle { not_before: now + pause };
             }
         }
     }
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -9,6 +9,7 @@
 use skylarkdock_spans::renewal::{CallEnd, Connection, Grant, Purpose, Renewals};
 use skylarkdock_spans::table::{FencingToken, Holder, Keeper, Table};
 use skylarkdock_spans::timing::Timing;
+use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::measures::HostSize;
 use skylarkdock_units::times::{HostTime, Millis};
 
@@ -119,6 +120,33 @@
     }
 }
 
+/// Each refusal costs the upstream a release and a request for its id; they came some 20 times for each span.
+#[test]
+fn a_refused_release_is_not_repeated_at_the_pace_of_an_unanswered_one() {
+    // 4 s, in which no keeper acknowledges the change, so that the leader goes on waiting.
+    const TICKS: u32 = 80;
+    let sent = |reason: NotEnded| {
+        let mut fixture = Fixture::new();
+        let mut sent: FastMap<u16, u32> = FastMap::default();
+        for _ in 0..TICKS {
+            for action in fixture.tick(&["a"]) {
+                match action {
+                    Action::Release(release) => {
+                        *sent.entry(release.first).or_default() += 1;
+                        fixture.leader.on_released(&release, Err(reason), fixture.now);
+                    }
+                    Action::RequestAck(_) => {}
+                    other => fixture.carry_out(other),
+                }
+            }
+        }
+        sent.into_values().max().unwrap_or_default()
+    };
+    assert!(sent(NotEnded::Unknown) > 10);
+    let refused = sent(NotEnded::Refused);
+    assert!((1..=6).contains(&refused), "{refused} releases of one span");
+}
+
 #[test]
 fn a_change_is_recorded_before_anything_is_sent() {
     let mut fixture = Fixture::new();
