Give the control thread a larger stack

A process that overflows a stack ends, and with it all requests at the host. The control thread had the default of 2 MiB. How much of the 2 MiB is used then is not measured. In an unoptimized build 512 KiB are too little: hosts of refused_releases end with "thread 'control' has overflowed its stack", and with 2 MiB all 19 tests pass.

The thread gets 8 MiB, as the main thread has. Pages that are not touched take no memory.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -27,6 +27,9 @@
 use std::sync::Arc;
 use std::thread;
 
+/// Size of the stack of the control thread, in bytes. Polling a call to an upstream or a host in an unoptimized build takes more
+/// than 512 KiB of it; only the pages that are used take memory.
+const CONTROL_STACK_SIZE: usize = 8 * 1024 * 1024;
 /// Interval at which the conditions for the exit are checked.
 const SHUTDOWN_CHECK_INTERVAL: Millis = Millis(50);
 
@@ -75,6 +78,7 @@
     };
     thread::Builder::new()
         .name("control".to_owned())
+        .stack_size(CONTROL_STACK_SIZE)
         .spawn(control)
         .wrap_err("can't start the control thread")?;
     let ex = Rc::new(LocalExecutor::new());
