--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -300,7 +300,7 @@
     keeper_timing: Timing { proof_lifetime: Millis(600_000), ..TIMING },
     ..Safeguards::default()
 })]
-#[case::grants_are_sent_after_a_wait_without_another_look(400, Safeguards { confirms_sends: false, ..Safeguards::default() })]
+#[case::grants_are_sent_after_a_wait_without_another_look(100, Safeguards { confirms_sends: false, ..Safeguards::default() })]
 #[case::tables_are_written_over_damaged_records(1, Safeguards { has_damaged_records: true, searches_former_tables: false, ..Safeguards::default() })]
 #[case::tables_are_written_after_a_wait_without_another_look(1_900, Safeguards { confirms_writes: false, ..Safeguards::default() })]
 #[case::bare_refusals_end_waits(1, Safeguards { doubts_bare_refusals: false, troubles: Troubles::all(), ..Safeguards::default() })]
