--- a/review/standins/src/backend.rs
+++ b/review/standins/src/backend.rs
@@ -104,7 +104,10 @@
                 }
                 if long.0 > 0 && !told {
                     told = true;
-                    let text = format!("{} keys, {} among them, are held by two backends for over half a second", long.0, long.1);
+                    let text = format!(
+                        "{} keys, {} among them, are held by two backends for over half a second",
+                        long.0, long.1
+                    );
                     fleet.add_break(&record, text);
                 }
             }
@@ -171,7 +174,8 @@
         let reported = if state.is_draining { "draining" } else { "ready" };
         let info = json!({"service": self.service, "version": "v1", "zone": self.zone, "slots": 6});
         let status = json!({"state": reported, "seq": seq, "cold-remaining": "0ms"});
-        json!({"address": self.addr, "born": state.born, "server-info": info, "status": status}).to_string()
+        json!({"address": self.addr, "born": state.born, "server-info": info, "status": status})
+            .to_string()
     }
 
     /// Writes the entry if more than its number has changed, and removes that of a backend that is silent.
@@ -191,7 +195,8 @@
         state.written_at = Instant::now();
         let seq = state.seq;
         let known: Option<Value> = known.and_then(|text| serde_json::from_slice(&text).ok());
-        let known_seq = known.as_ref().and_then(|known| known["status"]["seq"].as_u64()).unwrap_or(0);
+        let known_seq =
+            known.as_ref().and_then(|known| known["status"]["seq"].as_u64()).unwrap_or(0);
         let same: Value = serde_json::from_str(&self.entry(&state, known_seq)).unwrap_or_default();
         if known.as_ref() != Some(&same) {
             store.put("keyed.servers", &self.id, &self.entry(&state, seq));
@@ -227,14 +232,17 @@
         }
         if self.is_sharded && req.path() == "/api/release" {
             let body: Value = serde_json::from_slice(&req.body).ok()?;
-            let (first, last) = (body["from"].as_u64()? as usize, body["target"].as_u64()? as usize);
+            let (first, last) =
+                (body["from"].as_u64()? as usize, body["target"].as_u64()? as usize);
             let fence = body["fence"].as_u64()?;
             for key in first..=last {
                 state.holds[key] = None;
                 state.seen[key] = state.seen[key].max(fence);
             }
             self.record.line(&format!("{}: releases {first}-{last} token {fence}", self.id));
-            let works = |state: &mut State| state.running.iter().any(|key| (first..=last).contains(&usize::from(*key)));
+            let works = |state: &mut State| {
+                state.running.iter().any(|key| (first..=last).contains(&usize::from(*key)))
+            };
             let _done = self.state.1.wait_while(state, works).unwrap();
             return Some(Answer::new(200, "").with("X-Handover", "5c0e7a21d94b36f8"));
         }
@@ -248,7 +256,8 @@
             return Some(refused.with("X-Backend-Instance", self.id.as_str()));
         }
         state.running.push(key);
-        self.record.line(&format!("{}: runs {id} key {key} {} {}", self.id, req.method, req.target));
+        self.record
+            .line(&format!("{}: runs {id} key {key} {} {}", self.id, req.method, req.target));
         drop(state);
         thread::sleep(self.work);
         let mut state = self.state.0.lock().unwrap();
@@ -291,12 +300,19 @@
         thread::spawn(move || {
             for other in others {
                 let state = other.state.0.lock().unwrap();
-                let stale: Vec<&usize> = taken.iter().filter(|key| state.had[**key] >= fence).collect();
+                let stale: Vec<&usize> =
+                    taken.iter().filter(|key| state.had[**key] >= fence).collect();
                 if let (Some(from), Some(to)) = (stale.first(), stale.last()) {
                     let had = state.had[**from];
-                    let live = state.holds[**from].as_ref().filter(|hold| Instant::now() < hold.until);
-                    let live = live.map_or("holds it no more".to_owned(), |hold| format!("holds it with token {}", hold.fence));
-                    let text = format!("{own} took keys from {from} to {to} with token {fence}; {} had key {from} with token {had} and {live}", other.id);
+                    let live =
+                        state.holds[**from].as_ref().filter(|hold| Instant::now() < hold.until);
+                    let live = live.map_or("holds it no more".to_owned(), |hold| {
+                        format!("holds it with token {}", hold.fence)
+                    });
+                    let text = format!(
+                        "{own} took keys from {from} to {to} with token {fence}; {} had key {from} with token {had} and {live}",
+                        other.id
+                    );
                     fleet.add_break(&record, text);
                 }
             }
--- a/review/standins/src/drill.rs
+++ b/review/standins/src/drill.rs
@@ -42,8 +42,10 @@
 
     let zones = json!({"leon-a": "bajio-norte", "leon-b": "bajio-norte"});
     let places = ["leon-a", "leon-b", "leon-a"].map(|zone| Place { zone, region: "bajio-norte" });
-    let new = |(place, name): (&Place<'_>, &&str)| Host::new(name, &mut addresses, record, place.zone);
-    let mut hosts: Vec<Host> = places.iter().zip(&["front-1", "front-2", "front-3"]).map(new).collect();
+    let new =
+        |(place, name): (&Place<'_>, &&str)| Host::new(name, &mut addresses, record, place.zone);
+    let mut hosts: Vec<Host> =
+        places.iter().zip(&["front-1", "front-2", "front-3"]).map(new).collect();
     let seeds: Vec<_> = hosts.iter().map(|host| host.peers).collect();
     for (host, place) in hosts.iter_mut().zip(&places) {
         host.configure(place, &seeds, store.addr, &zones);
@@ -62,10 +64,14 @@
     record.line("the copy of the store is from here");
     let mut films: Vec<Backend> =
         ["i-1", "i-2"].iter().map(|id| start(id, "films", addresses.any_port())).collect();
-    wait_for("all keys are held", 20, || KEYS.iter().all(|key| films.iter().any(|b| b.holds(*key))))?;
+    wait_for("all keys are held", 20, || {
+        KEYS.iter().all(|key| films.iter().any(|b| b.holds(*key)))
+    })?;
     films.push(start("i-3", "films", addresses.any_port()));
     wait_for("the third backend holds keys", 20, || films[2].count() > 0)?;
-    wait_for("all keys are held", 20, || KEYS.iter().all(|key| films.iter().any(|b| b.holds(*key))))?;
+    wait_for("all keys are held", 20, || {
+        KEYS.iter().all(|key| films.iter().any(|b| b.holds(*key)))
+    })?;
     while copied.elapsed() < COPY_AGE {
         send(&hosts, record, "before", number, true);
         number += 1;
--- a/review/standins/src/host.rs
+++ b/review/standins/src/host.rs
@@ -56,7 +56,8 @@
     pub fn new(name: &str, addresses: &mut Addresses, record: &Record, zone: &str) -> Self {
         let ip = addresses.ip();
         let listeners = [0; 3].map(|port| TcpListener::bind((ip, port)).expect("a free port"));
-        let [callers, ready, peers] = listeners.each_ref().map(|l| l.local_addr().expect("an address"));
+        let [callers, ready, peers] =
+            listeners.each_ref().map(|l| l.local_addr().expect("an address"));
         drop(listeners);
         let folder = folder();
         record.line(&format!("{name}: of zone {zone}, at {callers}"));
@@ -72,7 +73,13 @@
         }
     }
 
-    pub fn configure(&self, place: &Place<'_>, seeds: &[SocketAddr], store: SocketAddr, zones: &serde_json::Value) {
+    pub fn configure(
+        &self,
+        place: &Place<'_>,
+        seeds: &[SocketAddr],
+        store: SocketAddr,
+        zones: &serde_json::Value,
+    ) {
         let text = json!({
             "host": self.name, "zone": place.zone, "region": place.region, "cpu_share": 0.2, "descriptors": 4100,
             "zones": zones, "callers": self.callers, "readiness": self.ready, "peers": self.peers, "seeds": seeds,
@@ -111,13 +118,25 @@
 
     pub fn is_ready(&self) -> bool {
         let head = "GET /api/readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
-        http::call(self.ready, head, &[], Duration::from_secs(1)).is_some_and(|answer| answer.status == 200)
+        http::call(self.ready, head, &[], Duration::from_secs(1))
+            .is_some_and(|answer| answer.status == 200)
     }
 
     /// Sends a request as a client does, on a new connection.
-    pub fn request(&self, method: &str, path: &str, id: &str, key: Option<u16>, body: &[u8]) -> Option<Answer> {
+    pub fn request(
+        &self,
+        method: &str,
+        path: &str,
+        id: &str,
+        key: Option<u16>,
+        body: &[u8],
+    ) -> Option<Answer> {
         let key = key.map(|key| format!("X-Shard-Key: {key}\r\n")).unwrap_or_default();
-        let length = if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+        let length = if method == "GET" {
+            String::new()
+        } else {
+            format!("Content-Length: {}\r\n", body.len())
+        };
         let head = format!(
             "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\nX-Deadline-Milliseconds: 4000\r\n{key}{length}\r\n"
         );
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -108,7 +108,8 @@
 }
 
 fn encode(answer: &Answer) -> Vec<u8> {
-    let mut text = format!("HTTP/1.1 {} X\r\nContent-Length: {}\r\n", answer.status, answer.body.len());
+    let mut text =
+        format!("HTTP/1.1 {} X\r\nContent-Length: {}\r\n", answer.status, answer.body.len());
     for (name, value) in &answer.headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 mod drill;
 mod host;
 mod http;
+mod parts;
 mod record;
 mod store;
 
@@ -22,7 +23,10 @@
     };
     let record = Record::new(path);
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    record.line(&format!("case {case}, {} the disruption", if has_trouble { "with" } else { "without" }));
+    record.line(&format!(
+        "case {case}, {} the disruption",
+        if has_trouble { "with" } else { "without" }
+    ));
     // A panic drops the hosts, which ends their processes.
     let result = std::panic::catch_unwind(|| run(case, &record, has_trouble));
     let result = result.unwrap_or_else(|_| Err("a stand-in failed".to_owned()));
@@ -53,6 +57,7 @@
             let kills_hosts = has_trouble && part != "store";
             drill::run(record, drill::Trouble { restores_store, kills_hosts })
         }
+        "parts" => parts::run(record, has_trouble),
         _ => Err("no such case".to_owned()),
     }
 }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -113,7 +113,9 @@
             for (offset, (key, value)) in records.iter().enumerate() {
                 newest.insert(key, (value, offset));
             }
-            let live = newest.into_iter().filter(|(key, (value, _))| !value.is_empty() && *key > after.as_str());
+            let live = newest
+                .into_iter()
+                .filter(|(key, (value, _))| !value.is_empty() && *key > after.as_str());
             let items = live.map(|(key, (value, offset))| json!({"key": key, "value": STANDARD.encode(value), "offset": offset}));
             let items: Vec<Value> = items.collect();
             let more = items.len() > 500;
