Record a host again whose record the store lost

After the store came back from an older copy, a host whose record was lost did not write it again while it ran. So leaders did not ask it which ownership tables it remembers, and other hosts gave it no updates and used it for no detours.

Cause: `is_registered` looked at the map of known hosts, which a read of all records does not prune. It now looks at the records that the store has. A write that an earlier copy confirmed no longer counts as confirmed, so that the next one does not wait 4 s.

--- a/crates/edge/src/control/registration.rs
+++ b/crates/edge/src/control/registration.rs
@@ -4,6 +4,7 @@
 use crate::store::Record;
 use async_io::Timer;
 use metrics::counter;
+use skylarkdock_freshness::copies::CopyNumber;
 use skylarkdock_freshness::registration::{self, LastWrite};
 use skylarkdock_units::times::Millis;
 use std::rc::Rc;
@@ -31,6 +32,7 @@
         };
         let record = Record { key: format!("{HOST_PREFIX}{}", own.host), value };
         let mut last = LastWrite::None;
+        let mut written_to = CopyNumber::default();
         loop {
             let is_missing = self.is_registered(&own) == Some(false);
             if !is_missing {
@@ -39,6 +41,11 @@
                 Timer::after(interval.duration()).await;
                 continue;
             }
+            // A later copy may lack what an earlier one confirmed.
+            let copy = self.fleet.borrow().store_copy.number();
+            if std::mem::replace(&mut written_to, copy) != copy {
+                last = LastWrite::None;
+            }
             let jitter_per_mille = fastrand::u16(..1_000);
             let pause = registration::pause(last, self.settings.size, jitter_per_mille);
             Timer::after(pause.duration()).await;
@@ -68,6 +75,6 @@
     fn is_registered(&self, own: &HostRecord) -> Option<bool> {
         let fleet = self.fleet.borrow();
         (fleet.fleet_end > 0 || fleet.known_records.fleet.proof_at.0 > 0)
-            .then(|| fleet.hosts.get(&own.host) == Some(own))
+            .then(|| fleet.is_recorded(&own.host) && fleet.hosts.get(&own.host) == Some(own))
     }
 }
