Take no read without a table, of a later copy, for proof

A host that starts after the store came back from a copy without the table of a service took its reads for proof that there is none. If another host told it the lost table afterwards, it renewed the grants of that table by this proof for up to 14 s, also after the leader had waited for their end and had granted the keys to others. The same proof made a leader that knew no table count as one that remembers.

Cause: `Renewals::on_read` refused a read as proof only if the known table was of an earlier copy; without a table it accepted any read. Without a table, only a read of a store that never came back proves something now.

--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -213,11 +213,14 @@
     }
 
     /// Handles a read of a copy of the store that was sent at `at`. If the newest record of the table can't be read, it may be
-    /// a newer table, and if the known one was recorded in an earlier copy, a newer one may be lost. Then the read proves
-    /// nothing.
+    /// a newer table, and if the known one was recorded in an earlier copy, or none is known, a newer one may be lost. Then
+    /// the read proves nothing.
     pub fn on_read(&mut self, at: HostTime, copy: StoreCopy, is_readable: bool) {
-        let is_earlier = self.table.as_ref().is_some_and(|table| table.is_of_earlier_copy(copy));
-        if is_readable && !is_earlier {
+        let may_be_lost = match &self.table {
+            Some(table) => table.is_of_earlier_copy(copy),
+            None => copy != StoreCopy::default(),
+        };
+        if is_readable && !may_be_lost {
             self.prove(at);
         }
     }
--- a/crates/spans/tests/restored.rs
+++ b/crates/spans/tests/restored.rs
@@ -153,3 +153,17 @@
     renewals.adopt(distant(LATER));
     assert!(!renewals.confirm_write(&distant(LATER)));
 }
+
+/// A read without the table, of a later copy, was taken for proof of a lost table that the host learnt of afterwards.
+#[test]
+fn a_read_of_a_later_copy_without_a_table_proves_nothing() {
+    let new = || Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, START);
+    let mut renewals = new();
+    renewals.on_read(START, LATER, true);
+    assert_eq!(renewals.memory(START).proof_age, None);
+    renewals.adopt(table(9));
+    assert!(!renewals.has_proof(START));
+    let mut renewals = new();
+    renewals.on_read(START, StoreCopy(0), true);
+    assert!(renewals.memory(START).proof_age.is_some(), "no copy was ever lost");
+}
