Take no missing table for a first start without proof

What callers saw: the store came back from a copy that lacks the first table of a service, and all hosts had lost power.

Cause: "nobody remembers a table" counted as a first start unless the leader itself had known an earlier copy. A process that starts after the loss has never known one. It did not take the end of all hosts either: a leader that had started since, beside hosts that had not learnt of the table, said the same. And the numbers of such a table began with 1 in each copy.

Change, all pure (`spans::restored`): - A missing table is a first start only if a process read this copy within 1 s of the first start of the whole fleet (`first_start` of the settings, which the platform sets then and at no restart). No host records a first table before it has run for 2 s, so nothing can be lost before. A store that counts from zero and has never come back needs no such proof, as before. - Otherwise the leader waits until all grants of lost tables have expired, counted from when it knew of the copy, so a leader that has run for 18 s waits for nothing. - First numbers are larger in each copy, also over a record that can't be read. - Hosts whose records were lost are asked too: the leader counts as certain only once a host that runs has been recorded again, and the grants of one that has ended have expired, and only if the leader and the keepers of the newest table have answered.

--- a/crates/edge/src/control/lost_tables.rs
+++ b/crates/edge/src/control/lost_tables.rs
@@ -1,14 +1,14 @@
 //! Tables of a store that came back from an older copy: the leader asks the other hosts which versions they remember.
 
-use super::{Control, HostRecord};
+use super::Control;
 use crate::clock;
 use async_executor::Task;
 use async_io::Timer;
 use skylarkdock_freshness::copies::Position;
 use skylarkdock_spans::renewal::Renewals;
-use skylarkdock_spans::restored::{self, Memory, Recall, StoreCopy};
+use skylarkdock_spans::restored::{self, Asked, Memory, Recall, StoreCopy};
 use skylarkdock_units::collections::FastMap;
-use skylarkdock_units::ids::ServiceName;
+use skylarkdock_units::ids::{HostId, ServiceName};
 use skylarkdock_units::times::Millis;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -81,29 +81,27 @@
     }
 
     async fn ask_for_memories(self: Rc<Self>, service: ServiceName, copy: StoreCopy) {
-        let others: Vec<SocketAddr> = {
+        let hosts: Vec<(HostId, SocketAddr)> = {
             let fleet = self.fleet.borrow();
             let others = fleet.hosts.values().filter(|record| record.host != self.settings.host);
-            others.map(|record: &HostRecord| record.peers).collect()
+            others.map(|record| (record.host.clone(), record.peers)).collect()
         };
-        let ask = |addr| {
+        let ask = |(host, addr)| {
             let (control, service) = (Rc::clone(&self), service.clone());
-            self.ex.spawn(async move { control.request_memory(addr, &service).await })
+            self.ex.spawn(async move { (host, control.request_memory(addr, &service).await) })
         };
-        let asked: Vec<Task<Option<Memory>>> = others.into_iter().map(ask).collect();
-        let mut memories = Vec::new();
-        for answer in asked {
-            memories.push(answer.await);
+        let answers: Vec<Task<(HostId, Option<Memory>)>> = hosts.into_iter().map(ask).collect();
+        let mut others = Vec::new();
+        for answer in answers {
+            others.push(answer.await);
         }
-        let own = self.memory(&service);
-        let (restored_at, is_restored) = {
-            let fleet = self.fleet.borrow();
-            (fleet.store_copy.known_at(), fleet.store_copy.is_restored())
-        };
-        let (recall, newest) = restored::recall(&own, &memories, restored_at, is_restored);
-        let (asked, answers) = (memories.len(), memories.iter().flatten().count());
+        let own = (self.settings.host.clone(), self.memory(&service));
+        let restored_at = self.fleet.borrow().store_copy.known_at();
+        let asked = Asked { own, others, copy, restored_at };
+        let (recall, newest) = asked.recall(self.timing, clock::now());
+        let answers = asked.others.iter().filter(|(_, memory)| memory.is_some()).count();
         let version = newest.as_ref().map_or(0, |table| table.version);
-        log::info!(service:% = service, version, asked, answers, is_certain = recall == Recall::Certain; "owners: asked for tables that the store may have lost");
+        log::info!(service:% = service, version, copy = copy.0, asked = asked.others.len(), answers, recall:? = recall; "owners: asked for tables that the store may have lost");
         if let Some(table) = newest
             && self.adopt_table(table)
         {
@@ -122,6 +120,16 @@
         let owners = self.owners.borrow();
         let known = owners.renewals.get(service).map(|renewals| renewals.memory(now));
         let running = now.since(self.started_at);
-        known.unwrap_or(Memory { table: None, proof_age: None, running })
+        let none = Memory { table: None, proof_age: None, running, first_copy: None };
+        Memory { first_copy: self.first_copy(), ..known.unwrap_or(none) }
+    }
+
+    /// Returns the copy of the store that this process read before any host can have recorded a table.
+    fn first_copy(&self) -> Option<StoreCopy> {
+        let known = self.fleet.borrow().store_copy;
+        let uptime = known.known_at().since(self.started_at);
+        let copy = StoreCopy(known.number().get());
+        restored::first_copy(self.settings.is_first_start, copy, uptime)
+            .filter(|_| known.known_at() >= self.started_at)
     }
 }
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -426,6 +426,7 @@
             search,
             copy,
             recall: Recall::Certain,
+            uptime: now.since(self.started_at),
         }
     }
 
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -133,7 +133,7 @@
     let ready_shared = Rc::new(ListenerState::default());
     let accept = serve::accept(Rc::clone(&ex), readiness, ready_shared, ready_handler);
     tasks::spawn(&ex, &links.status, "readiness", accept);
-    log::info!(host:% = settings.host, zone:% = settings.zone, descriptors:% = limit, control = control, upstreams = upstreams, callers = of_callers; "host: started");
+    log::info!(host:% = settings.host, zone:% = settings.zone, first_start = settings.is_first_start, descriptors:% = limit, control = control, upstreams = upstreams, callers = of_callers; "host: started");
     let fault = async {
         let task = links.status.wait_for_fault().await;
         Err(eyre!("the task {task} has panicked"))
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -40,6 +40,8 @@
     pub grace: Millis,
     /// Time within which a new configuration has to be in force.
     pub apply_time: Millis,
+    /// Whether the whole fleet starts with this process, for the first time.
+    pub is_first_start: bool,
     /// Time after which an upstream that leaves must get no new requests.
     pub drain_time: Millis,
     /// Longest time for which keys may be granted.
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -169,6 +169,7 @@
         heartbeat: Millis(870),
         grace: Millis(6_000),
         apply_time,
+        is_first_start: false,
         drain_time: Millis(2_000),
         max_hold: Millis(10_000),
         repeat_ratio: 0.2,
--- a/crates/freshness/src/copies.rs
+++ b/crates/freshness/src/copies.rs
@@ -66,8 +66,6 @@
     copy: Option<CopyNumber>,
     /// When this host first knew it.
     known_at: HostTime,
-    /// Whether this host knew an earlier copy.
-    is_restored: bool,
 }
 
 impl KnownCopy {
@@ -84,7 +82,6 @@
         }
         let before = self.copy.replace(copy);
         self.known_at = now;
-        self.is_restored = before.is_some();
         before
     }
 
@@ -93,11 +90,6 @@
         self.known_at
     }
 
-    /// Returns whether the store came back from an older copy since this host first read it.
-    pub const fn is_restored(&self) -> bool {
-        self.is_restored
-    }
-
     /// Returns whether a read that was sent at `asked_at` shows which configuration is the newest one. While operators
     /// write again what the store lost, it does not. A host that starts can't tell when the store came back.
     pub fn shows_newest(&self, asked_at: HostTime) -> bool {
--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -84,6 +84,8 @@
     pub copy: Option<StoreCopy>,
     /// Whether the leader knows the last version of a table that an earlier copy had.
     pub recall: Recall,
+    /// Time since the leader's process started.
+    pub uptime: Millis,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -509,12 +511,15 @@
             self.last_candidate_at = now;
         }
         self.candidate_count = candidates.len();
+        if inputs.uptime < restored::MIN_FIRST_TABLE_UPTIME {
+            return None;
+        }
         let is_quiet = now.since(self.last_candidate_at) >= FIRST_TABLE_QUIET_TIME;
         if !is_quiet && now.since(first_at) < MAX_FIRST_TABLE_DELAY {
             return None;
         }
         let (version, fence) = if inputs.is_record_unreadable {
-            inputs.search.unused_numbers(self.timing, now)?
+            inputs.search.unused_numbers(inputs.copy, self.timing, now)?
         } else {
             inputs.recall.first_numbers(inputs.copy, self.timing, now)?
         };
--- a/crates/spans/src/lost.rs
+++ b/crates/spans/src/lost.rs
@@ -4,6 +4,7 @@
 //! a while, and other hosts know the table longer than that. If neither has it, keys may be granted again once all grants
 //! have certainly expired: no host gets proof of its table while the record can't be read.
 
+use crate::restored::{self, StoreCopy};
 use crate::table::{FencingToken, Table};
 use crate::timing::Timing;
 use skylarkdock_units::times::HostTime;
@@ -35,11 +36,18 @@
 impl Search {
     /// Returns a version and a fencing token that no earlier table has reached; `None` unless the table is lost and all its
     /// grants have expired. Each table takes a record; its version is by one larger than that of the table before, and its
-    /// smallest unused token by one at most.
-    pub fn unused_numbers(self, timing: Timing, now: HostTime) -> Option<(u64, FencingToken)> {
+    /// smallest unused token by one at most, except that both leave out numbers for each copy of the store. Records that a
+    /// copy lacks don't count, but are fewer than the numbers that are left out for it.
+    pub fn unused_numbers(
+        self,
+        copy: Option<StoreCopy>,
+        timing: Timing,
+        now: HostTime,
+    ) -> Option<(u64, FencingToken)> {
         let Self::Nothing(lost) = self else { return None };
         let has_expired = now.since(lost.unreadable_since) >= timing.expiry_without_acks();
-        has_expired.then_some((lost.records + 1, FencingToken(lost.records + 1)))
+        let number = lost.records + 1 + restored::numbers_before(copy);
+        has_expired.then_some((number, FencingToken(number)))
     }
 }
 
--- a/crates/spans/src/renewal.rs
+++ b/crates/spans/src/renewal.rs
@@ -231,6 +231,7 @@
             table: self.table.clone(),
             proof_age: (self.proof_at.0 > 0).then(|| now.since(self.proof_at)),
             running: now.since(self.started_at),
+            first_copy: None,
         }
     }
 
--- a/crates/spans/tests/end.rs
+++ b/crates/spans/tests/end.rs
@@ -6,6 +6,7 @@
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::{Ack, CallEnd, LastSent};
+use skylarkdock_spans::restored::MIN_FIRST_TABLE_UPTIME;
 use skylarkdock_spans::table::{FencingToken, FormerGrant, Holder, Keeper, Span, Table};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::measures::HostSize;
@@ -164,7 +165,12 @@
         let renewed_until = now + Millis(rng.u64(0..2_000));
         let lost_from = now + Millis(rng.u64(0..3_000));
         let lost_acks = lost_from..lost_from + Millis(rng.u64(0..8_000));
-        let inputs = Inputs { candidates, hosts: vec![keeper], ..Inputs::default() };
+        let inputs = Inputs {
+            candidates,
+            hosts: vec![keeper],
+            uptime: MIN_FIRST_TABLE_UPTIME,
+            ..Inputs::default()
+        };
         Self { rng, now, leader, inputs, formers, renewed_until, lost_acks }
     }
 
--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -17,6 +17,14 @@
 const LATE_ENTRY_CASES: u64 = 8;
 /// Cases with a store that comes back from older copies.
 const RESTORED_STORE_CASES: u64 = 60;
+/// Cases with first tables that the store loses.
+const LOST_FIRST_TABLE_CASES: u64 = 60;
+/// Settings of these cases.
+const LOST_FIRST_TABLES: Safeguards = Safeguards {
+    has_restored_store: true,
+    has_lost_first_tables: true,
+    ..Safeguards::NONE_MISSING
+};
 /// Cases with entries of other writers.
 const FOREIGN_ENTRY_CASES: u64 = 12;
 const FAULT_STEPS: usize = 2_400;
@@ -237,6 +245,40 @@
     assert!(sum.uncertain_recalls > 0);
 }
 
+/// A first table was lost with all processes that knew it, and keys were granted again while its grants were in force.
+#[test]
+fn no_two_upstreams_hold_a_key_when_first_tables_are_lost() {
+    let cases = variable("SKYLARKDOCK_FUZZ_CASES", LOST_FIRST_TABLE_CASES);
+    let first = variable("SKYLARKDOCK_FUZZ_SEED", 1);
+    let mut sum = FaultCounts::default();
+    for seed in first..first + cases {
+        sum += run(seed, LOST_FIRST_TABLES)
+            .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+    }
+    println!("{cases} cases: {sum:?}");
+    assert!(sum.forgotten_first_tables > 0);
+    assert!(sum.lost_first_tables > sum.forgotten_first_tables);
+    assert!(sum.lost_hosts > 0);
+}
+
+/// Checks the simulation itself: each case weakens a rule for first tables and lost hosts, with which the simulation must find a
+/// key with two holders, a token that is handed out again, or keys without a holder.
+#[rstest]
+#[case::silence_is_a_first_start(900, Safeguards { doubts_missing_tables: false, ..LOST_FIRST_TABLES })]
+#[case::numbers_begin_again(1, Safeguards { numbers_copies: false, ..LOST_FIRST_TABLES })]
+#[case::reads_without_a_table_are_proof(160, Safeguards { doubts_reads_of_later_copies: false, ..LOST_FIRST_TABLES })]
+#[case::lost_hosts_are_not_awaited(490, Safeguards { awaits_lost_hosts: false, ..LOST_FIRST_TABLES })]
+#[case::lost_hosts_stay_unrecorded(1_140, Safeguards { records_lost_hosts: false, ..LOST_FIRST_TABLES })]
+fn the_simulation_detects_a_missing_rule_for_first_tables(
+    #[case] first: u64,
+    #[case] safeguards: Safeguards,
+) {
+    let found =
+        (first..first + 400).find_map(|seed| run(seed, safeguards).err().map(|e| (seed, e)));
+    println!("{found:?}");
+    assert!(found.is_some(), "no seed finds anything although a rule is disabled");
+}
+
 /// Checks the simulation itself: a leader that goes on from an older table without asking the others grants keys with tokens
 /// that were used.
 #[test]
--- a/crates/spans/tests/lost_table.rs
+++ b/crates/spans/tests/lost_table.rs
@@ -7,6 +7,7 @@
 use skylarkdock_spans::lost::{self, LogSearch, LostTable, Search};
 use skylarkdock_spans::plan::{self, Candidate};
 use skylarkdock_spans::renewal::Renewals;
+use skylarkdock_spans::restored::MIN_FIRST_TABLE_UPTIME;
 use skylarkdock_spans::restored::StoreCopy;
 use skylarkdock_spans::table::{FencingToken, Holder, Keeper, Table};
 use skylarkdock_spans::timing::Timing;
@@ -40,6 +41,7 @@
         hosts: vec![keeper],
         is_record_unreadable: true,
         search,
+        uptime: MIN_FIRST_TABLE_UPTIME,
         ..Inputs::default()
     }
 }
--- a/crates/spans/tests/other_hosts_grants.rs
+++ b/crates/spans/tests/other_hosts_grants.rs
@@ -6,6 +6,7 @@
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::{Ack, CallEnd, Connection, Grant, LastSent, Purpose, Renewals};
+use skylarkdock_spans::restored::MIN_FIRST_TABLE_UPTIME;
 use skylarkdock_spans::table::{FencingToken, FormerGrant, Holder, Keeper, Span, Table};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::measures::HostSize;
@@ -39,7 +40,12 @@
 
 fn inputs(owner: &Holder, hosts: &[Keeper]) -> Inputs {
     let candidate = Candidate { holder: owner.clone(), capacity: 20.0 };
-    Inputs { candidates: vec![candidate], hosts: hosts.to_vec(), ..Inputs::default() }
+    Inputs {
+        candidates: vec![candidate],
+        hosts: hosts.to_vec(),
+        uptime: MIN_FIRST_TABLE_UPTIME,
+        ..Inputs::default()
+    }
 }
 
 /// Returns a table of one span.
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -7,6 +7,7 @@
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::plan::Candidate;
 use skylarkdock_spans::renewal::{CallEnd, Connection, Grant, Purpose, Renewals};
+use skylarkdock_spans::restored::MIN_FIRST_TABLE_UPTIME;
 use skylarkdock_spans::table::{FencingToken, Holder, Keeper, Table};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::collections::FastMap;
@@ -38,6 +39,7 @@
             .map(|name| Candidate { holder: holder(name), capacity: 20.0 })
             .collect(),
         hosts: vec![keeper],
+        uptime: MIN_FIRST_TABLE_UPTIME,
         ..Inputs::default()
     }
 }
--- a/crates/spans/tests/restored.rs
+++ b/crates/spans/tests/restored.rs
@@ -3,8 +3,9 @@
 #![allow(clippy::unwrap_used)]
 
 use rstest::rstest;
+use skylarkdock_spans::lost::{LostTable, Search};
 use skylarkdock_spans::renewal::Renewals;
-use skylarkdock_spans::restored::{self, Memory, Recall, StoreCopy};
+use skylarkdock_spans::restored::{self, Asked, Memory, Recall, StoreCopy};
 use skylarkdock_spans::table::{FencingToken, FormerGrant, Holder, Keeper, Span, Table};
 use skylarkdock_spans::timing::Timing;
 use skylarkdock_units::measures::HostSize;
@@ -55,7 +56,21 @@
 
 fn memory(version: Option<u64>, proof_age: Option<u64>, running: u64) -> Option<Memory> {
     let proof_age = proof_age.map(Millis);
-    Some(Memory { table: version.map(table), proof_age, running: Millis(running) })
+    let (table, running) = (version.map(table), Millis(running));
+    Some(Memory { table, proof_age, running, first_copy: None })
+}
+
+/// Returns what host `h` concludes from its own memory and those of others, which it asked after the longest wait.
+fn recall(own: Memory, others: &[Option<Memory>], now: HostTime) -> (Recall, Option<Table>) {
+    let name = |n: usize| format!("o{n}").parse().unwrap();
+    let others = others.iter().enumerate().map(|(n, memory)| (name(n), memory.clone())).collect();
+    let own = ("h".parse().unwrap(), own);
+    Asked { own, others, copy: LATER, restored_at: START }.recall(TIMING, now)
+}
+
+/// Time at which hosts whose records were lost are recorded again.
+fn settled() -> HostTime {
+    START + TIMING.grant_expiry()
 }
 
 /// A process that recorded a lost version may have ended since.
@@ -71,7 +86,7 @@
     #[case] newest: u64,
 ) {
     let own = memory(Some(7), None, 90_000).unwrap();
-    let (recall, table) = restored::recall(&own, others, START, true);
+    let (recall, table) = recall(own, others, settled());
     assert_eq!(recall == Recall::Certain, is_certain, "{recall:?}");
     assert_eq!(table.unwrap().version, newest);
 }
@@ -79,23 +94,98 @@
 #[test]
 fn a_host_whose_proof_is_the_latest_knows_the_last_version() {
     let own = memory(Some(7), Some(500), 90_000).unwrap();
-    assert_eq!(restored::recall(&own, &[], START, true).0, Recall::Certain);
+    assert_eq!(recall(own, &[], settled()).0, Recall::Certain);
 }
 
-/// A service of a fleet that starts would wait as if a table were lost.
+/// A host that was added in the lost seconds was not asked, as its record was lost too.
+#[test]
+fn hosts_whose_records_were_lost_are_waited_for() {
+    let own = || memory(Some(7), Some(500), 90_000).unwrap();
+    assert_eq!(recall(own(), &[], START).0, Recall::Pending);
+    assert_eq!(recall(own(), &[], HostTime(settled().0 - 1)).0, Recall::Pending);
+    let named = |leader: &str| {
+        let table = Table { leader: leader.parse().unwrap(), ..table(7) };
+        recall(Memory { table: Some(table), ..own() }, &[], settled()).0
+    };
+    assert_eq!(named("h"), Recall::Certain);
+    assert_eq!(named("unknown"), Recall::Uncertain { restored_at: START });
+}
+
+/// The loss of a first table, together with all processes that knew it, was taken for a first start.
 #[rstest]
-#[case::starts(false, true)]
-#[case::knew_an_earlier_copy(true, false)]
-fn a_fleet_that_starts_remembers_no_table(#[case] is_restored: bool, #[case] is_certain: bool) {
-    let none = memory(None, None, 100);
-    let others = [none.clone(), none.clone()];
-    let (recall, table) = restored::recall(&none.unwrap(), &others, START, is_restored);
-    assert_eq!((recall == Recall::Certain, table), (is_certain, None));
-    let numbers = recall.first_numbers(Some(LATER), TIMING, START);
-    assert_eq!(numbers.is_some(), is_certain);
+#[case::all_have_started_since(memory(None, None, 100), memory(None, None, 100))]
+#[case::one_has_run_before(memory(None, None, 90_000), memory(None, None, 100))]
+#[case::the_leader_has_started_since(memory(None, None, 100), memory(None, None, 90_000))]
+fn that_no_host_remembers_a_table_is_no_first_start(
+    #[case] own: Option<Memory>,
+    #[case] other: Option<Memory>,
+) {
+    let (recall, table) = recall(own.unwrap(), &[other.clone(), other], settled());
+    assert_eq!((recall, table), (Recall::Uncertain { restored_at: START }, None));
     let expired = START + TIMING.expiry_without_acks();
-    let (version, fence) = recall.first_numbers(Some(LATER), TIMING, expired).unwrap();
-    assert!(is_certain || (version > MANY_VERSIONS && fence.0 > MANY_VERSIONS));
+    let numbers = |now| recall.first_numbers(Some(LATER), TIMING, now);
+    assert_eq!(numbers(HostTime(expired.0 - 1)), None);
+    let (version, fence) = numbers(expired).unwrap();
+    assert!(version > MANY_VERSIONS && fence.0 > MANY_VERSIONS, "holders may have seen any token");
+}
+
+/// A service of a fleet that starts would wait as if a table were lost.
+#[rstest]
+#[case::own(Some(LATER), None, true)]
+#[case::of_another_host(None, Some(LATER), true)]
+#[case::of_an_earlier_copy(Some(FORMER), Some(FORMER), false)]
+fn a_copy_that_was_read_at_the_first_start_lacks_no_table(
+    #[case] own: Option<StoreCopy>,
+    #[case] other: Option<StoreCopy>,
+    #[case] is_certain: bool,
+) {
+    let with = |first_copy| Memory { first_copy, ..memory(None, None, 100).unwrap() };
+    let others = [None, Some(with(other))];
+    let (found, _) = recall(with(own), &others, START);
+    assert_eq!(found == Recall::Certain, is_certain, "{found:?}");
+    let late = Memory { table: Some(table(7)), ..with(Some(LATER)) };
+    assert_ne!(
+        recall(late, &others, settled()).0,
+        Recall::Certain,
+        "a table was lost all the same"
+    );
+}
+
+/// Another host may have recorded a table, and ended, before the store came back.
+#[test]
+fn only_an_early_read_of_a_first_start_shows_a_first_copy() {
+    let early = Millis(900);
+    assert_eq!(restored::first_copy(true, LATER, early), Some(LATER));
+    assert_eq!(restored::first_copy(false, LATER, early), None);
+    assert_eq!(restored::first_copy(true, LATER, restored::MIN_FIRST_TABLE_UPTIME), None);
+}
+
+/// Holders that had seen a token refused a smaller one for good.
+#[test]
+fn first_numbers_are_larger_than_those_of_earlier_copies() {
+    let numbers = |recall: Recall, copy| recall.first_numbers(copy, TIMING, START).unwrap().0;
+    assert_eq!(numbers(Recall::Certain, None), 1);
+    assert_eq!(numbers(Recall::Certain, Some(StoreCopy(0))), 1);
+    assert!(numbers(Recall::Certain, Some(FORMER)) > MANY_VERSIONS);
+    let later = numbers(Recall::Certain, Some(LATER));
+    assert!(later > numbers(Recall::Certain, Some(FORMER)) + MANY_VERSIONS);
+    let lost = LostTable { unreadable_since: HostTime(0), records: 5 };
+    let over_unreadable = |copy| Search::Nothing(lost).unused_numbers(Some(copy), TIMING, START);
+    assert!(over_unreadable(LATER).unwrap().0 > later);
+}
+
+/// A read without the table, of a later copy, was taken for proof of a lost table that the host learnt of afterwards.
+#[test]
+fn a_read_of_a_later_copy_without_a_table_proves_nothing() {
+    let new = || Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, START);
+    let mut renewals = new();
+    renewals.on_read(START, LATER, true);
+    assert_eq!(renewals.memory(START).proof_age, None);
+    renewals.adopt(table(9));
+    assert!(!renewals.has_proof(START));
+    let mut renewals = new();
+    renewals.on_read(START, StoreCopy(0), true);
+    assert!(renewals.memory(START).proof_age.is_some(), "no copy was ever lost");
 }
 
 /// A read of an older table was taken for proof of whatever table the host knew.
@@ -153,17 +243,3 @@
     renewals.adopt(distant(LATER));
     assert!(!renewals.confirm_write(&distant(LATER)));
 }
-
-/// A read without the table, of a later copy, was taken for proof of a lost table that the host learnt of afterwards.
-#[test]
-fn a_read_of_a_later_copy_without_a_table_proves_nothing() {
-    let new = || Renewals::new("h".parse().unwrap(), "r".parse().unwrap(), TIMING, START);
-    let mut renewals = new();
-    renewals.on_read(START, LATER, true);
-    assert_eq!(renewals.memory(START).proof_age, None);
-    renewals.adopt(table(9));
-    assert!(!renewals.has_proof(START));
-    let mut renewals = new();
-    renewals.on_read(START, StoreCopy(0), true);
-    assert!(renewals.memory(START).proof_age.is_some(), "no copy was ever lost");
-}
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -18,15 +18,16 @@
 use processes::LeftPorts;
 use registry::Registry;
 use releases::ReleaseCall;
-use restored::{Copies, Position};
+use restored::{Copies, EarlyLoss, Position};
 pub use settings::{FaultCounts, Safeguards, TIMING, Troubles};
 use skylarkdock_spans::leader::{Action, Inputs, Leader};
 use skylarkdock_spans::renewal::Renewals;
+use skylarkdock_spans::restored::{MIN_FIRST_TABLE_UPTIME, StoreCopy};
 use skylarkdock_spans::table::{Holder, Keeper, Table};
 use skylarkdock_units::collections::FastMap;
 use skylarkdock_units::ids::{HostId, Region, ServiceName, Zone};
 use skylarkdock_units::measures::HostSize;
-use skylarkdock_units::times::HostTime;
+use skylarkdock_units::times::{HostTime, Millis};
 pub use upstream::Upstream;
 
 pub const HOSTS: usize = 4;
@@ -49,9 +50,12 @@
     read_to: Position,
     /// When it first read the copy of the store.
     copy_known_at: u64,
-    /// Whether it read an earlier copy.
-    is_restored: bool,
-    has_read: bool,
+    /// Copy that it read at the first start of the fleet.
+    first_copy: Option<StoreCopy>,
+    /// When its record was written that the store has.
+    recorded_at: Option<u64>,
+    /// Hosts whose records it has read.
+    known_hosts: [bool; HOSTS],
     damage: damage::Seen,
     read_at: u64,
     reaches_store: bool,
@@ -89,6 +93,7 @@
     damage: Damage,
     late_registry: LateRegistry,
     copies: Copies,
+    early_loss: EarlyLoss,
     log_end: u64,
     messages: Vec<(u64, Message)>,
     calls: FastMap<(usize, Holder), GrantCalls>,
@@ -113,8 +118,15 @@
         let late_share = if rng.bool() { 0.3 } else { 0.0 };
         // With an odd seed two hosts share an availability zone, so that not every host is a keeper.
         let zone_size = if seed.is_multiple_of(2) { 1 } else { 2 };
-        let hosts = (0..HOSTS).map(|index| new_host(index, zone_size, &safeguards, 1)).collect();
+        let mut hosts: Vec<Host> =
+            (0..HOSTS).map(|index| new_host(index, zone_size, &safeguards, 1)).collect();
         let upstreams = (0..UPSTREAMS).map(|index| Upstream::new(index, &mut rng)).collect();
+        let early_loss = EarlyLoss::new(seed);
+        if safeguards.has_lost_first_tables {
+            let lacking =
+                hosts.iter_mut().enumerate().filter(|(index, _)| early_loss.lacks(*index));
+            lacking.for_each(|(_, host)| host.recorded_at = None);
+        }
         Self {
             safeguards,
             zone_size,
@@ -128,7 +140,8 @@
             log: Vec::new(),
             damage: Damage::new(seed),
             late_registry: LateRegistry::new(seed),
-            copies: Copies::new(seed),
+            copies: Copies::new(seed, safeguards.has_lost_first_tables),
+            early_loss,
             log_end: 0,
             messages: Vec::new(),
             calls: FastMap::default(),
@@ -176,7 +189,8 @@
         self.deliver()?;
         for index in 0..HOSTS {
             let host = &self.hosts[index];
-            if self.now >= host.frozen_until && self.now >= host.down_until {
+            let is_missing = self.safeguards.has_lost_first_tables && self.early_loss.lacks(index);
+            if self.now >= host.frozen_until && self.now >= host.down_until && !is_missing {
                 self.run_host(index);
             }
         }
@@ -223,9 +237,7 @@
             let index = self.rng.usize(..HOSTS);
             self.fault_counts.host_restarts += 1;
             let down_ms = self.rng.u64(100..4_000);
-            self.hosts[index] = new_host(index, self.zone_size, &self.safeguards, now + down_ms);
-            self.hosts[index].down_until = now + down_ms;
-            self.calls.retain(|(host, _), _| *host != index);
+            self.restart_host(index, down_ms);
         }
         if self.rng.u32(..700 / frequency) == 0 {
             let index = self.rng.usize(..UPSTREAMS);
@@ -261,6 +273,9 @@
         if self.safeguards.has_damaged_records {
             self.damage_records();
         }
+        if self.safeguards.has_lost_first_tables {
+            self.play_early_loss();
+        }
         if self.safeguards.has_restored_store {
             self.lose_records();
         }
@@ -275,6 +290,16 @@
         }
     }
 
+    /// Ends a host's process and starts the next one after a while.
+    fn restart_host(&mut self, index: usize, down_ms: u64) {
+        let recorded_at = self.hosts[index].recorded_at;
+        let until = self.now + down_ms;
+        self.hosts[index] = new_host(index, self.zone_size, &self.safeguards, until);
+        self.hosts[index].down_until = until;
+        self.hosts[index].recorded_at = recorded_at;
+        self.calls.retain(|(host, _), _| *host != index);
+    }
+
     fn run_host(&mut self, index: usize) {
         if !self.reads_last {
             self.read_store(index);
@@ -306,6 +331,9 @@
         let search = self.search_former_table(index);
         let recall = self.recall_lost_tables(index);
         let copy = Some(self.hosts[index].copy());
+        let has_numbers =
+            self.safeguards.numbers_copies || self.hosts[index].renewals.table().is_some();
+        let copy = copy.filter(|_| has_numbers);
         let inputs = Inputs { search, recall, copy, ..self.inputs(index) };
         let host = &mut self.hosts[index];
         let table = host.renewals.table().cloned();
@@ -339,6 +367,8 @@
         }
         host.read_at = self.now;
         host.record_position(self.copies.position(), self.now);
+        self.read_hosts(index);
+        let host = &mut self.hosts[index];
         let is_readable = self.damage.read(&mut host.damage, self.log_end, self.now);
         if let Some(table) = self.log.last()
             && is_readable
@@ -354,6 +384,9 @@
         let proof_age = if self.safeguards.has_late_proof { LATE_PROOF_MS } else { 0 };
         let proof_at = self.now.saturating_sub(proof_age);
         let copy = host.copy();
+        if host.renewals.table().is_none() && !self.safeguards.doubts_reads_of_later_copies {
+            host.renewals.prove(HostTime(proof_at));
+        }
         host.renewals.on_read(HostTime(proof_at), copy, proves);
         host.proven_at = host.proven_at.max(proof_at);
         self.read_registry(index);
@@ -361,13 +394,21 @@
 
     fn inputs(&mut self, index: usize) -> Inputs {
         let now = self.now;
-        let candidates = self.candidates(index);
+        let mut candidates = self.candidates(index);
+        let uptime = if self.safeguards.has_lost_first_tables {
+            candidates.retain(|_| self.early_loss.has_service(now));
+            Millis(now.saturating_sub(self.hosts[index].started_at))
+        } else {
+            MIN_FIRST_TABLE_UPTIME
+        };
         // The hot key changes every two seconds, so that rebalancing moves keys.
         let hot = (now / 2_000 * 7_919) % 0x1_0000;
         let rates = vec![(u16::try_from(hot).unwrap_or_default(), 25.0)];
         let mut hosts: Vec<Keeper> = vec![keeper(&self.hosts[index])];
         for other in 0..HOSTS {
-            if other != index && self.rng.u32(..10) > 0 {
+            let is_missing =
+                self.safeguards.has_lost_first_tables && !self.hosts[index].known_hosts[other];
+            if other != index && self.rng.u32(..10) > 0 && !is_missing {
                 hosts.push(keeper(&self.hosts[other]));
             }
         }
@@ -375,7 +416,15 @@
         let cut_off = self.hosts.iter().filter(has_no_path).map(|host| host.id.clone()).collect();
         let is_record_unreadable =
             self.safeguards.searches_former_tables && self.hosts[index].damage.is_unreadable();
-        Inputs { candidates, rates, hosts, cut_off, is_record_unreadable, ..Inputs::default() }
+        Inputs {
+            candidates,
+            rates,
+            hosts,
+            cut_off,
+            is_record_unreadable,
+            uptime,
+            ..Inputs::default()
+        }
     }
 
     fn carry_out(&mut self, index: usize, action: Action) {
@@ -470,8 +519,9 @@
         version_read: 0,
         read_to: Position::default(),
         copy_known_at: started_at,
-        is_restored: false,
-        has_read: false,
+        first_copy: None,
+        recorded_at: Some(0),
+        known_hosts: [false; HOSTS],
         damage: damage::Seen::default(),
         read_at: 0,
         reaches_store: true,
--- a/crates/spans/tests/simulation/settings.rs
+++ b/crates/spans/tests/simulation/settings.rs
@@ -40,6 +40,19 @@
     pub has_restored_store: bool,
     /// Whether a leader asks the other hosts for the versions of the table that the store may have lost.
     pub recalls_lost_tables: bool,
+    /// Whether keys are first granted just before the store comes back from an older copy, while some or all hosts end.
+    /// Not a safeguard either.
+    pub has_lost_first_tables: bool,
+    /// Whether a leader takes a missing table for a first start only by proof, and not as no host remembers one.
+    pub doubts_missing_tables: bool,
+    /// Whether the first table of a later copy has larger numbers than those of earlier copies.
+    pub numbers_copies: bool,
+    /// Whether a read of a later copy without a table proves nothing.
+    pub doubts_reads_of_later_copies: bool,
+    /// Whether a leader waits until hosts whose records were lost are recorded again, and asks those too.
+    pub awaits_lost_hosts: bool,
+    /// Whether hosts whose records were lost write them again.
+    pub records_lost_hosts: bool,
     /// Whether a refusal that names no process ends no wait for a holder.
     pub doubts_bare_refusals: bool,
     /// Whether a refusal ends the wait for a holder only if it names another process.
@@ -77,6 +90,15 @@
 }
 
 impl Troubles {
+    const NONE: Self = Self {
+        refusals: false,
+        reused_addresses: false,
+        late_entries: false,
+        followers: false,
+        peer_releases: false,
+        running_work: false,
+    };
+
     /// Returns whether hosts see the entries that upstreams wrote rather than the upstreams that run.
     pub const fn has_registry(&self) -> bool {
         self.reused_addresses || self.late_entries
@@ -98,33 +120,44 @@
 pub const TIMING: Timing =
     Timing { hold: Millis(3_000), call_timeout: Millis(400), proof_lifetime: Millis(14_000) };
 
+impl Safeguards {
+    /// All safeguards, and no troubles.
+    pub const NONE_MISSING: Self = Self {
+        leader_timing: TIMING,
+        keeper_timing: TIMING,
+        has_fencing: true,
+        needs_proof: true,
+        confirms_sends: true,
+        confirms_writes: true,
+        has_frequent_faults: false,
+        has_foreign_entries: false,
+        searches_former_tables: true,
+        refreshes_proof: true,
+        has_late_proof: false,
+        has_damaged_records: false,
+        has_late_registry: false,
+        has_restored_store: false,
+        recalls_lost_tables: true,
+        has_lost_first_tables: false,
+        doubts_missing_tables: true,
+        numbers_copies: true,
+        doubts_reads_of_later_copies: true,
+        awaits_lost_hosts: true,
+        records_lost_hosts: true,
+        doubts_bare_refusals: true,
+        compares_names: true,
+        names_processes: true,
+        checks_connections: true,
+        ages_proof: true,
+        needs_peer_answers: true,
+        needs_release_answers: true,
+        troubles: Troubles::NONE,
+    };
+}
+
 impl Default for Safeguards {
     fn default() -> Self {
-        Self {
-            leader_timing: TIMING,
-            keeper_timing: TIMING,
-            has_fencing: true,
-            needs_proof: true,
-            confirms_sends: true,
-            confirms_writes: true,
-            has_frequent_faults: false,
-            has_foreign_entries: false,
-            searches_former_tables: true,
-            refreshes_proof: true,
-            has_late_proof: false,
-            has_damaged_records: false,
-            has_late_registry: false,
-            has_restored_store: false,
-            recalls_lost_tables: true,
-            doubts_bare_refusals: true,
-            compares_names: true,
-            names_processes: true,
-            checks_connections: true,
-            ages_proof: true,
-            needs_peer_answers: true,
-            needs_release_answers: true,
-            troubles: Troubles::default(),
-        }
+        Self::NONE_MISSING
     }
 }
 
@@ -160,6 +193,11 @@
     pub losses_in_moves: u64,
     /// Steps in which a leader did not know whether it knew the last version that the store had.
     pub uncertain_recalls: u64,
+    /// Losses after which the store had no table, and of these the ones after which no host knew one.
+    pub lost_first_tables: u64,
+    pub forgotten_first_tables: u64,
+    /// Hosts whose records were lost.
+    pub lost_hosts: u64,
     /// Releases that a running holder refused before it looked at them, and grants and renewals.
     pub refused_releases: u64,
     pub refused_grants: u64,
@@ -201,6 +239,9 @@
         self.lost_records += other.lost_records;
         self.losses_in_moves += other.losses_in_moves;
         self.uncertain_recalls += other.uncertain_recalls;
+        self.lost_first_tables += other.lost_first_tables;
+        self.forgotten_first_tables += other.forgotten_first_tables;
+        self.lost_hosts += other.lost_hosts;
         self.refused_releases += other.refused_releases;
         self.refused_grants += other.refused_grants;
         self.reused_addresses += other.reused_addresses;
