Raise a token that a holder refuses for good

A holder that has seen a larger token than the table knows of refused its grant for ever, and nobody had the keys: the leader sent the same grant again and again. That happens if tables were lost, or if another writer granted keys.

Nothing in the refusal tells the token, so the span gets one that is larger by as much as is left out for a copy of the store, once the holder has refused for as long as any grant of a lost table can be in force. A larger step at once would be safe for the holder, but not for another one that may have the keys.

`a_token_that_is_refused_for_good_is_raised` fails without the change (the refused token is sent after 18.75 s still). Open: a recorded grant whose renewals are refused so; its keepers don't tell the leader.

--- a/crates/spans/src/leader.rs
+++ b/crates/spans/src/leader.rs
@@ -110,6 +110,8 @@
     handover: Option<String>,
     granting: GrantState,
     failed_grants: u32,
+    /// When the holder first refused the grant as it has seen a larger token, unless it has answered otherwise since.
+    fenced_since: Option<HostTime>,
 }
 
 #[derive(Debug)]
@@ -254,6 +256,11 @@
         let Some(progress) = self.moves.get_mut(&(grant.first, grant.last, grant.fence)) else {
             return;
         };
+        progress.fenced_since = match end {
+            CallEnd::Fenced => progress.fenced_since.or(Some(now)),
+            CallEnd::Refused | CallEnd::Unknown => progress.fenced_since,
+            CallEnd::Done | CallEnd::Gone => None,
+        };
         progress.granting = match end {
             CallEnd::Done => GrantState::Done,
             CallEnd::Fenced | CallEnd::Gone | CallEnd::Refused | CallEnd::Unknown => {
@@ -331,6 +338,7 @@
                 handover: None,
                 granting: GrantState::Idle { not_before: now },
                 failed_grants: 0,
+                fenced_since: None,
             });
         }
     }
@@ -473,6 +481,7 @@
             None => table.clone(),
         };
         self.mark_granted(&mut next);
+        self.raise_refused_tokens(&mut next, now);
         let available: FastSet<&Holder> = candidates.iter().map(|c| &c.holder).collect();
         let has_lost_owner = |span: &Span| !available.contains(&span.owner);
         let is_urgent = next.spans.iter().any(has_lost_owner);
@@ -550,6 +559,22 @@
         }
     }
 
+    /// Gives larger tokens to spans whose holders have refused theirs for so long that no other grant can be in force. They have
+    /// seen tokens that this table does not know of, and would refuse it for good.
+    fn raise_refused_tokens(&self, table: &mut Table, now: HostTime) {
+        let wait = self.timing.expiry_without_acks();
+        let is_refused = |span: &&mut Span| {
+            let progress = self.moves.get(&(span.first, span.last, span.fence));
+            let since = progress.and_then(|progress| progress.fenced_since);
+            !span.is_granted && since.is_some_and(|since| now.since(since) >= wait)
+        };
+        let fence = FencingToken(table.next_fence.0 + restored::NUMBERS_PER_COPY);
+        for span in table.spans.iter_mut().filter(is_refused) {
+            span.fence = fence;
+            table.next_fence = FencingToken(fence.0 + 1);
+        }
+    }
+
     /// Chooses the keepers: this host and one available host of each other availability zone. A host that reaches no
     /// upstream can't renew grants; beside it, a zone has another keeper if one of its hosts does.
     fn choose_keepers(&mut self, table: &mut Table, inputs: &Inputs, now: HostTime) {
--- a/crates/spans/src/restored.rs
+++ b/crates/spans/src/restored.rs
@@ -16,7 +16,7 @@
 /// a fraction of a second of each other.
 const FIRST_READ_UPTIME: Millis = Millis(1_000);
 /// Versions, and fencing tokens, that are left out for each copy: more than hosts use in the seconds that a copy lacks.
-const NUMBERS_PER_COPY: u64 = 10_000;
+pub(crate) const NUMBERS_PER_COPY: u64 = 10_000;
 
 /// Number of a copy of the store, which rises each time that the store comes back from an older one.
 #[derive(
--- a/crates/spans/tests/ownership_changes.rs
+++ b/crates/spans/tests/ownership_changes.rs
@@ -534,3 +534,37 @@
         assert!(actions.is_empty(), "{actions:?}");
     }
 }
+
+/// A holder that had seen a larger token than the table knows of refused its grant for good, and nobody had the keys.
+#[test]
+fn a_token_that_is_refused_for_good_is_raised() {
+    const SEEN: FencingToken = FencingToken(5_000);
+    let mut fixture = Fixture::new();
+    let start = fixture.now;
+    let mut granted = None;
+    for _ in 0..600 {
+        for action in fixture.tick(&["a"]) {
+            match action {
+                Action::Grant(grant) if grant.fence < SEEN => {
+                    let waited = fixture.now.since(start);
+                    assert!(waited < TIMING.expiry_without_acks() + Millis(1_000), "{waited}");
+                    fixture.leader.on_granted(&grant, CallEnd::Fenced, fixture.now);
+                }
+                Action::Grant(grant) => {
+                    granted.get_or_insert((fixture.now, grant.fence));
+                    fixture.carry_out(Action::Grant(grant));
+                }
+                other => fixture.carry_out(other),
+            }
+        }
+    }
+    let (at, fence) = granted.expect("a grant with a larger token");
+    assert!(
+        at.since(start) >= TIMING.expiry_without_acks(),
+        "grants of a lost table may be in force"
+    );
+    let table = fixture.leader.table().unwrap();
+    table.check().unwrap();
+    assert!(!table.has_pending_spans());
+    assert!(table.spans.iter().any(|span| span.fence == fence));
+}
