Count the time for a request from its first byte

`Connection::poll_timeout` counted the time from the last answer on the connection. It now counts from when the first byte of the request was seen, and not before the last answer.

`a_request_in_parts_after_a_pause_has_the_whole_time_to_arrive` failed in both cases before and passes; a request that never arrives is still given up.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -139,6 +139,7 @@
         is_eof: false,
         timer: Timer::after(limits.idle_time.duration()),
         waiting_since: Instant::now(),
+        receiving_since: None,
         busy: None,
         idle: None,
         is_unwanted: Rc::default(),
@@ -210,7 +211,10 @@
     is_input_closed: bool,
     is_eof: bool,
     timer: Timer,
+    /// When the last answer was queued; the start of the connection before the first one.
     waiting_since: Instant,
+    /// When the first byte was seen of a request that has not arrived completely.
+    receiving_since: Option<Instant>,
     busy: Option<Busy>,
     /// Key among the connections without a request, and how many it had had before.
     idle: Option<(u64, u64)>,
@@ -489,14 +493,17 @@
             return Poll::Pending;
         }
         let is_partial = self.partial.is_some() || !self.input.is_empty();
-        if !is_partial && self.is_unwanted.get() {
-            return Poll::Ready(Ok(()));
-        }
-        if !is_partial {
+        let end = if is_partial {
+            let since = *self.receiving_since.get_or_insert_with(Instant::now);
+            since.max(self.waiting_since) + self.limits.head_time.duration()
+        } else {
+            self.receiving_since = None;
+            if self.is_unwanted.get() {
+                return Poll::Ready(Ok(()));
+            }
             self.limits = self.shared.limits();
-        }
-        let allowed = if is_partial { self.limits.head_time } else { self.limits.idle_time };
-        let end = self.waiting_since + allowed.duration();
+            self.waiting_since + self.limits.idle_time.duration()
+        };
         self.timer.set_at(end);
         match Pin::new(&mut self.timer).poll(cx) {
             Poll::Pending => Poll::Pending,
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -12,6 +12,7 @@
 use skylarkdock_edge::listener::ListenerState;
 use skylarkdock_edge::serve::{self, AnswerFuture, Incoming, Limits};
 use skylarkdock_units::measures::ByteSize;
+use skylarkdock_units::times::Millis;
 use std::cell::Cell;
 use std::future::Future;
 use std::io::Write;
@@ -395,3 +396,30 @@
         assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
     });
 }
+
+/// The time for a request was counted from the last answer on the connection, so one in two parts after a longer pause was
+/// dropped.
+#[rstest]
+#[case::head_and_body(&["POST /0 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n", "ab"])]
+#[case::a_head_in_two_parts(&["GET /0 HT", "TP/1.1\r\nHost: h\r\n\r\n"])]
+fn a_request_in_parts_after_a_pause_has_the_whole_time_to_arrive(
+    #[case] parts: &'static [&'static str],
+) {
+    const HEAD_TIME: Millis = Millis(2_000);
+    with_server(move |server| async move {
+        server.shared.limits.set(Some(Limits { head_time: HEAD_TIME, ..Limits::default() }));
+        let stream = connect(server.addr).await;
+        for _ in 0..2 {
+            Timer::after(HEAD_TIME.duration() + Duration::from_millis(100)).await;
+            for part in parts {
+                send(&stream, part).await;
+                Timer::after(Duration::from_millis(50)).await;
+            }
+            let answer = read(&stream, 1).await;
+            assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+        }
+        // A request that does not arrive is still given up.
+        send(&stream, parts[0]).await;
+        assert_eq!(read(&stream, 1).await, "");
+    });
+}
