Count answers towards the memory for them until they have been passed on

A faulty upstream that sends large answers, or bytes without end, must not exhaust a host's memory: the requests of all its callers end with the process. Answers that were being received were limited, each and together; what follows was not.

- An answer counted for nothing once it had been received.
The part of an answer in the memory for answers belongs to the answer now, until it is written.
- 256 KB of each answer counted for nothing while it was received, and hosts have hundreds under way; it is 64 KB now.
An answer that counts for nothing is no longer given up as others have used up the memory.
- Grants, releases and health checks accepted answers of 32 MB.
They have a short head and hardly a body, so 64 KB are enough; over other hosts too.
- An idle connection kept the bytes that came after a whole answer as long as the upstream had announced that it keeps the connection.
The pool closes such a connection.
- A refused release was logged with its whole body, as long as that may be.
It is an excerpt now.

Open: the pool is looked through only when something is published, and the part of a small answer (64 KB) that a caller does not read counts for nothing still.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -1,6 +1,6 @@
 //! Answers to callers, to calls of other hosts and to checks.
 
-use crate::client::Reply;
+use crate::client::{Charge, Reply};
 use skylarkdock_freshness::final_answers::FinalAnswer;
 use skylarkdock_http1::head::Headers;
 use skylarkdock_units::times::Millis;
@@ -8,7 +8,6 @@
 /// Complete answer. One that a caller takes as final is that of an upstream or a [`FinalAnswer`]: there is no other way to
 /// build it.
 #[derive(Debug)]
-#[expect(clippy::manual_non_exhaustive, reason = "keeps out other modules of this crate, too")]
 pub struct Answer {
     /// HTTP status code; its reason phrase is added when the answer is written.
     pub status: u16,
@@ -16,8 +15,8 @@
     pub headers: Headers,
     /// Body, which is not sent in the answer to a HEAD request.
     pub body: Vec<u8>,
-    /// Keeps other modules from building answers field by field.
-    _private: (),
+    /// Its part of the memory for answers. Keeps other modules from building answers field by field.
+    charge: Charge,
 }
 
 /// Status of a host's own answer that is not final.
@@ -74,11 +73,17 @@
     }
 
     /// Converts an upstream's answer to the answer for the caller.
-    pub(crate) fn forwarded(reply: Reply) -> Self {
-        let mut headers = reply.head.headers;
+    pub(crate) fn forwarded(mut reply: Reply) -> Self {
+        let mut headers = std::mem::take(&mut reply.head.headers);
         headers.remove_hop_by_hop();
         headers.remove("content-length");
-        Self { status: reply.head.status, headers, body: reply.body, _private: () }
+        let Reply { head, body, charge, .. } = reply;
+        Self { status: head.status, headers, body, charge }
+    }
+
+    /// Returns what the answer counts for, to be kept until it has been written.
+    pub(crate) fn take_charge(&mut self) -> Charge {
+        std::mem::take(&mut self.charge)
     }
 
     /// Builds the answer to a call of another host that failed. Callers have no access to such calls.
@@ -87,7 +92,8 @@
     }
 
     fn with_status(status: u16) -> Self {
-        Self { status, headers: Headers::default(), body: Vec::new(), _private: () }
+        let charge = Charge::default();
+        Self { status, headers: Headers::default(), body: Vec::new(), charge }
     }
 }
 
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -28,10 +28,12 @@
 /// Number of bytes after which an answer is given up, with what is not part of its body: chunk sizes, trailers, interim
 /// answers and answers to other requests.
 const MAX_ANSWER_SIZE: usize = 2 * MAX_BODY_SIZE;
-/// Number of bytes of an answer that are not charged to `MAX_BUFFERED`.
-const FREE_ANSWER_SIZE: usize = 256 * 1024;
-/// Number of further bytes that all answers which are being received may have together, a fifth of the smallest host's
-/// memory.
+/// Size of the largest accepted answer to a control call to an upstream, whose answers have a short head and no body to speak of.
+const MAX_CONTROL_ANSWER_SIZE: usize = 64 * 1024;
+/// Number of bytes of an answer that are not charged to `MAX_BUFFERED`. Hundreds of answers may be received at a time.
+const FREE_ANSWER_SIZE: usize = 64 * 1024;
+/// Number of further bytes that all answers may have together which are being received or passed on, a fifth of the smallest
+/// host's memory.
 pub const MAX_BUFFERED: usize = 32 * 1024 * 1024;
 /// Number of answers to other requests that may be skipped before the answer to this one.
 const MAX_SKIPPED: u32 = 4;
@@ -87,6 +89,8 @@
     pub is_head: bool,
     /// Name and value of the header that identifies answers to this request.
     pub id: Option<(&'static str, String)>,
+    /// Number of bytes after which the answer is given up.
+    pub max_answer: usize,
 }
 
 impl Outgoing {
@@ -103,12 +107,17 @@
         }
         bytes.extend_from_slice(b"\r\n");
         bytes.extend_from_slice(body);
-        Self { bytes, is_head: method == "HEAD", id: None }
+        Self { bytes, is_head: method == "HEAD", id: None, max_answer: MAX_ANSWER_SIZE }
+    }
+
+    /// Limits the answer to the size of those to control calls.
+    pub fn with_control_answer(self) -> Self {
+        Self { max_answer: MAX_CONTROL_ANSWER_SIZE, ..self }
     }
 }
 
 /// Complete answer.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Reply {
     /// Head of the final response; interim (1xx) responses are skipped.
     pub head: ResponseHead,
@@ -118,6 +127,13 @@
     pub is_matched: bool,
     /// Host over which it came, `None` if it came directly.
     pub via: Option<SocketAddr>,
+    /// Its part of the memory for answers.
+    pub charge: Charge,
+}
+
+/// Returns the number of bytes after which an answer is given up. Control calls to upstreams have no request id.
+pub(crate) const fn max_answer(has_id: bool) -> usize {
+    if has_id { MAX_ANSWER_SIZE } else { MAX_CONTROL_ANSWER_SIZE }
 }
 
 /// Time limits of a call whose answer may be large.
@@ -264,16 +280,26 @@
 /// Bytes charged to `MAX_BUFFERED`.
 static BUFFERED: AtomicUsize = AtomicUsize::new(0);
 
-/// Returns the number of bytes of large answers that are being received.
+/// Returns the number of bytes of large answers that are being received or passed on.
 pub fn buffered() -> usize {
     BUFFERED.load(Ordering::Relaxed)
 }
 
+/// Bytes of an answer that count towards `MAX_BUFFERED` until this is dropped.
+#[derive(Debug, Default)]
+pub struct Charge(usize);
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        BUFFERED.fetch_sub(self.0, Ordering::Relaxed);
+    }
+}
+
 /// Counts the bytes of an answer that is being received.
-#[derive(Default)]
 struct AnswerSize {
     received: usize,
-    charged: usize,
+    max: usize,
+    charge: Charge,
 }
 
 impl AnswerSize {
@@ -284,10 +310,11 @@
     /// Fails if the answer, or all answers together, become too large.
     fn add(&mut self, count: usize) -> Result<(), Failure> {
         self.received += count;
-        let due = self.received.saturating_sub(FREE_ANSWER_SIZE) - self.charged;
+        let due = self.received.saturating_sub(FREE_ANSWER_SIZE) - self.charge.0;
         let total = BUFFERED.fetch_add(due, Ordering::Relaxed) + due;
-        self.charged += due;
-        if self.received <= MAX_ANSWER_SIZE && total <= MAX_BUFFERED {
+        self.charge.0 += due;
+        // An answer that is charged nothing does not suffer from the others.
+        if self.received <= self.max && (self.charge.0 == 0 || total <= MAX_BUFFERED) {
             return Ok(());
         }
         log::warn!(bytes = self.received, buffered = total; "client: an answer is too large");
@@ -295,12 +322,6 @@
     }
 }
 
-impl Drop for AnswerSize {
-    fn drop(&mut self) {
-        BUFFERED.fetch_sub(self.charged, Ordering::Relaxed);
-    }
-}
-
 /// Connection to read from, and the counter of the bytes received on it.
 type Source<'a> = (&'a Async<TcpStream>, &'a AtomicUsize);
 
@@ -311,21 +332,25 @@
     req: &Outgoing,
 ) -> Result<(Reply, bool), Failure> {
     let mut skipped = 0;
-    let mut size = AnswerSize::default();
+    let mut size = AnswerSize { received: 0, max: req.max_answer, charge: Charge::default() };
     loop {
-        let (reply, reusable) = receive_next(stream, buf, req.is_head, &mut size).await?;
+        let (mut reply, reusable) = receive_next(stream, buf, req.is_head, &mut size).await?;
         if reply.head.is_interim() {
             continue;
         }
-        let Some((name, id)) = &req.id else { return Ok((reply, reusable)) };
-        match reply.head.headers.get_str(name) {
-            Some(found) if found == id => {
-                return Ok((Reply { is_matched: true, ..reply }, reusable && skipped == 0));
+        if let Some((name, id)) = &req.id {
+            match reply.head.headers.get_str(name) {
+                Some(found) if found == id => reply.is_matched = true,
+                Some(_) if reusable && skipped < MAX_SKIPPED => {
+                    skipped += 1;
+                    continue;
+                }
+                Some(_) => return Err(Failure::Malformed),
+                None => {}
             }
-            Some(_) if reusable && skipped < MAX_SKIPPED => skipped += 1,
-            Some(_) => return Err(Failure::Malformed),
-            None => return Ok((reply, reusable && skipped == 0)),
         }
+        reply.charge = size.charge;
+        return Ok((reply, reusable && skipped == 0));
     }
 }
 
@@ -365,7 +390,8 @@
         }
     }
     let reusable = head.keeps_alive;
-    Ok((Reply { head, body, is_matched: false, via: None }, reusable))
+    let charge = Charge::default();
+    Ok((Reply { head, body, is_matched: false, via: None, charge }, reusable))
 }
 
 async fn fill(
--- a/crates/edge/src/control/owners.rs
+++ b/crates/edge/src/control/owners.rs
@@ -5,6 +5,7 @@
 use crate::client::{ControlClient, Failure, Outgoing, Reply};
 use crate::clock;
 use crate::detour::DetourError;
+use crate::framing;
 use crate::net::ConnectError;
 use crate::traffic::Sample;
 use crate::upstreams::ReleaseReply;
@@ -196,7 +197,7 @@
         let end = (self.protocol.parse_grant_reply)(reply);
         if end != CallEnd::Done {
             let (headers, names) = (&reply.head.headers, &self.protocol.names);
-            log::info!(upstream:% = grant.holder.id, first = grant.first, last = grant.last, fence:% = grant.fence, end:? = end, path:% = Path(reply), status = reply.head.status, instance = headers.get_str(names.instance).unwrap_or_default(), not_run = headers.get(names.not_run).is_some(); "owners: grant refused");
+            log::info!(upstream:% = grant.holder.id, first = grant.first, last = grant.last, fence:% = grant.fence, end:? = end, path:% = Path(reply), status = reply.head.status, instance = framing::excerpt(headers.get(names.instance).unwrap_or_default()), not_run = headers.get(names.not_run).is_some(); "owners: grant refused");
         }
         end
     }
@@ -591,7 +592,7 @@
 
     fn log_refusal(&self, release: &Release, reply: &Reply) {
         let (headers, names) = (&reply.head.headers, &self.protocol.names);
-        log::info!(upstream:% = release.holder.id, path:% = Path(reply), status = reply.head.status, instance = headers.get_str(names.instance).unwrap_or_default(), not_run = headers.get(names.not_run).is_some(), body = String::from_utf8_lossy(&reply.body).as_ref(); "owners: release refused");
+        log::info!(upstream:% = release.holder.id, path:% = Path(reply), status = reply.head.status, instance = framing::excerpt(headers.get(names.instance).unwrap_or_default()), not_run = headers.get(names.not_run).is_some(), body = framing::excerpt(&reply.body); "owners: release refused");
     }
 
     async fn process_samples(self: Rc<Self>, samples: Receiver<Sample>) {
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -9,7 +9,7 @@
 //! intermediary therefore keeps to it for all requests that it passes on. To one that it may not send it answers in the
 //! place of the upstream, so that the caller learns of it as if it had the upstream's own answer.
 
-use crate::client::{Conn, Failure, Outgoing, Reply, exchange_within};
+use crate::client::{self, Charge, Conn, Failure, Outgoing, Reply, exchange_within};
 use crate::clock;
 use crate::net::{ConnectError, Shortage};
 use crate::notices::SharedNotices;
@@ -399,10 +399,12 @@
             }
             return withheld;
         }
+        let max_answer = client::max_answer(has_id);
         let outgoing = Outgoing {
             bytes: call.bytes,
             is_head: call.is_head,
             id: call.id.map(|id| (self.protocol.names.request_id, id)),
+            max_answer,
         };
         let Some(open) = conn.0.as_mut() else { return DetourEnd::Broken };
         let timed_out = async {
@@ -479,7 +481,7 @@
         framing: Framing::Length(body.len() as u64),
         keeps_alive: true,
     };
-    Reply { head, body, is_matched, via: None }
+    Reply { head, body, is_matched, via: None, charge: Charge::default() }
 }
 
 impl From<DetourError> for ConnectError {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -16,6 +16,9 @@
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(5_000);
 /// Time before the upstream's idle timeout from which a connection is no longer used.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
+/// Idle time from which a connection is closed if bytes have arrived on it. They take memory until it is used again, and a
+/// faulty upstream may send them without end.
+const MIN_CHECKED_IDLE_TIME: Duration = Duration::from_millis(1_000);
 /// Longest idle time of a connection that is used for a request that may run only once. If the upstream closes the
 /// connection while the request is sent, it is unknown whether the request ran.
 const MAX_ONCE_IDLE_TIME: Duration = Duration::from_millis(1_000);
@@ -82,10 +85,13 @@
         self.idle.remove(&addr);
     }
 
-    /// Closes connections that have been idle for too long.
+    /// Closes connections that have been idle for too long, or on which bytes have arrived meanwhile.
     pub fn close_expired(&mut self) {
         for idle in self.idle.values_mut() {
-            idle.retain(|conn| conn.used_at.elapsed() <= idle_timeout(conn));
+            idle.retain(|conn| {
+                let age = conn.used_at.elapsed();
+                age <= idle_timeout(conn) && (age < MIN_CHECKED_IDLE_TIME || conn.is_clean())
+            });
         }
         self.idle.retain(|_, idle| !idle.is_empty());
     }
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -2,6 +2,7 @@
 //! concurrently and are answered in order.
 
 use crate::answer::{self, Answer, OwnStatus};
+use crate::client::Charge;
 use crate::framing::{self, FramingError, LimitedPart, Oversize};
 use crate::listener::{Busy, InFlight, ListenerState};
 use crate::net::{self, Shortage};
@@ -132,6 +133,7 @@
         requests: 0,
         input: Vec::new(),
         output: Vec::new(),
+        charges: Vec::new(),
         written: 0,
         partial: None,
         pending: VecDeque::new(),
@@ -204,6 +206,8 @@
     requests: u64,
     input: Vec<u8>,
     output: Vec<u8>,
+    /// Memory that the answers in `output` count for.
+    charges: Vec<Charge>,
     written: usize,
     partial: Option<(RequestHead, Decoder, Vec<u8>)>,
     pending: VecDeque<Pending>,
@@ -434,11 +438,15 @@
             }
         }
         while matches!(self.pending.front(), Some(Pending { state: PendingState::Ready(_), .. })) {
-            let Some(Pending { state: PendingState::Ready(answer), is_head, closes_connection }) =
-                self.pending.pop_front()
+            let Some(Pending {
+                state: PendingState::Ready(mut answer),
+                is_head,
+                closes_connection,
+            }) = self.pending.pop_front()
             else {
                 break;
             };
+            self.charges.push(answer.take_charge());
             // During a shutdown, or for another caller, an answer closes the connection only if no other request has been
             // read from it.
             let closes_for_shutdown = (self.shared.is_leaving.get() || self.is_unwanted.get())
@@ -483,6 +491,7 @@
         if self.written > 0 {
             self.written = 0;
             self.output = Vec::new();
+            self.charges.clear();
         }
         Ok(progressed)
     }
--- a/crates/edge/src/traffic/crash_reports.rs
+++ b/crates/edge/src/traffic/crash_reports.rs
@@ -150,7 +150,7 @@
         }
         let intermediaries = self.intermediaries();
         // The other host opens a connection and sends nothing on it.
-        let nothing = Outgoing { bytes: Vec::new(), is_head: false, id: None };
+        let nothing = Outgoing { bytes: Vec::new(), is_head: false, id: None, max_answer: 0 };
         let opinion = self
             .detour_client
             .call(
--- a/crates/edge/tests/endless_answers.rs
+++ b/crates/edge/tests/endless_answers.rs
@@ -3,15 +3,17 @@
 #![allow(clippy::unwrap_used)]
 
 use async_executor::LocalExecutor;
-use async_io::block_on;
+use async_io::{Timer, block_on};
 use rstest::rstest;
 use skylarkdock_edge::client::{self, Conn, Failure, Outgoing};
+use skylarkdock_edge::pool::Pool;
 use skylarkdock_http1::head::Headers;
 use skylarkdock_units::times::Millis;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::{self, Receiver};
 use std::thread;
+use std::time::Duration;
 
 const PIECE_SIZE: usize = 64 * 1024;
 
@@ -80,3 +82,42 @@
     }));
     (0..ANSWERS).for_each(|_| closed.recv().unwrap());
 }
+
+/// Bytes that come after a whole answer took memory as long as the upstream had announced that it keeps the connection.
+#[test]
+fn an_idle_connection_with_bytes_behind_its_answer_is_closed() {
+    const IDLE_TIME: Duration = Duration::from_millis(1_100);
+    let head =
+        "HTTP/1.1 200 OK\r\nId: own\r\nKeep-Alive: timeout=100000\r\nContent-Length: 0\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (tx, rx) = mpsc::channel::<()>();
+    let peer = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4096]).unwrap();
+        stream.write_all(head.as_bytes()).unwrap();
+        rx.recv().unwrap();
+        let piece = "x".repeat(PIECE_SIZE);
+        while stream.write_all(piece.as_bytes()).is_ok() {}
+    });
+    let mut pool = Pool::default();
+    block_on(async {
+        let mut conn = Conn::open(addr, Millis(5_000)).await.unwrap();
+        let mut req = Outgoing::new("GET", "/", &Headers::default(), &[]);
+        req.id = Some(("Id", "own".to_owned()));
+        let (_, reusable) = conn.exchange(&req).await.unwrap();
+        assert!(reusable);
+        pool.put(addr, conn, 1);
+        Timer::after(IDLE_TIME).await;
+    });
+    pool.close_expired();
+    assert!(pool.has_open(addr), "a clean connection stays");
+    tx.send(()).unwrap();
+    // The peer's bytes end only when the connection is closed.
+    while !peer.is_finished() {
+        pool.close_expired();
+        thread::yield_now();
+    }
+    peer.join().unwrap();
+    assert!(!pool.has_open(addr));
+}
