Write a table only to the copy of the store that it was planned for

A leader plans a table, and the write runs a moment later. If the host learnt in between that the store had come back from an older copy, the table of the earlier copy was recorded in the later one: it followed the last version that the host knew, and the offset was the one it had just read. Nobody was asked what had been lost, the write counted as proof, and keys got two owners.

`Table::is_planned_for` compares the copies before the write.

--- a/crates/edge/src/control/store_sync.rs
+++ b/crates/edge/src/control/store_sync.rs
@@ -530,11 +530,11 @@
             let renewals = owners.renewals.get(&table.service);
             renewals.is_none_or(|renewals| renewals.confirm_write(table))
         };
-        if !is_confirmed {
-            log::info!(service:% = table.service, version = table.version; "owners: table not written, as another was recorded since it was planned");
+        let end = self.fleet.borrow().fleet_end;
+        if !is_confirmed || !table.is_planned_for(lost_tables::copy_of(end)) {
+            log::info!(service:% = table.service, version = table.version; "owners: table not written, as another was recorded since it was planned, or the store came back from an older copy");
             return false;
         }
-        let end = self.fleet.borrow().fleet_end;
         let value = match serde_json::to_vec(table) {
             Ok(value) => value,
             Err(e) => {
--- a/crates/spans/src/table.rs
+++ b/crates/spans/src/table.rs
@@ -194,6 +194,12 @@
         self.copy.is_some_and(|own| own < copy)
     }
 
+    /// Returns whether the version may be written to a copy of the store. One that was planned for an earlier copy follows a
+    /// version of that copy, although later ones may be lost.
+    pub fn is_planned_for(&self, copy: StoreCopy) -> bool {
+        self.copy.is_none_or(|own| own == copy)
+    }
+
     /// Returns whether the table has a span whose owner's grant is not recorded.
     pub fn has_pending_spans(&self) -> bool {
         self.spans.iter().any(|span| !span.is_granted)
--- a/crates/spans/tests/fuzz.rs
+++ b/crates/spans/tests/fuzz.rs
@@ -254,6 +254,10 @@
     for seed in first..first + cases {
         sum += run(seed, LOST_FIRST_TABLES)
             .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+        let frequent = Safeguards { has_frequent_faults: true, ..LOST_FIRST_TABLES };
+        let simulation = run_faults(seed, frequent)
+            .unwrap_or_else(|violation| panic!("seed {seed}, frequent faults: {violation}"));
+        sum += simulation.fault_counts;
     }
     println!("{cases} cases: {sum:?}");
     assert!(sum.forgotten_first_tables > 0);
@@ -261,12 +265,21 @@
     assert!(sum.lost_hosts > 0);
 }
 
+/// A table that had been planned before the store came back was recorded in the later copy, without a look at what was lost.
+#[test]
+fn a_table_that_was_planned_for_an_earlier_copy_is_not_written() {
+    let frequent = Safeguards { has_frequent_faults: true, ..LOST_FIRST_TABLES };
+    run_faults(1_391, frequent).unwrap_or_else(|violation| panic!("{violation}"));
+    let unchecked = Safeguards { checks_planned_copies: false, ..frequent };
+    assert!(run_faults(1_391, unchecked).is_err(), "the simulation detects the missing check");
+}
+
 /// Checks the simulation itself: each case weakens a rule for first tables and lost hosts, with which the simulation must find a
 /// key with two holders, a token that is handed out again, or keys without a holder.
 #[rstest]
 #[case::silence_is_a_first_start(900, Safeguards { doubts_missing_tables: false, ..LOST_FIRST_TABLES })]
 #[case::numbers_begin_again(1, Safeguards { numbers_copies: false, ..LOST_FIRST_TABLES })]
-#[case::reads_without_a_table_are_proof(160, Safeguards { doubts_reads_of_later_copies: false, ..LOST_FIRST_TABLES })]
+#[case::reads_without_a_table_are_proof(160, Safeguards { doubts_reads_of_later_copies: false, has_frequent_faults: true, ..LOST_FIRST_TABLES })]
 #[case::lost_hosts_are_not_awaited(490, Safeguards { awaits_lost_hosts: false, ..LOST_FIRST_TABLES })]
 #[case::lost_hosts_stay_unrecorded(1_140, Safeguards { records_lost_hosts: false, ..LOST_FIRST_TABLES })]
 fn the_simulation_detects_a_missing_rule_for_first_tables(
--- a/crates/spans/tests/restored.rs
+++ b/crates/spans/tests/restored.rs
@@ -243,3 +243,14 @@
     renewals.adopt(distant(LATER));
     assert!(!renewals.confirm_write(&distant(LATER)));
 }
+
+/// A version of an earlier copy was recorded in a later one, and passed for its newest.
+#[test]
+fn a_table_is_written_only_to_the_copy_that_it_was_planned_for() {
+    assert!(table(9).is_planned_for(FORMER));
+    assert!(!table(9).is_planned_for(LATER));
+    assert!(
+        Table { copy: None, ..table(9) }.is_planned_for(LATER),
+        "of a host that knew no copies"
+    );
+}
--- a/crates/spans/tests/simulation/followers.rs
+++ b/crates/spans/tests/simulation/followers.rs
@@ -1,6 +1,7 @@
 //! Hosts that learn of tables, and of their age, from other hosts instead of the store.
 
 use super::network::Message;
+use super::restored::Position;
 use super::{HOSTS, Simulation};
 use skylarkdock_freshness::proof;
 use skylarkdock_spans::table::Table;
@@ -16,6 +17,8 @@
 /// The answer of a host to one that follows it.
 pub(super) struct Told {
     table: Option<Table>,
+    /// What the other host has read of the store.
+    position: Position,
     asked_at: u64,
     /// How long the other host held the request, and how old its proof was then.
     waited: u64,
@@ -63,7 +66,8 @@
             return;
         }
         let table = source.renewals.table().cloned();
-        let told = Told { table, asked_at, waited, age: now.saturating_sub(source.proven_at) };
+        let age = now.saturating_sub(source.proven_at);
+        let told = Told { table, position: source.read_to, asked_at, waited, age };
         let at = now + self.trouble_rng.u64(1..1_000);
         self.messages.push((at, Message::Tell { to: from, told }));
     }
@@ -80,6 +84,13 @@
             self.messages.push((self.hosts[to].frozen_until, Message::Tell { to, told }));
             return;
         }
+        if self.safeguards.has_restored_store {
+            if told.position < host.read_to {
+                // It is from an earlier copy of the store, or older than what this host has read.
+                return;
+            }
+            host.record_position(told.position, now);
+        }
         self.fault_counts.told_proofs += 1;
         let asked_at = HostTime(told.asked_at);
         let proof_at = if self.safeguards.ages_proof {
--- a/crates/spans/tests/simulation/mod.rs
+++ b/crates/spans/tests/simulation/mod.rs
@@ -50,6 +50,8 @@
     read_to: Position,
     /// When it first read the copy of the store.
     copy_known_at: u64,
+    /// Whether it has read the store.
+    has_read: bool,
     /// Copy that it read at the first start of the fleet.
     first_copy: Option<StoreCopy>,
     /// When its record was written that the store has.
@@ -308,7 +310,9 @@
             self.resume_by_late_entries(index);
         }
         self.renew(index);
-        if self.hosts[index].believes_to_lead {
+        // Like the daemon, a host leads only once it has read the tables.
+        let may_lead = self.hosts[index].has_read || !self.safeguards.has_lost_first_tables;
+        if self.hosts[index].believes_to_lead && may_lead {
             self.lead(index);
         } else {
             self.hosts[index].leader = None;
@@ -519,6 +523,7 @@
         version_read: 0,
         read_to: Position::default(),
         copy_known_at: started_at,
+        has_read: false,
         first_copy: None,
         recorded_at: Some(0),
         known_hosts: [false; HOSTS],
--- a/crates/spans/tests/simulation/network.rs
+++ b/crates/spans/tests/simulation/network.rs
@@ -283,7 +283,11 @@
             host.renewals.table().map_or(0, |known| known.version) == newest
         };
         let is_confirmed = host.renewals.confirm_write(&table) || !self.safeguards.confirms_writes;
-        let is_recorded = reaches_store && knows_newest && is_confirmed && table.check().is_ok();
+        let is_planned = table.is_planned_for(host.copy())
+            || !self.safeguards.has_restored_store
+            || !self.safeguards.checks_planned_copies;
+        let is_recorded =
+            reaches_store && knows_newest && is_confirmed && is_planned && table.check().is_ok();
         if is_recorded {
             self.log_end = self.damage.end_after(self.log_end) + 1;
             host.damage.on_written();
--- a/crates/spans/tests/simulation/restored.rs
+++ b/crates/spans/tests/simulation/restored.rs
@@ -130,6 +130,7 @@
             self.copy_known_at = now;
         }
         self.read_to = position;
+        self.has_read = true;
         if self.started_at == 1 && self.first_copy.is_none() {
             // The simulation begins 1 s after the start of its clock.
             let uptime = Millis(now.saturating_sub(1_000));
--- a/crates/spans/tests/simulation/settings.rs
+++ b/crates/spans/tests/simulation/settings.rs
@@ -53,6 +53,8 @@
     pub awaits_lost_hosts: bool,
     /// Whether hosts whose records were lost write them again.
     pub records_lost_hosts: bool,
+    /// Whether a table that has waited is written only to the copy of the store that it was planned for.
+    pub checks_planned_copies: bool,
     /// Whether a refusal that names no process ends no wait for a holder.
     pub doubts_bare_refusals: bool,
     /// Whether a refusal ends the wait for a holder only if it names another process.
@@ -144,6 +146,7 @@
         doubts_reads_of_later_copies: true,
         awaits_lost_hosts: true,
         records_lost_hosts: true,
+        checks_planned_copies: true,
         doubts_bare_refusals: true,
         compares_names: true,
         names_processes: true,
