--- a/crates/spans/src/restored.rs
+++ b/crates/spans/src/restored.rs
@@ -95,7 +95,7 @@
     pub own: (HostId, Memory),
     /// The other recorded hosts; `None` for one that did not answer.
     pub others: Vec<(HostId, Option<Memory>)>,
-    /// The copy.
+    /// Copy that the leader knows of, in which it carries the table on.
     pub copy: StoreCopy,
     /// When the leader first knew of the copy.
     pub restored_at: HostTime,
