review: a host keeps a value of each request until its metrics are fetched

A host whose metrics nobody fetches keeps two values of each request in memory for good, 33 bytes a request. The control fetches the metrics each 5 s.

--- a/review/standins-2/src/lost_hosts.rs
+++ b/review/standins-2/src/lost_hosts.rs
@@ -92,7 +92,7 @@
         check_interval: Duration::from_millis(200),
     };
     let zones = json!({"leon-a": "bajio-norte", "leon-b": "bajio-norte"});
-    let zone_of = |number: u8| if number % 2 == 0 { "leon-a" } else { "leon-b" };
+    let zone_of = |number: u8| if number.is_multiple_of(2) { "leon-a" } else { "leon-b" };
     let machines: Vec<Arc<Machine>> = (0..MACHINES)
         .map(|number| Machine::new(20 + number, zone_of(number), &deployment, &record))
         .collect();
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod long_bodies;
 mod lost_hosts;
+mod many_requests;
 mod platform;
 mod record;
 mod slow_bodies;
@@ -33,6 +34,7 @@
     let outcome = match case.as_str() {
         "long-bodies" => long_bodies::run(&folder, has_trouble),
         "lost-hosts" => lost_hosts::run(&folder, has_trouble),
+        "many-requests" => many_requests::run(&folder, has_trouble),
         "slow-bodies" => slow_bodies::run(&folder, has_trouble),
         _ => Outcome::NotRun(format!("there is no case {case}")),
     };
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -118,6 +118,15 @@
         *self.child.lock().expect("the process") = Some(child);
     }
 
+    /// Renders the settings for a start that is not the first one of the whole system.
+    fn set_restarted(&self) {
+        let text = fs::read_to_string(&self.settings).unwrap_or_default();
+        if let Ok(mut settings) = serde_json::from_str::<Value>(&text) {
+            settings["first_start"] = json!(false);
+            let _ = fs::write(&self.settings, settings.to_string());
+        }
+    }
+
     /// Kills the process for good, as if its machine was lost.
     pub fn end(&self) {
         self.is_over.store(true, Ordering::SeqCst);
@@ -152,6 +161,7 @@
                 self.record.say(&format!("{} has ended: {status}", self.name));
                 thread::sleep(RESTART_DELAY);
                 if !self.is_over.load(Ordering::SeqCst) {
+                    self.set_restarted();
                     self.spawn();
                 }
             }
