--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -1,5 +1,6 @@
 //! Minimal HTTP/1.1 for stand-ins: heads, bodies, a threaded server and a blocking client.
 
+use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -150,7 +151,8 @@
 pub struct Server {
     pub addr: SocketAddr,
     has_ended: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
+    /// Open connections by their numbers.
+    open: Arc<Mutex<BTreeMap<u64, TcpStream>>>,
 }
 
 impl Server {
@@ -159,7 +161,7 @@
         self.has_ended.store(true, Ordering::SeqCst);
         // Wakes the thread that accepts connections, which then closes the listener.
         let _ = TcpStream::connect(self.addr);
-        for stream in self.open.lock().expect("the list").drain(..) {
+        for stream in self.open.lock().expect("the list").values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -172,13 +174,21 @@
     let server = Server { addr, has_ended: Arc::default(), open: Arc::default() };
     let (shared, handler) = (server.clone(), Arc::new(handler));
     thread::spawn(move || {
+        let mut number = 0;
         for stream in listener.incoming().flatten() {
             if shared.has_ended.load(Ordering::SeqCst) {
                 return;
             }
-            shared.open.lock().expect("the list").extend(stream.try_clone());
-            let handler = Arc::clone(&handler);
-            thread::spawn(move || handler(Conn::new(stream)));
+            number += 1;
+            let own = number;
+            if let Ok(clone) = stream.try_clone() {
+                shared.open.lock().expect("the list").insert(own, clone);
+            }
+            let (handler, shared) = (Arc::clone(&handler), shared.clone());
+            thread::spawn(move || {
+                handler(Conn::new(stream));
+                shared.open.lock().expect("the list").remove(&own);
+            });
         }
     });
     server
--- a/review/standins-2/src/many_requests.rs
+++ b/review/standins-2/src/many_requests.rs
@@ -152,7 +152,8 @@
     let IpAddr::V4(ip) = callers.ip() else { return false };
     let Ok(mut conn) = http::connect(SocketAddr::new(IpAddr::V4(ip), 9464)) else { return false };
     let req = "GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n";
-    conn.stream.write_all(req.as_bytes()).is_ok() && matches!(conn.read(), Ok(Some(answer)) if answer.status() == 200)
+    conn.stream.write_all(req.as_bytes()).is_ok()
+        && matches!(conn.read(), Ok(Some(answer)) if answer.status() == 200)
 }
 
 /// Sends reads of a service without backends, several before the first answer, until the connection ends.
@@ -205,7 +206,10 @@
 
 impl Case {
     fn order(&self, conn: &mut Conn, is_kept: bool) -> bool {
-        let id = format!("{:016x}", 0x9c41_d07b_0000_0000_u64 + u64::from(self.next_id.fetch_add(1, Ordering::SeqCst)));
+        let id = format!(
+            "{:016x}",
+            0x9c41_d07b_0000_0000_u64 + u64::from(self.next_id.fetch_add(1, Ordering::SeqCst))
+        );
         let req = format!(
             "POST /puka111/{id} HTTP/1.1\r\nHost: jepu9.example\r\nX-Request-Id: {id}\r\n\
              X-Deadline-Milliseconds: 5000\r\nContent-Length: 5\r\n\r\nresin"
@@ -222,7 +226,9 @@
             }
             Some(answer) => self.record.line(&format!("{id} is answered {}", answer.status())),
             None => {
-                self.record.line(&format!("{id} has no answer: its connection ended; it began to run {runs} times"));
+                self.record.line(&format!(
+                    "{id} has no answer: its connection ended; it began to run {runs} times"
+                ));
                 if runs > 0 && is_kept {
                     self.cut.lock().expect("the list").push(id);
                 }
