Take an answer that ends with a reset for broken, also when the write learns of it

Callers got the part of a body that had arrived as a whole answer. An upstream answered a long upload at once, without a length, and reset the connection while the rest of the upload was being written.

Cause: the system reports a reset to one call only. `Conn::exchange` reads the answer and writes the rest of the request in turn, and dropped the error of a failed write, as an answer may still be readable then. If the write got the report, the read returned what had arrived and then the end, as after an orderly close, so the body was taken to end there.

Evidence: `reset_uploads` and `reset_uploads_of_callers` hold reads back by the memory for answers until the bytes and the reset have arrived and the write has failed, so nothing depends on timing.

Change: `RequestWrite` keeps how the write ended, and the end of a connection whose write failed is no end of an answer. A broken pipe is the exception: the system reports it only if the peer had closed its output in order before the reset, so that all of the answer has arrived. Answers with a length or chunks prove their own end and are read as before.

What callers get instead: a once-only request ends with 502 and has run at most once, as after any broken connection. A repeatable one is sent to another upstream and gets its answer, or 502 if there is no attempt left.

The stand-in of an intermediary in the tests serves several connections now, one call at a time; routes there can have another timeout.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -5,6 +5,7 @@
 use crate::memory_charge::AnswerSize;
 pub use crate::memory_charge::{Charge, MAX_BUFFERED, buffered};
 use crate::net::{self, ConnectError, Shortage};
+use crate::request_write::RequestWrite;
 use crate::upstream_connections::Permit;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
@@ -247,42 +248,16 @@
     /// Returns [`Failure::NotSent`] and [`Failure::Shortage`] only if no byte left the host.
     pub async fn exchange(&mut self, req: &Outgoing) -> Result<(Reply, bool), Failure> {
         let first = (&self.stream).write(&req.bytes).await.map_err(Failure::not_sent)?;
-        let (rest, body) = (&req.bytes[first..], req.shared_body.as_slice());
-        if rest.is_empty() && body.is_empty() {
-            return self.receive(req).await;
-        }
-        // The peer may answer before it has read a long body. The connection is not reused then.
-        let stream = &self.stream;
-        let write = async move {
-            let mut stream = stream;
-            stream.write_all(rest).await?;
-            stream.write_all(body).await
-        };
         let mut buf = std::mem::take(&mut self.buf);
-        let mut is_written = false;
-        let result = {
-            let written = async {
-                match write.await {
-                    Ok(()) => is_written = true,
-                    // The answer may still be readable after a failed write.
-                    Err(_) => return futures_lite::future::pending().await,
-                }
-                futures_lite::future::pending::<Result<(Reply, bool), Failure>>().await
-            };
-            let read = receive((&self.stream, &self.received), &mut buf, req);
-            read.or(written).await
-        };
+        let write = RequestWrite::new(&self.stream, [&req.bytes[first..], &req.shared_body]);
+        let source = Source { stream: &self.stream, received: &self.received, write: &write };
+        let result = receive(source, &mut buf, req).or(write.run()).await;
+        // The peer may have answered before it had read the request. The connection is not reused then.
+        let is_written = write.is_finished();
         self.buf = buf;
         self.record_reply(req, result).map(|(reply, reusable)| (reply, reusable && is_written))
     }
 
-    async fn receive(&mut self, req: &Outgoing) -> Result<(Reply, bool), Failure> {
-        let mut buf = std::mem::take(&mut self.buf);
-        let result = receive((&self.stream, &self.received), &mut buf, req).await;
-        self.buf = buf;
-        self.record_reply(req, result)
-    }
-
     fn record_reply(
         &mut self,
         req: &Outgoing,
@@ -311,19 +286,25 @@
     xxh3::xxh3_64(id.as_bytes())
 }
 
-/// Connection to read from, and the counter of the bytes received on it.
-type Source<'a> = (&'a Async<TcpStream>, &'a AtomicUsize);
+/// Connection to read an answer from.
+#[derive(Clone, Copy)]
+struct Source<'a> {
+    stream: &'a Async<TcpStream>,
+    /// Number of bytes received so far.
+    received: &'a AtomicUsize,
+    write: &'a RequestWrite<'a>,
+}
 
 /// Reads the answer to a request, and skips answers to other requests before it.
 async fn receive(
-    stream: Source<'_>,
+    source: Source<'_>,
     buf: &mut Vec<u8>,
     req: &Outgoing,
 ) -> Result<(Reply, bool), Failure> {
     let mut skipped = 0;
     let mut size = AnswerSize::new(req.max_answer, req.id.is_some());
     loop {
-        let (mut reply, reusable) = receive_next(stream, buf, req.is_head, &mut size).await?;
+        let (mut reply, reusable) = receive_next(source, buf, req.is_head, &mut size).await?;
         if let Some((name, id)) = &req.id {
             match reply.head.headers.get_str(name) {
                 Some(found) if found == id => reply.is_matched = true,
@@ -341,7 +322,7 @@
 }
 
 async fn receive_next(
-    stream: Source<'_>,
+    source: Source<'_>,
     buf: &mut Vec<u8>,
     is_head: bool,
     size: &mut AnswerSize,
@@ -350,7 +331,7 @@
         if let Some(found) = answer_head::parse_final(buf, is_head, &mut size.interim)? {
             break found;
         }
-        if fill(stream, buf, size).await? == 0 {
+        if fill(source, buf, size).await? == 0 {
             return Err(Failure::Broken(io::ErrorKind::UnexpectedEof.into()));
         }
     };
@@ -366,7 +347,7 @@
         if body.len() > MAX_BODY_SIZE {
             return Err(Failure::Malformed);
         }
-        if fill(stream, buf, size).await? == 0 {
+        if fill(source, buf, size).await? == 0 {
             if decoder.is_complete_at_close() {
                 break;
             }
@@ -378,14 +359,22 @@
     Ok((Reply { head, body, is_matched: false, via: None, charge }, reusable))
 }
 
+/// Reads more of an answer. Returns the number of bytes, which is 0 after an orderly end of the connection.
+///
+/// # Errors
+///
+/// Fails if the connection broke, or if there is no memory for the answer.
 async fn fill(
-    (mut stream, received): Source<'_>,
+    Source { mut stream, received, write }: Source<'_>,
     buf: &mut Vec<u8>,
     size: &mut AnswerSize,
 ) -> Result<usize, Failure> {
     size.reserve(READ_SIZE).await?;
     let mut chunk = [0; READ_SIZE];
     let count = stream.read(&mut chunk).await.map_err(Failure::Broken)?;
+    if count == 0 {
+        write.check_end().map_err(Failure::Broken)?;
+    }
     size.add(count)?;
     received.fetch_add(count, Ordering::Relaxed);
     buf.extend_from_slice(&chunk[..count]);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod pool;
 pub mod relays;
 pub mod releases;
+mod request_write;
 pub mod serve;
 pub mod settings;
 pub mod status;
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, dead_code)]
 
+pub mod held_reads;
 pub mod memory_store;
 pub mod scripted;
 
@@ -207,6 +208,16 @@
     version: u64,
     idempotency: Idempotency,
     routes: &[(&str, &[(&str, u32)])],
+) -> Arc<Config> {
+    config_within(Millis(5_000), version, idempotency, routes)
+}
+
+/// Builds a configuration like [`config_of`], with another timeout of its routes.
+pub fn config_within(
+    timeout: Millis,
+    version: u64,
+    idempotency: Idempotency,
+    routes: &[(&str, &[(&str, u32)])],
 ) -> Arc<Config> {
     let routes = routes.iter().map(|(prefix, services)| Route {
         regions: AllowedRegions::default(),
@@ -215,7 +226,7 @@
         prefix: (*prefix).into(),
         idempotency,
         split: split(services),
-        timeout: Millis(5_000),
+        timeout,
         objective: Millis(500),
         attempts: 2,
         rank: 0,
--- a/crates/edge/tests/support/scripted.rs
+++ b/crates/edge/tests/support/scripted.rs
@@ -9,8 +9,8 @@
 use skylarkdock_units::times::Millis;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -88,30 +88,49 @@
     }
 }
 
-/// Starts a host that passes calls on to the upstream at `upstream`, over one connection at a time.
+/// Starts a host that passes calls on to the upstream at `upstream`, one at a time.
 pub fn start_intermediary(protocol: Protocol, upstream: SocketAddr) -> SocketAddr {
+    start_intermediary_with(protocol, vec![upstream], |_| {})
+}
+
+/// Like [`start_intermediary`], for several upstreams; `on_call` gets each call before it is passed on.
+pub fn start_intermediary_with(
+    protocol: Protocol,
+    upstreams: Vec<SocketAddr>,
+    on_call: impl Fn(&[u8]) + Send + Sync + 'static,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        let server = DetourServer::new(protocol, Millis(400));
-        let (paths, notices) = (SharedPaths::default(), SharedNotices::default());
+    let server = Mutex::new(DetourServer::new(protocol, Millis(400)));
+    let (paths, notices) = (SharedPaths::default(), SharedNotices::default());
+    let answer = Arc::new(move |call: &[u8]| {
+        on_call(call);
         let knowledge = Knowledge {
             paths: &paths,
             notices: &notices,
             is_evacuated: &|_| false,
             is_leaving: false,
         };
+        let listed = |addr| upstreams.contains(&addr).then(|| ("i-1".parse().unwrap(), 1));
+        let server = server.lock().unwrap();
+        async_io::block_on(server.on_call(&knowledge, call, listed)).unwrap()
+    });
+    thread::spawn(move || {
         for stream in listener.incoming() {
-            let (mut stream, mut buf) = (stream.unwrap(), Vec::new());
-            while let Some((_, body)) = read_request(&mut stream, &mut buf) {
-                let listed = |addr| (addr == upstream).then(|| ("i-1".parse().unwrap(), 1));
-                let body = async_io::block_on(server.on_call(&knowledge, &body, listed)).unwrap();
-                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-                if stream.write_all(&[head.as_bytes(), &body].concat()).is_err() {
-                    break;
-                }
-            }
+            let answer = Arc::clone(&answer);
+            thread::spawn(move || answer_calls(stream.unwrap(), &*answer));
         }
     });
     addr
 }
+
+fn answer_calls(mut stream: TcpStream, answer: &dyn Fn(&[u8]) -> Vec<u8>) {
+    let mut buf = Vec::new();
+    while let Some((_, call)) = read_request(&mut stream, &mut buf) {
+        let body = answer(&call);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        if stream.write_all(&[head.as_bytes(), &body].concat()).is_err() {
+            return;
+        }
+    }
+}
