Test answers whose fields have odd names

A field whose name has a blank or a control byte, a blank before its colon, no name or no colon, or a value with a zero byte or on two lines: in no case is the answer taken for one.

--- a/crates/edge/tests/invalid_answers.rs
+++ b/crates/edge/tests/invalid_answers.rs
@@ -1,4 +1,4 @@
-//! Answers that are not valid HTTP: odd status lines, and interim answers without a final one.
+//! Answers that are not valid HTTP: odd status lines and fields, and interim answers without a final one.
 
 #![allow(clippy::unwrap_used)]
 
@@ -99,6 +99,47 @@
     }
 }
 
+/// Guards against passing on a line that is no header field, and against a body that ends where another reader of the answer
+/// would not end it.
+#[rstest]
+fn an_answer_with_an_odd_field_counts_as_none_and_its_connection_is_closed(
+    #[values(
+        "Odd Name: x",
+        "Name : x",
+        "Name\t: x",
+        " Name: x",
+        "\tName: x",
+        "Na\x01me: x",
+        "Na\x0bme: x",
+        "Na\x7fme: x",
+        "Na\0me: x",
+        "Na\rme: x",
+        "Na(me: x",
+        "Na\u{e4}me: x",
+        ": x",
+        "Name",
+        "Name: x\r\n folded",
+        "Name: \0",
+        "Content-Length : 1",
+        "Content Length: 1",
+        "Transfer-Encoding : chunked"
+    )]
+    line: &str,
+    #[values("", "HTTP/1.1 103 X\r\n\r\n")] interim: &str,
+    #[values(FIELDS, NOT_RUN)] fields: &str,
+) {
+    let (addr, closed) = peer(format!("{interim}HTTP/1.1 200 OK\r\n{line}\r\n{fields}").into());
+    let result = async_io::block_on(exchange(addr));
+    assert!(matches!(result, Err(Failure::Malformed)), "{result:?}");
+    assert_eq!(closed.recv().unwrap(), b"");
+    let mut client = ControlClient::new(addr);
+    let req = Outgoing::new("POST", "/", &Headers::default(), b"call");
+    let result = async_io::block_on(client.call(&req, TIMEOUT));
+    assert!(matches!(result, Err(Failure::Malformed)), "{result:?}");
+    assert!(!client.is_connected());
+    assert_eq!(closed.recv().unwrap(), b"");
+}
+
 #[rstest]
 #[case::continue_first("HTTP/1.1 100 Continue\r\n\r\n", 1)]
 #[case::progress("HTTP/1.1 102 Processing\r\n\r\n", 8)]
@@ -226,11 +267,49 @@
     });
 }
 
+/// Guards against passing on a line that is no header field, against taking the word of such an answer that the request has not
+/// run, and against running a request that must run once again.
+#[rstest]
+fn a_once_only_request_whose_answer_has_an_odd_field_ends_as_one_that_may_have_run(
+    #[values("Odd Name: x", "Name : x", "Na\x01me: x", "Na\0me: x", "Content-Length : 1")]
+    line: &'static str,
+    #[values(Path::Direct, Path::Intermediary)] path: Path,
+) {
+    support::with_host(LONG, move |host| async move {
+        let (addr, received) = scripted::start(move |_, _| {
+            let fields = "Id: a\r\nSignature: s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            (format!("HTTP/1.1 200 X\r\n{line}\r\n{fields}"), scripted::Then::Keep)
+        });
+        let config = support::config(1, &[("/order/", &[("orders", 1)])]);
+        let mut state = support::state(&config, &[("orders", addr)]);
+        if path == Path::Intermediary {
+            let peer = scripted::start_intermediary(support::PROTOCOL, addr);
+            state.view.peers = Some(Arc::new(vec![support::peer(peer)]));
+        }
+        host.apply(state).await;
+        if path == Path::Intermediary {
+            host.status.paths().on_failure(addr, &"cut off");
+        }
+        let answer = host.answer("GET /order/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n").await;
+        assert_eq!((answer.status, received.load(Ordering::SeqCst)), (502, 1));
+    });
+}
+
 /// Guards against sending the next request on a connection whose answers are not HTTP, and against the loss of a request that
 /// may be repeated.
 #[rstest]
 fn an_idempotent_request_is_repeated_on_another_connection(
-    #[values("000 X", "999 X", "101 X", "20 X", "+20 X")] line: &'static str,
+    #[values(
+        "000 X",
+        "999 X",
+        "101 X",
+        "20 X",
+        "+20 X",
+        "200 X\r\nOdd Name: x",
+        "200 X\r\nNa\x01me: x",
+        "200 X\r\nContent-Length : 1"
+    )]
+    line: &'static str,
 ) {
     support::with_host(LONG, move |host| async move {
         // Place of each request on its connection. The first of all has an odd answer, whichever upstream gets it.
--- a/crates/httppath/tests/invalid_answers.rs
+++ b/crates/httppath/tests/invalid_answers.rs
@@ -48,7 +48,21 @@
 #[case::no_space("HTTP/1.1200 OK")]
 #[case::two_spaces("HTTP/1.1  200 OK")]
 #[case::control_byte("HTTP/1.1 200 O\x07K")]
-fn a_response_with_an_odd_status_line_is_lost(#[case] line: &str) {
+#[case::blank_in_a_name("HTTP/1.1 200 OK\r\nOdd Name: x")]
+#[case::blank_behind_a_name("HTTP/1.1 200 OK\r\nName : x")]
+#[case::tab_behind_a_name("HTTP/1.1 200 OK\r\nName\t: x")]
+#[case::blank_before_a_name("HTTP/1.1 200 OK\r\n Name: x")]
+#[case::control_byte_in_a_name("HTTP/1.1 200 OK\r\nNa\x01me: x")]
+#[case::vertical_tab_in_a_name("HTTP/1.1 200 OK\r\nNa\x0bme: x")]
+#[case::delete_in_a_name("HTTP/1.1 200 OK\r\nNa\x7fme: x")]
+#[case::zero_in_a_name("HTTP/1.1 200 OK\r\nNa\0me: x")]
+#[case::return_in_a_name("HTTP/1.1 200 OK\r\nNa\rme: x")]
+#[case::no_name("HTTP/1.1 200 OK\r\n: x")]
+#[case::no_colon("HTTP/1.1 200 OK\r\nName")]
+#[case::folded("HTTP/1.1 200 OK\r\nName: x\r\n folded")]
+#[case::blank_behind_the_length("HTTP/1.1 200 OK\r\nContent-Length : 1")]
+#[case::chunked_in_an_older_version("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked")]
+fn a_response_with_an_odd_head_is_lost(#[case] line: &str) {
     let (addr, closed) = peer(format!("{line}\r\n{FIELDS}"), "");
     let pool = Pool::builder(executor()).build();
     for _ in 0..2 {
