Reject an HTTP/1.0 answer with chunks

A caller could get a body that was not the upstream's: `ResponseHead::parse` read an answer of HTTP/1.0 with `Transfer-Encoding: chunked` as chunks. Its sender knows none, and may have passed the field on beside a body that ends with its connection; RFC 9112 (6.1) calls such framing faulty. Requests of HTTP/1.0 with chunks were rejected before.

Such an answer counts as malformed now: a once-only request ends with 502, a repeatable one is sent again. One without a body (204, 304, or to HEAD) does not depend on the framing and is taken as before.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -266,16 +266,19 @@
         let headers = Headers::from_httparse(response.headers);
         let length = headers.content_length()?;
         let is_chunked = headers.is_chunked()?;
+        let is_http11 = response.version == Some(1);
         let has_no_body =
             is_head_request || status == 204 || status == 304 || (100..200).contains(&status);
         let framing = match (is_chunked, length) {
             _ if has_no_body => Framing::Length(0),
             (true, Some(_)) => return Err(HeadError::AmbiguousLength),
+            // A sender of HTTP/1.0 knows no chunks, so its body may end elsewhere (RFC 9112, 6.1).
+            (true, None) if !is_http11 => return Err(HeadError::AmbiguousLength),
             (true, None) => Framing::Chunked,
             (false, Some(length)) => Framing::Length(length),
             (false, None) => Framing::UntilClose,
         };
-        let keeps_alive = response.version == Some(1)
+        let keeps_alive = is_http11
             && !headers.contains_token("connection", "close")
             && framing != Framing::UntilClose;
         Ok(Some((Self { status, headers, framing, keeps_alive }, len)))
--- a/crates/http1/tests/heads.rs
+++ b/crates/http1/tests/heads.rs
@@ -105,3 +105,12 @@
     let unended = text.strip_suffix("\r\n").unwrap();
     assert_eq!(request(unended).unwrap(), None);
 }
+
+/// The sender of an earlier version knows no chunks, so its body would end where it does not (RFC 9112, 6.1).
+#[rstest]
+#[case::chunked("Transfer-Encoding: chunked")]
+#[case::chunked_and_a_length("Transfer-Encoding: chunked\r\nContent-Length: 2")]
+fn a_response_of_an_earlier_version_is_not_chunked(#[case] fields: &str) {
+    let text = format!("HTTP/1.0 200 OK\r\n{fields}\r\n\r\n");
+    assert_eq!(ResponseHead::parse(text.as_bytes(), false), Err(HeadError::AmbiguousLength));
+}
