Reject chunked bodies whose trailers are no fields

A caller could get an answer that had broken off at its end: `Decoder` skipped each line behind the last chunk, whatever it was. If the empty line that ends the body was missing, the head of whatever came next on the connection passed for trailers, and the answer for whole. So did trailers whose names have a blank or a control byte.

Trailer lines have to be fields now, by the grammar in the new module, else the message is malformed: a once-only request ends with 502, a repeatable one is sent again. Bodies of callers are read by the same decoder, and get 400 as for other malformed chunks. Trailers are dropped as before.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -1,5 +1,6 @@
 //! Message body framing, and incremental decoding of message bodies.
 
+use crate::grammar;
 use thiserror::Error;
 
 /// Maximum length of a chunk-size or trailer line, with its line ending.
@@ -125,6 +126,8 @@
                 let Some((line, count)) = read_line(input)? else { return Ok(None) };
                 if line.is_empty() {
                     self.state = DecoderState::Done;
+                } else if !is_field(line) {
+                    return Err(ChunkError);
                 }
                 Ok(Some(count))
             }
@@ -149,6 +152,12 @@
     }
 }
 
+/// Returns whether a trailer line is a field. If the line that ends a body is missing, another message may follow.
+fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|b| *b == b':') else { return false };
+    grammar::is_field_name(&line[..colon]) && grammar::is_field_value(&line[colon + 1..])
+}
+
 fn chunk_size(line: &[u8]) -> Result<u64, ChunkError> {
     let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii_end();
     if digits.is_empty() || digits.len() > 15 || !digits.iter().all(u8::is_ascii_hexdigit) {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -7,5 +7,6 @@
 
 pub mod body;
 pub mod fields;
+pub mod grammar;
 pub mod head;
 mod target;
--- a/crates/http1/tests/bodies.rs
+++ b/crates/http1/tests/bodies.rs
@@ -41,6 +41,29 @@
     assert_eq!(decode(Framing::Chunked, wire, 100), None);
 }
 
+/// The line that ends a body may be missing, so that another message follows in place of its trailers.
+#[rstest]
+#[case::another_message(b"0\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")]
+#[case::no_colon(b"0\r\nName\r\n\r\n")]
+#[case::no_name(b"0\r\n: x\r\n\r\n")]
+#[case::blank_in_the_name(b"0\r\nOdd Name: x\r\n\r\n")]
+#[case::blank_behind_the_name(b"0\r\nName : x\r\n\r\n")]
+#[case::control_byte_in_the_name(b"0\r\nNa\x01me: x\r\n\r\n")]
+#[case::control_byte_in_the_value(b"0\r\nName: \0\r\n\r\n")]
+#[case::folded(b"0\r\nName: x\r\n folded\r\n\r\n")]
+fn trailers_that_are_no_fields_are_rejected(#[case] wire: &[u8]) {
+    assert_eq!(decode(Framing::Chunked, wire, 100), None);
+}
+
+#[rstest]
+#[case::none(b"0\r\n\r\n")]
+#[case::one(b"0\r\nName: x\r\n\r\n")]
+#[case::several(b"0\r\nName:x\r\nOther-Name: a\tb: \xe4\r\nx!#$%&'*+-.^_`|~9:\r\n\r\n")]
+fn trailers_are_skipped(#[case] wire: &[u8], #[values(1, 2, 100)] piece_len: usize) {
+    let decoded = decode(Framing::Chunked, wire, piece_len).unwrap();
+    assert_eq!(decoded, (Vec::new(), Vec::new(), true));
+}
+
 #[test]
 fn a_truncated_body_is_not_complete() {
     let (_, _, is_done) = decode(Framing::Chunked, b"5\r\nabc", 100).unwrap();
