Check the fields of answers that other hosts pass on

A caller could get a line that is no field, or a field of which a part was another one, in an answer over another host. The names and values come in an encoding that takes any text, and were written to the caller as they were. No known version of the host sends such fields, as it parses the upstream's head; but a host must not rely on that, as for the status.

`DetourClient` takes an answer with such a field for malformed now: the request ends as one that may have run, with 502 if it must run at most once.

`an_answer_over_another_host_with_an_odd_field_is_not_passed_on` failed in 10 of 10 cases before, each with the answer passed on as 200, and passes.

--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -204,6 +204,9 @@
                         return Ok(Err(failure));
                     }
                     let reply = reply(status, headers, body, is_matched);
+                    if !reply.head.headers.is_valid() {
+                        return Ok(Err(Failure::Malformed));
+                    }
                     return Ok(Ok(Reply { via: Some(intermediary), ..reply }));
                 }
                 Ok(DetourEnd::Broken) => {
--- a/crates/edge/tests/invalid_answers.rs
+++ b/crates/edge/tests/invalid_answers.rs
@@ -176,8 +176,11 @@
     Answered { status: u16, headers: Vec<(String, Vec<u8>)>, body: Vec<u8>, is_matched: bool },
 }
 
-/// Starts an intermediary whose upstream answers each request with `status`. Returns the number of calls too.
-fn earlier_intermediary(status: u16) -> (SocketAddr, Arc<AtomicUsize>) {
+/// Starts an intermediary whose upstream answers each request with `status` and a further field. Returns the number of calls too.
+fn earlier_intermediary(
+    status: u16,
+    field: (&'static str, &'static str),
+) -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     let calls = Arc::new(AtomicUsize::new(0));
@@ -187,7 +190,7 @@
             let mut stream = stream.unwrap();
             while read_call(&mut stream).is_some() {
                 counted.fetch_add(1, Ordering::SeqCst);
-                let headers = [("Id", "a"), ("Signature", "s"), ("Not-Run", "1")];
+                let headers = [("Id", "a"), ("Signature", "s"), field];
                 let headers = headers.map(|(name, value)| (name.to_owned(), value.into()));
                 let end = DetourEnd::Answered {
                     status,
@@ -246,7 +249,7 @@
                 (Some(scripted::start_intermediary(support::PROTOCOL, addr)), received)
             }
             Path::EarlierIntermediary => {
-                let (peer, calls) = earlier_intermediary(status);
+                let (peer, calls) = earlier_intermediary(status, ("Not-Run", "1"));
                 (Some(peer), calls)
             }
         };
@@ -295,6 +298,36 @@
     });
 }
 
+/// Guards against passing on fields from another host that would be no fields, or other ones, in the answer to the caller.
+#[rstest]
+fn an_answer_over_another_host_with_an_odd_field_is_not_passed_on(
+    #[values(
+        ("Odd Name", "x"),
+        ("Name ", "x"),
+        ("", "x"),
+        ("Na:me", "x"),
+        ("Na\r\nme", "x"),
+        ("Na\u{1}me", "x"),
+        ("Na\u{e4}me", "x"),
+        ("Name", "x\r\nOther: y"),
+        ("Name", "x\n"),
+        ("Name", "\0")
+    )]
+    field: (&'static str, &'static str),
+) {
+    support::with_host(LONG, move |host| async move {
+        let (peer, calls) = earlier_intermediary(200, field);
+        let upstream = SocketAddr::from(([127, 0, 0, 1], 1));
+        let config = support::config(1, &[("/order/", &[("orders", 1)])]);
+        let mut state = support::state(&config, &[("orders", upstream)]);
+        state.view.peers = Some(Arc::new(vec![support::peer(peer)]));
+        host.apply(state).await;
+        host.status.paths().on_failure(upstream, &"cut off");
+        let answer = host.answer("GET /order/x HTTP/1.1\r\nHost: h.example\r\nId: a\r\n").await;
+        assert_eq!((answer.status, calls.load(Ordering::SeqCst)), (502, 1));
+    });
+}
+
 /// Guards against sending the next request on a connection whose answers are not HTTP, and against the loss of a request that
 /// may be repeated.
 #[rstest]
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,6 +1,7 @@
 //! Heads of HTTP/1.1 requests and responses.
 
 use crate::body::Framing;
+use crate::grammar;
 use thiserror::Error;
 
 /// Maximum number of header fields in the head of a response, and number up to which those of a request need no larger table.
@@ -119,6 +120,14 @@
         Self(headers.iter().map(to_owned_header).collect())
     }
 
+    /// Returns whether all names and values are those of header fields. Parsed heads have no others.
+    pub fn is_valid(&self) -> bool {
+        let is_field = |header: &Header| {
+            grammar::is_field_name(header.name.as_bytes()) && grammar::is_field_value(&header.value)
+        };
+        self.0.iter().all(is_field)
+    }
+
     /// Returns the value of `Content-Length`, or `None` if the field is absent.
     fn content_length(&self) -> Result<Option<u64>, HeadError> {
         let mut length = None;
