Test that resets reach the pool, and pass through links

A part of a response that ends with a reset during a long request is an error behind the pool of the daemon, the command line and the tools, whichever of read and write learns of the reset: a body without a length is an error there in any case. A link of the stand-ins passes a reset in the middle of a transfer on as one, to both sides.

--- a/crates/httppath/tests/truncated.rs
+++ b/crates/httppath/tests/truncated.rs
@@ -9,11 +9,20 @@
 };
 use futures_lite::future::block_on;
 use rstest::rstest;
+use rustix::net::sockopt;
 use skylarkdock_httppath::body::{self, BodyError};
 use skylarkdock_httppath::pool::{Pool, ResponseLost, SendError};
 use skylarkdock_units::measures::ByteSize;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
+
+/// Number of requests whose connection is reset.
+const RESETS: usize = 20;
+/// Size of the body of each of these, more than the buffers of a connection hold.
+const LONG_BODY: usize = 16 * 1024 * 1024;
+/// Number of its bytes that the peer reads, so that the write goes on when it resets the connection.
+const READ_PART: usize = 1024 * 1024;
 
 fn end_before_length(stream: &mut TcpStream) {
     read_request_head(stream);
@@ -73,6 +82,48 @@
     assert!(matches!(read, Err(BodyError::Unframed)));
 }
 
+/// Answers a part of a long request, and resets the connection.
+fn answer_and_reset(stream: &mut TcpStream, answer: &[u8]) {
+    stream.read_exact(&mut vec![0; READ_PART]).unwrap();
+    stream.write_all(answer).unwrap();
+    sockopt::set_socket_linger(&*stream, Some(Duration::ZERO)).unwrap();
+}
+
+fn reset_without_length(stream: &mut TcpStream) {
+    answer_and_reset(stream, b"HTTP/1.1 200 OK\r\n\r\npart");
+}
+
+fn reset_without_body(stream: &mut TcpStream) {
+    answer_and_reset(stream, b"HTTP/1.1 200 OK\r\n\r\n");
+}
+
+fn reset_before_length(stream: &mut TcpStream) {
+    answer_and_reset(stream, b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\npart");
+}
+
+/// The write of the request may learn of the reset before the read of the response does, which then ends as after a close.
+#[rstest]
+#[case::without_length(reset_without_length)]
+#[case::without_body(reset_without_body)]
+#[case::before_length(reset_before_length)]
+fn response_that_ends_with_a_reset_is_error(#[case] script: fn(&mut TcpStream)) {
+    let pool = Pool::builder(executor()).build();
+    for _ in 0..RESETS {
+        let peer = scripted_peer(vec![script]);
+        let mut req = get("/");
+        *req.method_mut() = http::Method::POST;
+        *req.body_mut() = body::full(vec![b'x'; LONG_BODY]);
+        match block_on(pool.send(peer.addr, req, CONNECT_TIMEOUT, deadline())) {
+            Err(e) => assert!(matches!(e, SendError::Unknown(_)), "{e:?}"),
+            Ok(res) => {
+                let read = block_on(body::collect(res.into_body(), MAX_BODY_SIZE));
+                assert!(read.is_err(), "{read:?}");
+            }
+        }
+        assert_eq!(pool.counts(peer.addr).open, 0);
+    }
+}
+
 #[test]
 fn complete_chunked_body_releases_connection() {
     let peer = scripted_peer(vec![complete_chunks]);
--- a/crates/standins/tests/link.rs
+++ b/crates/standins/tests/link.rs
@@ -6,6 +6,7 @@
 
 use http::Method;
 use rstest::rstest;
+use rustix::net::sockopt;
 use serde_json::{Value, json};
 use skylarkdock_standins::client::{self, PendingCall};
 use skylarkdock_standins::link::rate_limiter::RateLimiter;
@@ -15,6 +16,11 @@
 use std::time::Duration;
 use support::{Standin, WAIT_TIMEOUT, eventually, launch, standin};
 
+/// Number of transfers that are reset.
+const RESETS: usize = 40;
+/// Size of a transfer that waits in the link when the connection is reset.
+const TRANSFER: usize = 1024 * 1024;
+
 struct Relay {
     process: Process,
     control: SocketAddr,
@@ -51,20 +57,31 @@
     }
 }
 
-/// Opens a connection over a new link to a listener of the test; returns the sockets of caller and destination.
-fn connect() -> (Relay, TcpStream, TcpStream) {
+/// Starts a link to a listener of the test.
+fn link_to_listener() -> (Relay, TcpListener) {
     let listener = TcpListener::bind(support::ANY_PORT).unwrap();
     let mut relay = Relay::start();
     let to = listener.local_addr().unwrap().to_string();
     let args = ["--listen", support::ANY_PORT, "--to", &to, "--control", support::ANY_PORT];
     relay.process = launch("link", &args).start().unwrap();
     relay.control = relay.process.address_with_label("control").unwrap();
+    (relay, listener)
+}
+
+/// Opens a connection over a new link to a listener of the test; returns the sockets of caller and destination.
+fn connect() -> (Relay, TcpStream, TcpStream) {
+    let (relay, listener) = link_to_listener();
+    let (caller, destination) = connect_over(&relay, &listener);
+    (relay, caller, destination)
+}
+
+fn connect_over(relay: &Relay, listener: &TcpListener) -> (TcpStream, TcpStream) {
     let caller = TcpStream::connect(relay.process.address()).unwrap();
     let destination = listener.accept().unwrap().0;
     for stream in [&caller, &destination] {
         stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
     }
-    (relay, caller, destination)
+    (caller, destination)
 }
 
 fn read_available(stream: &mut TcpStream) -> std::io::Result<String> {
@@ -144,6 +161,26 @@
     assert_eq!(relay.append_count(), 0);
 }
 
+/// The link's write to one side may learn of a reset there before its read does, which then ends as after an orderly close.
+#[rstest]
+#[case::by_the_destination(false)]
+#[case::by_the_caller(true)]
+fn a_reset_during_a_transfer_is_passed_on_as_a_reset(#[case] is_by_caller: bool) {
+    let (relay, listener) = link_to_listener();
+    for _ in 0..RESETS {
+        let (caller, destination) = connect_over(&relay, &listener);
+        let (mut writer, mut resetter) =
+            if is_by_caller { (destination, caller) } else { (caller, destination) };
+        writer.write_all(&vec![b'x'; TRANSFER]).unwrap();
+        resetter.read_exact(&mut [0; 4096]).unwrap();
+        resetter.write_all(b"part").unwrap();
+        sockopt::set_socket_linger(&resetter, Some(Duration::ZERO)).unwrap();
+        drop(resetter);
+        let end = writer.read_to_end(&mut Vec::new());
+        assert!(end.is_err(), "an orderly end: {end:?}");
+    }
+}
+
 #[test]
 fn a_slow_link_delivers_all_bytes_in_order() {
     let (relay, mut caller, mut destination) = connect();
